--- a/src/main/java/dewplank/Commands.java
+++ b/src/main/java/dewplank/Commands.java
@@ -9,6 +9,7 @@
 import java.io.InputStreamReader;
 import java.io.OutputStreamWriter;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Semaphore;
 import saltfield.adapter.Wire;
 import sun.misc.Signal;
@@ -39,6 +40,7 @@
             }, "drain"));
             Semaphore hangups = new Semaphore(0);
             Signal.handle(new Signal("HUP"), signal -> hangups.release());   // left alone, it ends a JVM
+            sidecar.rehearse();
             sidecar.start();
             LOG.log(System.Logger.Level.INFO, "{0} serves on {1}", config.name(), sidecar.address());
             while (true) {   // the shutdown hook ends the program
@@ -58,6 +60,21 @@
         }
     }
 
+    /**
+     * Starts a sidecar on loopback with a configuration of its own, runs the common path and ends. The build has the
+     * JVM keep an archive of the classes loaded meanwhile.
+     */
+    public static final class Rehearse implements Command {
+        @Override
+        public void run() throws IOException, InterruptedException {
+            Sidecar sidecar = new Sidecar(SidecarConfig.ofRehearsal());
+            CompletableFuture<Void> done = sidecar.rehearse();
+            sidecar.start();
+            done.join();
+            sidecar.drain();
+        }
+    }
+
     /** Hosts the module on the simulator's wire. */
     public static final class SimHost implements Command {
         @Override
--- a/src/main/java/dewplank/Main.java
+++ b/src/main/java/dewplank/Main.java
@@ -12,13 +12,14 @@
 
 /** The command line. Ends with 2 on a wrong command line and with 1 on wrong configuration or input. */
 public final class Main {
-    private static final String USAGE = "usage: java -jar dewplank.jar serve | simhost | check-config | version";
+    private static final String USAGE = "usage: java -jar dewplank.jar serve | simhost | check-config | rehearse | version";
 
     @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class)
     @SubCommands({
         @SubCommand(name = "serve", impl = Commands.Serve.class),
         @SubCommand(name = "simhost", impl = Commands.SimHost.class),
         @SubCommand(name = "check-config", impl = Commands.CheckConfig.class),
+        @SubCommand(name = "rehearse", impl = Commands.Rehearse.class),
         @SubCommand(name = "version", impl = Commands.Version.class),
     })
     private Commands.Command command;
--- a/src/main/java/dewplank/config/SidecarConfig.java
+++ b/src/main/java/dewplank/config/SidecarConfig.java
@@ -1,7 +1,9 @@
 package dewplank.config;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.NoSuchFileException;
@@ -32,6 +34,18 @@
         return read(environment, Map.of("GW_NAME", "name", "GW_LISTEN", "listen"));
     }
 
+    /** A small configuration for the rehearsal at build time. */
+    public static SidecarConfig ofRehearsal() {
+        try (InputStream in = SidecarConfig.class.getResourceAsStream("/rehearsal.json")) {
+            String text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
+            SidecarConfig c = of(new Fields(Json.object(text), "rehearsal key "));
+            return new SidecarConfig(c.name, new InetSocketAddress(c.listen.getAddress(), 0), c.directory, c.seed,
+                c.sockets, c.known, c.settings);   // any port that is free
+        } catch (IOException e) {
+            throw new BadInput("rehearsal.json: " + e.getMessage());
+        }
+    }
+
     private static SidecarConfig read(Map<String, String> environment, Map<String, String> above) {
         String file = environment.get("GW_CONFIG");
         if (file == null || file.isEmpty()) {
--- a/src/main/java/dewplank/directory/Directory.java
+++ b/src/main/java/dewplank/directory/Directory.java
@@ -23,6 +23,7 @@
 
     private final EventLoop loop;
     private InetSocketAddress at;
+    private final boolean usesGone;
     private final Consumer<ListNews> news;
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private long version;
@@ -30,9 +31,11 @@
     private Watch watch;
     private boolean watching;
 
-    public Directory(EventLoop loop, InetSocketAddress at, Consumer<ListNews> news) {
+    /** {@code usesGone}: whether the module may still send to a server that is no longer listed. */
+    public Directory(EventLoop loop, InetSocketAddress at, boolean usesGone, Consumer<ListNews> news) {
         this.loop = loop;
         this.at = at;
+        this.usesGone = usesGone;
         this.news = news;
     }
 
@@ -85,13 +88,21 @@
         version = listing.version();
         if (form != ListForm.CHANGES) {   // a server that a full list lacks has left
             up.clear();
+            if (!usesGone) {
+                addresses.clear();
+            }
         }
         for (Listing.Member m : listing.members()) {
-            addresses.put(m.entry().server(), m.address());
+            String server = m.entry().server();
+            if (m.entry().availability() == Availability.REMOVED && !usesGone) {
+                addresses.remove(server);   // servers come and go with ever new ids: they must not add up
+            } else {
+                addresses.put(server, m.address());
+            }
             if (m.entry().availability() == Availability.UP) {
-                up.add(m.entry().server());
+                up.add(server);
             } else {
-                up.remove(m.entry().server());
+                up.remove(server);
             }
         }
         news.accept(new ListNews(form, listing.entries()));
--- a/src/main/java/dewplank/sidecar/Host.java
+++ b/src/main/java/dewplank/sidecar/Host.java
@@ -52,7 +52,7 @@
         this.loop = loop;
         this.settings = config.settings();
         this.balancer = balancer;
-        this.directory = new Directory(loop, config.directory(), this::tell);
+        this.directory = new Directory(loop, config.directory(), settings.safety().onlyDrainingBinds(), this::listed);
         this.known = Listing.of(config.known());
         this.effects = settings.classes().stream().collect(Collectors.toMap(RequestClass::name, RequestClass::effect));
         this.mostServerConnections = config.sockets() - mostConsumers(config) - config.sockets() / SPARE_PART;
@@ -95,6 +95,22 @@
         directory.close();
     }
 
+    /** What is kept for a server goes with it: over a day servers come and go with ever new ids. */
+    private void listed(ListNews news) {
+        tell(news);
+        pools.entrySet().removeIf(e -> {
+            boolean gone = directory.address(e.getKey()) == null;
+            if (gone) {
+                e.getValue().close();
+            }
+            return gone;
+        });
+    }
+
+    int poolCount() {
+        return pools.size();
+    }
+
     // ---- events in ------------------------------------------------------------------------------------
 
     /**
--- a/src/main/java/dewplank/sidecar/HttpConsumer.java
+++ b/src/main/java/dewplank/sidecar/HttpConsumer.java
@@ -70,8 +70,8 @@
 
     private void request() throws BadMessageException {
         if (parser.target().equals("/_health")) {
-            boolean ready = host.canServe();
-            answer(MessageWriter.response(ready ? 200 : 503), (ready ? "ok\n" : "no servers known\n")
+            boolean ready = sidecar.ready();
+            answer(MessageWriter.response(ready ? 200 : 503), (ready ? "ok\n" : "not ready: starting, or no servers known\n")
                 .getBytes(StandardCharsets.US_ASCII));
             return;
         }
--- /dev/null
+++ b/src/main/java/dewplank/sidecar/Rehearsal.java
@@ -0,0 +1,84 @@
+package dewplank.sidecar;
+
+import dewplank.http.MessageWriter;
+import dewplank.net.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import saltfield.Balancer;
+import saltfield.Balancer.*;
+import saltfield.Choice;
+
+/**
+ * Runs the code of the common path before consumers come. Guards against the first seconds after a start, in which
+ * classes are loaded and compiled on part of a core while requests run out of time. It asks the sidecar's own
+ * {@code /_health}, and drives a module that is thrown away; nobody else is sent anything.
+ */
+final class Rehearsal {
+    private static final int ROUNDS = 300;
+    private static final double MOST_MS = 1_000;
+    private static final int SERVERS = 9;
+
+    private final EventLoop loop;
+    private final InetSocketAddress self;
+    private final Settings settings;
+    private final Runnable whenDone;
+    private final ServerPool pool;
+    private final double until;
+    private final Queue<Send> sent = new ArrayDeque<>();
+    private final Balancer module;
+    private int round;
+
+    Rehearsal(EventLoop loop, InetSocketAddress self, Settings settings, Runnable whenDone) {
+        this.loop = loop;
+        this.self = self;
+        this.settings = settings;
+        this.whenDone = whenDone;
+        this.pool = new ServerPool(loop);
+        this.until = loop.now() + MOST_MS;
+        this.module = new Choice(settings, new SplittableRandom(1));
+    }
+
+    void start() {
+        List<Entry> entries = IntStream.range(0, SERVERS)
+            .mapToObj(i -> new Entry("rehearsed-" + i, settings.zone(), "", 0, Availability.UP, 1, null)).toList();
+        tell(new ListNews(ListForm.STALE, entries));
+        next();
+    }
+
+    private void next() {
+        if (round++ == ROUNDS || loop.now() > until) {
+            pool.close();
+            whenDone.run();
+            return;
+        }
+        decide();
+        MessageWriter request = MessageWriter.request("POST", "/_health", "rehearsal").header("X-Trace-Id", "0")
+            .header("X-Qos", "rehearsal").header(Host.EXPIRES, "1000");
+        new InvokerCall(loop, self, pool, request.body(new byte[] {'0'}), (call, end) -> next())
+            .start(MOST_MS, MOST_MS);
+    }
+
+    /** One request of each class, served at once. */
+    private void decide() {
+        long request = (long) round * settings.classes().size();
+        for (RequestClass c : settings.classes()) {
+            tell(new Arrived(++request, null, null, false, c.name(), c.deadlineMs(), null));
+        }
+        while (!sent.isEmpty()) {
+            Send s = sent.remove();
+            tell(new Ended(s.request(), 0, s.server(), Outcome.SERVED, 1, true, null));
+        }
+    }
+
+    private void tell(Event event) {
+        module.handle(loop.now(), event, action -> {
+            if (action instanceof Send s) {
+                sent.add(s);
+            }
+        });
+    }
+}
--- a/src/main/java/dewplank/sidecar/ServerPool.java
+++ b/src/main/java/dewplank/sidecar/ServerPool.java
@@ -15,6 +15,7 @@
 
     private final EventLoop loop;
     private final Deque<Idle> idle = new ArrayDeque<>();
+    private boolean closed;
 
     ServerPool(EventLoop loop) {
         this.loop = loop;
@@ -32,7 +33,17 @@
         return null;
     }
 
+    /** The server has left: what is idle ends, and so does a connection whose last call ends later. */
+    void close() {
+        closed = true;
+        closeIdleBefore(Double.MAX_VALUE);
+    }
+
     void put(Connection connection, InetSocketAddress to) {
+        if (closed) {
+            connection.close();
+            return;
+        }
         Idle entry = new Idle(connection, to, loop.now());
         idle.addLast(entry);
         connection.setHandler(new Connection.Handler() {
--- a/src/main/java/dewplank/sidecar/Sidecar.java
+++ b/src/main/java/dewplank/sidecar/Sidecar.java
@@ -5,11 +5,13 @@
 import dewplank.net.EventLoop;
 import dewplank.net.Listener;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import saltfield.Balancer;
@@ -41,6 +43,7 @@
     private final CountDownLatch drained = new CountDownLatch(1);
     private final CountDownLatch drainBegun = new CountDownLatch(1);
     private boolean draining;
+    private boolean rehearsing;
 
     public Sidecar(SidecarConfig config) throws IOException {
         this(config, new Choice(config.settings(), new SplittableRandom(config.seed())));
@@ -71,6 +74,25 @@
         });
     }
 
+    /** Runs the common path first; until that has ended, {@code /_health} says that no consumer should come yet. */
+    public CompletableFuture<Void> rehearse() throws IOException {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        InetSocketAddress self = (InetSocketAddress) listener.address();
+        loop.execute(() -> {
+            rehearsing = true;
+            new Rehearsal(loop, self, config.settings(), () -> {
+                rehearsing = false;
+                done.complete(null);
+            }).start();
+        });
+        return done;
+    }
+
+    /** Whether consumers may come. */
+    boolean ready() {
+        return !rehearsing && host.canServe();
+    }
+
     public SocketAddress address() throws IOException {
         return listener.address();
     }
--- a/src/main/java/saltfield/Choice.java
+++ b/src/main/java/saltfield/Choice.java
@@ -188,6 +188,7 @@
             servers.values().forEach(s -> s.gone = true);
         }
         news.entries().forEach(this::learn);
+        servers.values().removeIf(s -> s.gone && !listed(s) && s.outstanding.isEmpty());   // lest they add up
         if (news.form() != ListForm.STALE) {
             asking = false;
             askWait = ASK_BACKOFF_MS;
@@ -220,6 +221,10 @@
         }
     }
 
+    int serversKnown() {
+        return servers.size();
+    }
+
     private void ask() {
         if (cfg.listPushed() || asking) {
             return;
--- a/src/test/java/dewplank/sidecar/SidecarTest.java
+++ b/src/test/java/dewplank/sidecar/SidecarTest.java
@@ -1,6 +1,7 @@
 package dewplank.sidecar;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertSame;
 import static org.junit.Assert.assertTrue;
@@ -10,6 +11,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.FutureTask;
 import java.util.function.UnaryOperator;
 import org.junit.Test;
@@ -51,8 +53,7 @@
             call.answer("200 OK", "");
             assertStatus("200", client.read());
             Exchange end = net.servers.get(0).next();
-            assertSame(call.connection(), end.connection());
-            assertNull(end.message());
+            assertEnd(call, end);
         }
     }
 
@@ -117,8 +118,7 @@
             Exchange call = net.servers.get(0).next();
             client.socket.close();
             Exchange end = net.servers.get(0).next();
-            assertSame(call.connection(), end.connection());
-            assertNull(end.message());
+            assertEnd(call, end);
         }
     }
 
@@ -263,6 +263,34 @@
         }
     }
 
+    /** Over a long day servers come and go with ever new ids: what is kept for one must go with it. */
+    @Test
+    public void theConnectionsToAServerEndWhenItHasLeft() throws Exception {
+        try (Loopback net = new Loopback(1)) {
+            Exchange watch = net.directory.next();
+            Loopback.Peer server = net.servers.get(0);
+            Client one = net.client();
+            one.ask("menu-read");
+            Exchange first = server.next();
+            Client two = net.client();
+            two.ask("menu-read");
+            Exchange second = server.next();
+            first.answer("200 OK", "");
+            assertStatus("200", one.read());   // its connection is idle now
+            watch.beginWatch();
+            watch.line(Loopback.list(8, false, List.of(server.entry("s0", "left"))));
+            assertEnd(first, server.next());
+            second.answer("200 OK", "");
+            assertStatus("200", two.read());
+            assertEnd(second, server.next());
+        }
+    }
+
+    private static void assertEnd(Exchange of, Exchange end) {
+        assertSame(of.connection(), end.connection());
+        assertNull(end.message());
+    }
+
     /** A reload moves the watch at once: the old address ends its watches soon, and tells nothing new. */
     @Test
     public void aDirectoryThatMovesIsFollowed() throws Exception {
@@ -285,6 +313,19 @@
         }
     }
 
+    /** Consumers come once the sidecar is well: not before its code is warm. */
+    @Test
+    public void untilItsRehearsalEndsTheSidecarIsNotReady() throws Exception {
+        try (Loopback net = new Loopback(1)) {
+            FutureTask<Boolean> ready = new FutureTask<>(net.sidecar::ready);
+            CompletableFuture<Void> rehearsed = net.sidecar.rehearse();
+            net.sidecar.loop().execute(ready);
+            assertFalse(ready.get());
+            rehearsed.get();
+            awaitOnLoop(net, () -> assertTrue(net.sidecar.ready()));
+        }
+    }
+
     private static void awaitStatus(Client client, String request, String status) throws IOException {
         String answer;
         do {
--- a/src/test/java/saltfield/ScaleTest.java
+++ b/src/test/java/saltfield/ScaleTest.java
@@ -41,6 +41,22 @@
         assertTrue(used.size() >= 2 && used.size() <= 6, used.toString());
     }
 
+    /** Over a long day servers come and go with ever new ids: what is known of those gone must not add up. */
+    @Test
+    void serversThatHaveGoneAreForgottenOnceNothingIsOut() {
+        Host h = sidecar(0, 2, 1);
+        Send open = sent(h.arrive("read"));
+        h.list(ListForm.CHANGES, entry("s0", "z1", 0, Availability.REMOVED, null));
+        for (int i = 0; i < 100; i++) {
+            h.list(ListForm.CHANGES, entry("n" + i, "z1", 0, Availability.UP, null));
+            h.list(ListForm.CHANGES, entry("n" + i, "z1", 0, Availability.REMOVED, null));
+        }
+        assertEquals(1, ((Choice) h.balancer).serversKnown());
+        h.end(open, 0, Outcome.SERVED, 10, true);
+        h.list(ListForm.CHANGES);
+        assertEquals(0, ((Choice) h.balancer).serversKnown());
+    }
+
     @Test
     void aHandfulOfSidecarsUsesTheWholeFleet() {
         assertEquals(10, used(sidecar(0, 4, 10), 400).size());
