Let requests turned away together make one rest of their server

Ruled out: processor (a tenth of a core at the time), descriptors (125 of 384).

At fault: Choice.restServer multiplied the rest by four for every answer of a burst, also for requests sent before the rest began: four turned away together made 4 s of 40 ms.

Now only a request sent since the last rest began makes the next one longer. (trialDue loses a branch: without probes none has failed.)

The test was seen to fail without the condition.

--- a/src/main/java/saltfield/Choice.java
+++ b/src/main/java/saltfield/Choice.java
@@ -409,10 +409,7 @@
         if (now - s.lastTrial < TRIAL_EVERY_MS) {
             return false;
         }
-        if (!cfg.limits().mayProbe()) {
-            return true;
-        }
-        if (now - s.lastProbe >= TRIAL_EVERY_MS) {
+        if (cfg.limits().mayProbe() && now - s.lastProbe >= TRIAL_EVERY_MS) {
             s.lastProbe = now;
             out.accept(new Probe(s.id));
         }
@@ -651,17 +648,21 @@
                 if (now - s.lastSuccess > 2 * cfg.limits().connectTimeoutMs()) {
                     suspect(a);
                 }
-                restServer(s, CONNECT_PAUSE_MS);
+                restServer(s, a, CONNECT_PAUSE_MS);
             }
-            case FULL -> restServer(s, FULL_PAUSE_MS);
+            case FULL -> restServer(s, a, FULL_PAUSE_MS);
             case CANCELLED, NEVER_SENT -> { }
         }
     }
 
-    private void restServer(Server s, double least) {
-        s.rest = Math.max(s.rest, least);
-        s.restUntil = now + s.rest * (0.5 + random.nextDouble());
-        s.rest = Math.min(s.rest * REST_GROWS, REST_MOST_MS);
+    /** Answers to what was sent before a rest began say no more than the one that began it. */
+    private void restServer(Server s, Attempt a, double least) {
+        if (a.sentAt >= s.restFrom) {
+            s.restFrom = now;
+            s.rest = Math.max(s.rest, least);
+            s.restUntil = now + s.rest * (0.5 + random.nextDouble());
+            s.rest = Math.min(s.rest * REST_GROWS, REST_MOST_MS);
+        }
     }
 
     /** No attempt is out and the request is not over: another attempt, or the final answer at once. */
--- a/src/main/java/saltfield/Memory.java
+++ b/src/main/java/saltfield/Memory.java
@@ -106,6 +106,7 @@
         double lastTrial = Double.NEGATIVE_INFINITY;
         double lastProbe = Double.NEGATIVE_INFINITY;
         boolean probeServed = true;
+        double restFrom;
         double restUntil;
         double rest;
         double fast;
--- a/src/test/java/saltfield/VerdictTest.java
+++ b/src/test/java/saltfield/VerdictTest.java
@@ -6,6 +6,7 @@
 import static saltfield.Host.of;
 import static saltfield.Host.sent;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -95,6 +96,23 @@
         assertTrue(play(h, 200, 5).getOrDefault("s0", 0) > 20);
     }
 
+    /**
+     * Found where servers were few: a dozen requests turned away together each made the rest four times as long, and
+     * servers with nothing to do rested for four seconds while requests were refused.
+     */
+    @Test
+    void thoseTurnedAwayTogetherMakeOneRest() {
+        Host h = Host.with(new Host.Setup(), 1);
+        List<Send> out = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            out.add(sent(h.arrive("read")));
+        }
+        h.now += 5;
+        out.forEach(s -> h.end(s, 0, Outcome.FULL, 5, false));
+        h.now += 65;   // past the longest first rest
+        assertTrue(sent(h.arrive("read")) != null);
+    }
+
     /** Hung servers may turn all away at once; the rest after full grows until they draw next to nothing. */
     @Test
     void aServerThatOnlyTurnsAwayDrawsLittle() {
