Let a doubt after an error not make its server look slower with time

At fault: Choice.suspect dated every doubt from the sending of its request, and predicted took its age as the server's time. That holds for a request that is overdue, which may still be stuck there; an error or a reset took the time that it took. Checked: verdicts and weights still follow errors as before; only that prediction differs.

Test seen to fail without it.

--- a/src/main/java/saltfield/Choice.java
+++ b/src/main/java/saltfield/Choice.java
@@ -252,11 +252,10 @@
     }
 
     /** An unhealthy outcome, or the lack of one in time: an observation, and a doubt from its send on. */
-    private void suspect(Attempt a) {
+    private void suspect(Attempt a, boolean stuck) {
         Server s = a.server;
-        if (!doubted(s)) {
-            s.doubtSince = a.sentAt;
-        }
+        double since = stuck ? a.sentAt : Double.POSITIVE_INFINITY;   // an error took the time that it took
+        s.doubtSince = doubted(s) ? Math.min(s.doubtSince, since) : since;
         s.doubts++;
         s.lastDoubt = now;
         observe(s, a.request.kind.rules.name(), false);
@@ -550,7 +549,7 @@
         }
         a.overdue = true;
         a.overdueAt = now;
-        suspect(a);
+        suspect(a, true);
         a.server.zone.least += Math.max(0, now - a.sentAt - a.server.zone.least) * WAY_STEP;
         if (r.over || now >= r.aimAt() || !mayTryAgain(r)) {
             return;
@@ -636,17 +635,17 @@
                     warmKeys.put(a.request.key, s.id);
                 }
             }
-            case ERROR, RESET -> suspect(a);
+            case ERROR, RESET -> suspect(a, false);
             case TIMED_OUT -> {
                 if (!a.overdue) {
-                    suspect(a);
+                    suspect(a, true);
                 }
             }
             case CONNECT_FAILED -> {
                 // A server that answers on its open connections has a full table; else it may be dead.
                 s.connections = s.outstanding.isEmpty() ? 0 : s.connections;
                 if (now - s.lastSuccess > 2 * cfg.limits().connectTimeoutMs()) {
-                    suspect(a);
+                    suspect(a, true);
                 }
                 restServer(s, a, CONNECT_PAUSE_MS);
             }
--- a/src/test/java/saltfield/VerdictTest.java
+++ b/src/test/java/saltfield/VerdictTest.java
@@ -96,6 +96,19 @@
         assertTrue(play(h, 200, 5).getOrDefault("s0", 0) > 20);
     }
 
+    /** Found among resets: a server looked slower the longer ago its error was, and got nothing to mend that with. */
+    @Test
+    void anErrorDoesNotMakeItsServerLookSlowerWithTime() {
+        Host.Setup setup = new Host.Setup();
+        setup.effect = Effect.UNSAFE;
+        Host h = Host.with(setup, 1);
+        play(h, 20, 5);
+        Send s = sent(h.arrive("act"));
+        h.end(s, 0, Outcome.RESET, 1, false);
+        h.now += 600;
+        assertTrue(sent(h.arrive("read")) != null);
+    }
+
     /**
      * Found where servers were few: a dozen requests turned away together each made the rest four times as long, and
      * servers with nothing to do rested for four seconds while requests were refused.
