Turn away malformed and open ids, tell noise at its first byte, keep odd load figures out

At fault by reading: HttpConsumer.request took any X-Trace-Id, two of them too, and that of an open request; MessageParser waited for a line end in noise that need not have one; LoadReport passed NaN, infinite and negative figures; Connection.finish read what nobody wants 8 kB at a time, now 256 kB.

Each test was seen to fail with its line taken out.

--- a/src/main/java/dewplank/http/MessageParser.java
+++ b/src/main/java/dewplank/http/MessageParser.java
@@ -76,6 +76,9 @@
         return taken;
     }
 
+    /** What each start line begins with: noise is told at its first byte, without waiting for a line end. */
+    abstract String startsWith();
+
     abstract void startLine(String text) throws BadMessageException;
 
     abstract boolean request();
@@ -95,6 +98,11 @@
             }
             if (b != '\n') {
                 line.write(b);
+                boolean lineEnd = b == '\r' && line.size() == 1;
+                if (state == State.START && !lineEnd && line.size() <= startsWith().length()
+                        && b != startsWith().charAt(line.size() - 1)) {
+                    throw new BadMessageException(400, "the start line is malformed");
+                }
                 continue;
             }
             String text = line.toString(StandardCharsets.ISO_8859_1);
--- a/src/main/java/dewplank/http/MessageWriter.java
+++ b/src/main/java/dewplank/http/MessageWriter.java
@@ -54,6 +54,7 @@
             case 200 -> "OK";
             case 400 -> "Bad Request";
             case 408 -> "Request Timeout";
+            case 409 -> "Conflict";
             case 413 -> "Content Too Large";
             case 431 -> "Request Header Fields Too Large";
             case 500 -> "Internal Server Error";
--- a/src/main/java/dewplank/http/RequestParser.java
+++ b/src/main/java/dewplank/http/RequestParser.java
@@ -11,6 +11,11 @@
         super(MAX_BODY);
     }
 
+    @Override
+    String startsWith() {
+        return "";   // any method
+    }
+
     @Override
     void startLine(String text) throws BadMessageException {
         String[] parts = text.split(" ", -1);
--- a/src/main/java/dewplank/http/ResponseParser.java
+++ b/src/main/java/dewplank/http/ResponseParser.java
@@ -9,6 +9,11 @@
         super(maxBody);
     }
 
+    @Override
+    String startsWith() {
+        return "HTTP/1.";
+    }
+
     @Override
     void startLine(String text) throws BadMessageException {
         if (!text.matches("HTTP/1\\.[01] [1-9][0-9]{2}( .*)?")) {
--- a/src/main/java/dewplank/net/Connection.java
+++ b/src/main/java/dewplank/net/Connection.java
@@ -157,11 +157,11 @@
     }
 
     void read() {
-        if (closed || reading || !in.hasRemaining()) {
+        if (closed || reading || !finishing && !in.hasRemaining()) {
             return;   // a full buffer is a peer that sends ahead of its answers; it has to wait
         }
         reading = true;
-        channel.read(in, null, readDone);
+        channel.read(finishing ? loop.waste() : in, null, readDone);
     }
 
     private void readDone(int n, Throwable failure) {
--- a/src/main/java/dewplank/net/EventLoop.java
+++ b/src/main/java/dewplank/net/EventLoop.java
@@ -1,6 +1,7 @@
 package dewplank.net;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousChannelGroup;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -13,12 +14,14 @@
     private static final System.Logger LOG = System.getLogger(EventLoop.class.getName());
     private static final long TICK_MS = 5;
     private static final long STOP_MS = 1_000;
+    private static final int WASTE = 256 * 1024;
 
     private final ScheduledThreadPoolExecutor executor;
     private final AsynchronousChannelGroup group;
     private final double unixAtStart = System.currentTimeMillis();
     private final long nanosAtStart = System.nanoTime();
     private final Wheel wheel = new Wheel(now(), TICK_MS);
+    private final ByteBuffer waste = ByteBuffer.allocateDirect(WASTE);
     private volatile Thread thread;
     private volatile boolean stopping;
 
@@ -64,6 +67,11 @@
         return Thread.currentThread() == thread;
     }
 
+    /** Where bytes go that nobody will look at: large, so that a peer which never stops sending costs little. */
+    ByteBuffer waste() {
+        return waste.duplicate();
+    }
+
     AsynchronousChannelGroup group() {
         return group;
     }
--- a/src/main/java/dewplank/sidecar/Host.java
+++ b/src/main/java/dewplank/sidecar/Host.java
@@ -11,8 +11,10 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 import saltfield.Balancer;
 import saltfield.Balancer.*;
@@ -40,6 +42,7 @@
     private final Listing known;
     private final Map<String, Effect> effects;
     private final Map<Long, Invocation> invocations = new HashMap<>();
+    private final Set<String> openIds = new HashSet<>();
     private final Map<String, ServerPool> pools = new HashMap<>();
     private final int mostServerConnections;
     private final Deque<Event> events = new ArrayDeque<>();
@@ -78,6 +81,11 @@
         return effects.get(requestClass);
     }
 
+    /** Whether a consumer's request with this id has no final answer yet. */
+    boolean isOpen(String id) {
+        return openIds.contains(id);
+    }
+
     /** The longest that any invocation may still be open, by the settings. */
     double longestDeadlineMs() {
         return settings.classes().stream().mapToDouble(RequestClass::deadlineMs).max().orElse(0);
@@ -164,6 +172,7 @@
         double budget = Math.max(1, budgetMs - ANSWER_MARGIN_MS);
         Invocation invocation = new Invocation(nextInvocation++, call, loop.now() + budget, answerer);
         invocations.put(invocation.id, invocation);
+        openIds.add(call.id());
         // A guard: should the module ever leave a request unanswered, the consumer is told in time all the same.
         invocation.lastResort = loop.after(budget + LAST_RESORT_MS, () -> {
             LOG.log(System.Logger.Level.WARNING, "an invocation had no answer at its deadline");
@@ -184,6 +193,7 @@
 
     private void finish(Invocation invocation) {
         invocation.over = true;
+        openIds.remove(invocation.call.id());
         invocation.lastResort.cancel();
         forgetIfDone(invocation);
     }
--- a/src/main/java/dewplank/sidecar/HttpConsumer.java
+++ b/src/main/java/dewplank/sidecar/HttpConsumer.java
@@ -18,6 +18,7 @@
     private static final System.Logger LOG = System.getLogger(HttpConsumer.class.getName());
     private static final byte[] NOTHING = new byte[0];
     private static final long MOST_MS = 3_600_000;
+    private static final String ID = "[!-+\\--~]{1,128}";   // visible, no comma
 
     private final Host host;
     private final Sidecar sidecar;
@@ -82,15 +83,18 @@
             throw new BadMessageException(400, "X-Qos names no class of the settings");
         }
         String id = h.get("X-Trace-Id");
-        if (id == null || id.isEmpty()) {
-            throw new BadMessageException(400, "X-Trace-Id is missing");
+        if (id == null || !id.matches(ID)) {   // two such fields come as one with a comma, which is none
+            throw new BadMessageException(400, "X-Trace-Id is missing or malformed");
+        }
+        if (host.isOpen(id)) {   // sent on, it could not be told from the other one's repeat
+            throw new BadMessageException(409, "X-Trace-Id is that of an open request");
         }
         if (effect == Effect.KEYED && h.get("Idempotency-Key") == null) {   // no server could drop its repeat
             throw new BadMessageException(400, "Idempotency-Key is missing");
         }
         List<Headers.Field> passedOn = h.endToEnd().stream()
             .filter(f -> !f.name().equalsIgnoreCase(Host.EXPIRES)).toList();   // each invoker call has its own
-        Invocation.Call call = new Invocation.Call(parser.method(), parser.target(), passedOn, parser.takeBody());
+        Invocation.Call call = new Invocation.Call(id, parser.method(), parser.target(), passedOn, parser.takeBody());
         invocation = host.invoke(call, requestClass, budget(h), "1".equals(h.get("X-Second-Try")), this);
     }
 
--- a/src/main/java/dewplank/sidecar/Invocation.java
+++ b/src/main/java/dewplank/sidecar/Invocation.java
@@ -17,8 +17,8 @@
         void failed();
     }
 
-    /** What is passed on to a server, unchanged on every invoker call. */
-    record Call(String method, String target, List<Headers.Field> headers, byte[] body) { }
+    /** What is passed on to a server, unchanged on every invoker call; {@code id} is the consumer's, among the headers. */
+    record Call(String id, String method, String target, List<Headers.Field> headers, byte[] body) { }
 
     final long id;
     final Call call;
--- a/src/main/java/dewplank/sidecar/LoadReport.java
+++ b/src/main/java/dewplank/sidecar/LoadReport.java
@@ -18,7 +18,10 @@
             int equals = part.indexOf('=');
             if (equals > 0) {
                 try {
-                    values.put(part.substring(0, equals).strip(), Double.valueOf(part.substring(equals + 1).strip()));
+                    double value = Double.parseDouble(part.substring(equals + 1).strip());
+                    if (value >= 0 && value < Double.POSITIVE_INFINITY) {   // what no server can mean counts as missing
+                        values.put(part.substring(0, equals).strip(), value);
+                    }
                 } catch (NumberFormatException e) {
                     // a value that is no number counts as missing
                 }
--- a/src/test/java/dewplank/http/ParserTest.java
+++ b/src/test/java/dewplank/http/ParserTest.java
@@ -73,6 +73,15 @@
         assertTrue(parser.endOfInput());
     }
 
+    /** Noise may never bring a line end: waiting for one would use up the request's time. */
+    @Test
+    public void noiseIsToldFromAResponseAtOnce() throws BadMessageException {
+        for (String noise : new String[] {"x", "HTTP/2", "\u0000\u0001"}) {
+            assertThrows(BadMessageException.class, () -> new ResponseParser(100).feed(bytes(noise)));
+        }
+        assertFalse(new ResponseParser(100).feed(bytes("\r\nHTTP/1")));
+    }
+
     @Test
     public void aResponseCutOffIsNotWhole() throws BadMessageException {
         ResponseParser parser = new ResponseParser(100);
