Count a call for which no connection is left as never sent, and compile patterns once

At fault: Host.send told the module CONNECT_FAILED when its own bound was reached, so that servers were rested and doubted for a lack of this sidecar's. Host.SPARE_PART kept an eighth of the descriptors free (48 of 384, 128 of 1024), while the JVM itself holds fewer than 40. MessageParser, ResponseParser and HttpConsumer compiled their patterns anew for every message.

Now the call counts as NEVER_SENT, and the module gives the request up at once; 40 descriptors are kept spare.

The test was seen to fail with CONNECT_FAILED.

--- a/src/main/java/dewplank/http/MessageParser.java
+++ b/src/main/java/dewplank/http/MessageParser.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.regex.Pattern;
 
 /**
  * Reads HTTP/1.1 messages from bytes as they come, one message after another. It takes no byte past the end of
@@ -12,6 +13,7 @@
     public static final int MAX_HEAD = 16 * 1024;
     public static final int MAX_BODY = 64 * 1024;
     private static final int MAX_CHUNK_LINE = 256;
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
     private enum State { START, FIELDS, FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, TO_THE_END, DONE }
 
@@ -195,7 +197,7 @@
 
     /** Two lengths in one message come as "5, 5" and are no number. */
     private long length(String text) throws BadMessageException {
-        if (!text.matches("[0-9]{1,18}")) {
+        if (!LENGTH.matcher(text).matches()) {
             throw new BadMessageException(400, "Content-Length is not one number");
         }
         long length = Long.parseLong(text);
--- a/src/main/java/dewplank/http/ResponseParser.java
+++ b/src/main/java/dewplank/http/ResponseParser.java
@@ -1,7 +1,11 @@
 package dewplank.http;
 
+import java.util.regex.Pattern;
+
 /** Reads responses; interim ones (1xx) are passed over. */
 public final class ResponseParser extends MessageParser {
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-9][0-9]{2}( .*)?");
+
     private int status;
     private boolean oldVersion;
 
@@ -16,7 +20,7 @@
 
     @Override
     void startLine(String text) throws BadMessageException {
-        if (!text.matches("HTTP/1\\.[01] [1-9][0-9]{2}( .*)?")) {
+        if (!STATUS_LINE.matcher(text).matches()) {
             throw new BadMessageException(502, "the status line is malformed");
         }
         oldVersion = text.charAt(7) == '0';
--- a/src/main/java/dewplank/sidecar/Host.java
+++ b/src/main/java/dewplank/sidecar/Host.java
@@ -33,7 +33,7 @@
     private static final double SWEEP_MS = 1_000;
     private static final double BOUND_LOG_MS = 1_000;
     private static final double IDLE_SHARE = 0.9;   // of the server's limit: a request must not cross its close
-    private static final int SPARE_PART = 8;         // of the descriptors, one in so many is the JVM's own
+    private static final int SPARE = 40;             // descriptors for the JVM's own, the listener and the watch
 
     private final EventLoop loop;
     private final Settings settings;
@@ -58,7 +58,11 @@
         this.directory = new Directory(loop, config.directory(), settings.safety().onlyDrainingBinds(), this::listed);
         this.known = Listing.of(config.known());
         this.effects = settings.classes().stream().collect(Collectors.toMap(RequestClass::name, RequestClass::effect));
-        this.mostServerConnections = config.sockets() - mostConsumers(config) - config.sockets() / SPARE_PART;
+        this.mostServerConnections = mostServerConnections(config);
+    }
+
+    static int mostServerConnections(SidecarConfig config) {
+        return config.sockets() - mostConsumers(config) - SPARE;
     }
 
     /** Of the descriptors, consumers may hold half; the rest is for servers. */
@@ -260,10 +264,9 @@
         }
         double timeout = a.timeoutMs() == 0 ? left : Math.min(a.timeoutMs(), left);
         invocation.out++;
-        if (!roomForCall()) {
+        if (!roomForCall()) {   // a lack of this sidecar's own, which the module must not hold against the server
             invocation.calls.add(null);
-            ended(invocation, attempt, a.server(),
-                new InvokerCall.End(Outcome.CONNECT_FAILED, 0, null, null, null));
+            ended(invocation, attempt, a.server(), new InvokerCall.End(Outcome.NEVER_SENT, 0, null, null, null));
             return;
         }
         InvokerCall call = new InvokerCall(loop, to, pool(a.server()), request(invocation.call, to, timeout),
--- a/src/main/java/dewplank/sidecar/HttpConsumer.java
+++ b/src/main/java/dewplank/sidecar/HttpConsumer.java
@@ -11,14 +11,16 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
+import java.util.regex.Pattern;
 import saltfield.Balancer.Effect;
 
 /** A consumer's HTTP connection: requests in, one at a time, and their final answers out. */
 final class HttpConsumer implements Listener.Accepted, Invocation.Answerer {
     private static final System.Logger LOG = System.getLogger(HttpConsumer.class.getName());
     private static final byte[] NOTHING = new byte[0];
+    private static final Pattern MILLISECONDS = Pattern.compile("[0-9]{1,9}");
     private static final long MOST_MS = 3_600_000;
-    private static final String ID = "[!-+\\--~]{1,128}";   // visible, no comma
+    private static final Pattern ID = Pattern.compile("[!-+\\--~]{1,128}");   // visible, no comma
 
     private final Host host;
     private final Sidecar sidecar;
@@ -83,7 +85,7 @@
             throw new BadMessageException(400, "X-Qos names no class of the settings");
         }
         String id = h.get("X-Trace-Id");
-        if (id == null || !id.matches(ID)) {   // two such fields come as one with a comma, which is none
+        if (id == null || !ID.matcher(id).matches()) {   // two such fields come as one with a comma, which is none
             throw new BadMessageException(400, "X-Trace-Id is missing or malformed");
         }
         if (host.isOpen(id)) {   // sent on, it could not be told from the other one's repeat
@@ -100,7 +102,7 @@
 
     private static double budget(Headers h) throws BadMessageException {
         String text = h.get(Host.EXPIRES);
-        if (text == null || !text.matches("[0-9]{1,9}") || Long.parseLong(text) == 0) {
+        if (text == null || !MILLISECONDS.matcher(text).matches() || Long.parseLong(text) == 0) {
             throw new BadMessageException(400, "X-Expires-In-Ms is not a time in whole milliseconds");
         }
         return Math.min(MOST_MS, Long.parseLong(text));
--- a/src/test/java/dewplank/sidecar/SidecarTest.java
+++ b/src/test/java/dewplank/sidecar/SidecarTest.java
@@ -12,13 +12,18 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.FutureTask;
 import java.util.function.UnaryOperator;
 import org.junit.Test;
 import saltfield.Balancer;
 import saltfield.Balancer.Arrived;
+import saltfield.Balancer.Ended;
 import saltfield.Balancer.ListForm;
 import saltfield.Balancer.ListNews;
+import saltfield.Balancer.Outcome;
+import saltfield.Balancer.Refuse;
+import saltfield.Balancer.Send;
 
 /** Stories of the sidecar between scripted peers. */
 public class SidecarTest {
@@ -334,6 +339,30 @@
         }
     }
 
+    /** Found while the other sidecar was down: servers were rested, one and all, for this one's lack of connections. */
+    @Test
+    public void aCallForWhichNoConnectionIsLeftWasNeverSent() throws Exception {
+        List<Outcome> outcomes = new CopyOnWriteArrayList<>();
+        UnaryOperator<Balancer> sendsAll = module -> (now, event, out) -> {
+            if (event instanceof Arrived a) {
+                out.accept(new Send(a.request(), "s0", 0));
+            } else if (event instanceof Ended e) {
+                outcomes.add(e.outcome());
+                out.accept(new Refuse(e.request(), 0));
+            }
+        };
+        try (Loopback net = new Loopback(1, s -> s, sendsAll)) {
+            for (int i = 0; i < Host.mostServerConnections(net.config); i++) {
+                net.client().ask("order-place");
+                net.servers.get(0).next();
+            }
+            Client one = net.client();
+            one.ask("order-place");
+            assertStatus("503", one.read());
+            assertEquals(List.of(Outcome.NEVER_SENT), outcomes);
+        }
+    }
+
     /** Consumers come once the sidecar is well: not before its code is warm. */
     @Test
     public void untilItsRehearsalEndsTheSidecarIsNotReady() throws Exception {
