--- a/src/main/java/dewplank/sidecar/Sidecar.java
+++ b/src/main/java/dewplank/sidecar/Sidecar.java
@@ -28,6 +28,8 @@
     private static final double SWEEP_MS = 50;
     /** How long a connection may wait for a whole request. */
     private static final double WHOLE_MS = 2_000;
+    /** There is room while consumers hold no more than this part of what they may. */
+    static final int ROOMY_PART = 3;
     /** How long it may wait between requests while there is room. */
     private static final double ROOMY_IDLE_MS = 60_000;
     /** And how long, in want of room, it may say nothing at all: who has a request sends it at once. */
@@ -161,13 +163,21 @@
         loop.after(SWEEP_MS, this::sweep);
     }
 
+    /**
+     * Whether another connection may be kept idle. Where not, each answer is the last on its connection: consumers
+     * that ask once and keep theirs have a bound of their own, and reach it before the idle ones are old enough to end.
+     */
+    boolean roomy() {
+        return consumers.size() <= mostConsumers / ROOMY_PART;
+    }
+
     /**
      * Consumers that forget their connections, say nothing or stop halfway through a request would use up the
-     * bound, and shut out those that have a request. Idle ones are let be while half of it is free.
+     * bound, and shut out those that have a request. Idle ones are let be while there is room.
      */
     void endWaiting(double now) {
         boolean full = listener.full();
-        boolean roomy = consumers.size() <= mostConsumers / 2;
+        boolean roomy = roomy();
         for (HttpConsumer c : new ArrayList<>(consumers)) {
             double most = c.idle() && roomy ? ROOMY_IDLE_MS : c.silent() && full ? SILENT_MS : WHOLE_MS;
             if (!c.busy() && now - c.waitsSince() >= most) {
