Let a scripted peer's close end its accepting, so that connections are refused from then on

Seen: anOrderThatNeverRanGoesToAnotherServer failed once in a full run. Cause: ServerSocket.close returns while the accepting thread may still hold the listening socket open; the order's connection came up, was written to and then reset, which is no refused connection. The sidecar was right to fail it. At fault: Loopback.Peer.close.

--- a/src/test/java/dewplank/sidecar/Loopback.java
+++ b/src/test/java/dewplank/sidecar/Loopback.java
@@ -161,8 +161,10 @@
         private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         private final BlockingQueue<Exchange> requests = new LinkedBlockingQueue<>();
 
+        private final Thread accepting;
+
         Peer() throws IOException {
-            background(() -> {
+            accepting = background(() -> {
                 while (true) {
                     End end = new End(listener.accept());
                     background(() -> {
@@ -180,7 +182,7 @@
             void run() throws IOException;
         }
 
-        private static void background(Work work) {
+        private static Thread background(Work work) {
             Thread thread = new Thread(() -> {
                 try {
                     work.run();
@@ -190,6 +192,7 @@
             });
             thread.setDaemon(true);
             thread.start();
+            return thread;
         }
 
         InetSocketAddress address() {
@@ -208,9 +211,15 @@
             return exchange;
         }
 
+        /** From here on connections are refused: until the accepting has ended, the system may still take one. */
         @Override
         public void close() throws IOException {
             listener.close();
+            try {
+                accepting.join();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
         }
     }
 }
