Split the build into decisions, sidecar, emulator, lab and cli modules

Need: the laboratory that comes next must use the sidecar's codecs and the decision module without becoming part of what `serve` loads, and nothing held the architecture but good will.

Change: five Maven modules, sources moved with their history. Two jars: dewplank.jar as before, and dewplank-lab.jar, which the first names in its class path and opens only for a laboratory command.

--- /dev/null
+++ b/cli/src/test/java/dewplank/ArchitectureTest.java
@@ -0,0 +1,51 @@
+package dewplank;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.Test;
+
+/** Arrows point down only: docs/architecture.md draws them. */
+public class ArchitectureTest {
+    private static final JavaClasses ALL = new ClassFileImporter()
+        .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("dewplank", "saltfield");
+
+    @Test
+    public void layersUseOnlyWhatIsBelow() {
+        layeredArchitecture().consideringOnlyDependenciesInLayers().withOptionalLayers(true)
+            .layer("cli").definedBy("dewplank")
+            .layer("lab").definedBy("dewplank.lab..")
+            .layer("emulator").definedBy("dewplank.emulator..")
+            .layer("sidecar").definedBy("dewplank.sidecar..", "dewplank.directory..", "saltfield.adapter..")
+            .layer("codecs").definedBy("dewplank.http..")
+            .layer("net").definedBy("dewplank.net..")
+            .layer("config").definedBy("dewplank.config..")
+            .layer("decisions").definedBy("saltfield")
+            .whereLayer("cli").mayNotBeAccessedByAnyLayer()
+            .whereLayer("lab").mayOnlyBeAccessedByLayers("cli")
+            .whereLayer("emulator").mayOnlyBeAccessedByLayers("lab", "cli")
+            .whereLayer("sidecar").mayOnlyBeAccessedByLayers("emulator", "lab", "cli")
+            .whereLayer("codecs").mayOnlyBeAccessedByLayers("sidecar", "emulator", "lab")
+            .whereLayer("net").mayOnlyBeAccessedByLayers("sidecar", "emulator", "lab")
+            .check(ALL);
+    }
+
+    /** Guards against a codec that can only be tested with sockets. */
+    @Test
+    public void codecsKnowNoSockets() {
+        noClasses().that().resideInAPackage("dewplank.http..").should().dependOnClassesThat()
+            .resideInAnyPackage("dewplank.net..", "java.net..", "java.nio.channels..").check(ALL);
+    }
+
+    /** What serve loads must not grow with the laboratory: its classes live in a jar that serve never opens. */
+    @Test
+    public void servingNeedsNothingOfTheLaboratory() {
+        noClasses().that().haveSimpleNameStartingWith("Main").or().haveSimpleNameStartingWith("Commands")
+            .or().resideInAnyPackage("dewplank.sidecar..", "dewplank.net..", "dewplank.http..", "dewplank.directory..",
+                "dewplank.config..")
+            .should().dependOnClassesThat().resideInAnyPackage("dewplank.lab..", "dewplank.emulator..").check(ALL);
+    }
+}
