--- a/cli/src/main/java/dewplank/Main.java
+++ b/cli/src/main/java/dewplank/Main.java
@@ -3,6 +3,7 @@
 import dewplank.config.BadInput;
 import java.io.IOException;
 import java.util.List;
+import java.util.Set;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -12,7 +13,10 @@
 
 /** The command line. Ends with 2 on a wrong command line and with 1 on wrong configuration or input. */
 public final class Main {
-    private static final String USAGE = "usage: java -jar dewplank.jar serve | simhost | check-config | rehearse | version";
+    private static final String USAGE = "usage: java -jar dewplank.jar serve | simhost | check-config | rehearse | version"
+        + " | lab ...";
+    /** Commands that {@link LabMain} takes; no class of it is loaded for the others. */
+    private static final Set<String> LABORATORY = Set.of("lab");
 
     @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class)
     @SubCommands({
@@ -28,7 +32,8 @@
 
     public static void main(String[] args) {
         setUpLog();
-        System.exit(run(List.of(args)));
+        boolean laboratory = args.length > 0 && LABORATORY.contains(args[0]);
+        System.exit(laboratory ? LabMain.run(List.of(args)) : run(List.of(args)));
     }
 
     /**
--- /dev/null
+++ b/emulator/src/main/java/dewplank/emulator/Draws.java
@@ -0,0 +1,60 @@
+package dewplank.emulator;
+
+import java.util.function.DoubleSupplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.AhrensDieterMarsagliaTsangGammaSampler;
+import org.apache.commons.rng.sampling.distribution.LogNormalSampler;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Random numbers by name. Each concern has a stream of its own, so that a change of one thing, or of the policy under
+ * test, leaves all else as it was: runs with the same seed can be paired.
+ */
+public final class Draws {
+    private final long seed;
+
+    public Draws(long seed) {
+        this.seed = seed;
+    }
+
+    /** xoroshiro128++ (Blackman, Vigna), seeded from the run's seed, the name and the number. */
+    public UniformRandomProvider stream(String name, long number) {
+        long mixed = mix(mix(seed ^ mix(name.hashCode())) + number);
+        return RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {mixed, mix(mixed + 1)});
+    }
+
+    /** The finalizer of SplitMix64 (Steele, Lea, Flood, OOPSLA '14). */
+    public static long mix(long value) {
+        long z = value + 0x9E3779B97F4A7C15L;
+        z = (z ^ z >>> 30) * 0xBF58476D1CE4E5B9L;
+        z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
+        return z ^ z >>> 31;
+    }
+
+    /** Exponential with mean 1. */
+    public static DoubleSupplier exponential(UniformRandomProvider random) {
+        return ZigguratSampler.Exponential.of(random)::sample;
+    }
+
+    /** A standard normal. */
+    public static DoubleSupplier normal(UniformRandomProvider random) {
+        return ZigguratSampler.NormalizedGaussian.of(random)::sample;
+    }
+
+    /** Values with mean 1 and the coefficient of variation {@code cv}. */
+    public static DoubleSupplier around(Scenario.Distribution distribution, double cv, UniformRandomProvider random) {
+        if (cv <= 0 || distribution == Scenario.Distribution.FIXED) {
+            return () -> 1;
+        }
+        return switch (distribution) {
+            case LOGNORMAL -> {
+                double variance = Math.log(1 + cv * cv);
+                yield LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(random), -variance / 2,
+                    Math.sqrt(variance))::sample;
+            }
+            case GAMMA -> AhrensDieterMarsagliaTsangGammaSampler.of(random, 1 / (cv * cv), cv * cv)::sample;
+            default -> exponential(random);
+        };
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/dewplank/emulator/Faults.java
@@ -0,0 +1,177 @@
+package dewplank.emulator;
+
+import dewplank.emulator.Scenario.Fault;
+import dewplank.emulator.Server.State;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import saltfield.Balancer.Availability;
+
+/** Plays a scenario's faults on a world. Which servers are hit is settled by the seed and the fault's place alone. */
+public final class Faults {
+    /** Kills a sidecar and starts it again after a while. */
+    public interface SidecarKiller {
+        void kill(int sidecar, double backAfterMs);
+    }
+
+    /** How long a server that is being replaced takes to come up again. */
+    private static final double BOOT_MS = 1_500;
+    private static final double DRAIN_MS = 4_000;
+
+    private final World world;
+    private final SidecarKiller killSidecar;
+
+    private Faults(World world, SidecarKiller killSidecar) {
+        this.world = world;
+        this.killSidecar = killSidecar;
+    }
+
+    public static void schedule(World world, SidecarKiller killSidecar) {
+        Faults faults = new Faults(world, killSidecar);
+        List<Fault> all = world.scenario.faults();
+        for (int i = 0; i < all.size(); i++) {
+            Fault fault = all.get(i);
+            UniformRandomProvider random = world.draws.stream("fault", i);
+            world.later(fault.atMs(), () -> faults.begin(fault, random));
+        }
+    }
+
+    private List<Server> some(double part, UniformRandomProvider random) {
+        return shuffled(world.servers.size(), part, random).stream().map(world.servers::get).toList();
+    }
+
+    /** The part, rounded up, of that many numbers, in a drawn order. */
+    private static List<Integer> shuffled(int count, double part, UniformRandomProvider random) {
+        List<Integer> numbers = new ArrayList<>(IntStream.range(0, count).boxed().toList());
+        Collections.shuffle(numbers, new Random(random.nextLong()));
+        return Scenario.firstOf(numbers, part);
+    }
+
+    private void begin(Fault f, UniformRandomProvider random) {
+        switch (f.what()) {
+            case CRASH -> some(f.part(), random).forEach(s -> lose(s, false, f.forMs()));
+            case VANISH -> some(f.part(), random).forEach(s -> lose(s, true, f.forMs()));
+            case SLOW -> during(f, random, s -> s.slowBy(Math.max(1, f.size())), s -> s.slowBy(1));
+            case PAUSE -> beat(f, some(f.part(), random), world.now() + f.forMs(), s -> s.pause(f.size()));
+            case NEIGHBOUR -> neighbour(f, some(f.part(), random), world.now() + f.forMs(), true);
+            case DEPLOY -> deploy(f, shuffled(world.servers.size(), f.part(), random), 0);
+            case CLASS_ERRORS -> classErrors(f, some(f.part(), random));
+            case LOST_ANSWERS -> during(f, random, s -> s.lostAnswers = f.size(), s -> s.lostAnswers = 0);
+            case RESETS -> during(f, random, s -> s.resets = f.size(), s -> s.resets = 0);
+            case POISON -> {
+                world.setPoison(f.kind() == null ? -1 : world.scenario.classNames().indexOf(f.kind()), f.size());
+                world.later(f.forMs(), () -> world.setPoison(-1, 0));
+            }
+            case CUT -> cut(f, random);
+            case LOAD -> {
+                world.setLoadFactor(f.size());
+                world.later(f.forMs(), () -> world.setLoadFactor(1));
+            }
+            case DIRECTORY_DOWN -> {
+                world.list.setDown(true);
+                world.later(f.forMs(), () -> world.list.setDown(false));
+            }
+            case DIRECTORY_SILENT -> {
+                world.list.setSilent(true);
+                world.later(f.forMs(), () -> world.list.setSilent(false));
+            }
+            case SIDECAR_KILL -> shuffled(world.scenario.sidecars(), f.part(), random).forEach(n -> killSidecar.kill(n, f.forMs()));
+        }
+    }
+
+    private interface Act {
+        void on(Server s);
+    }
+
+    private void during(Fault f, UniformRandomProvider random, Act begin, Act end) {
+        List<Server> hit = some(f.part(), random);
+        hit.forEach(begin::on);
+        world.later(f.forMs(), () -> hit.forEach(end::on));
+    }
+
+    private void beat(Fault f, List<Server> hit, double until, Act act) {
+        if (world.now() < until) {
+            hit.forEach(act::on);
+            world.later(f.everyMs(), () -> beat(f, hit, until, act));
+        }
+    }
+
+    private void neighbour(Fault f, List<Server> hit, double until, boolean on) {
+        boolean over = world.now() >= until;
+        hit.forEach(s -> s.take(on && !over ? Math.min(0.95, f.size()) : 0));
+        if (!over) {
+            world.later(f.everyMs(), () -> neighbour(f, hit, until, !on));
+        }
+    }
+
+    private void lose(Server s, boolean silently, double backAfterMs) {
+        if (s.state() != State.UP) {
+            return;
+        }
+        Scenario.Directory d = world.scenario.directory();
+        if (silently) {
+            s.vanish();
+            world.list.noticeLoss(s, d.silentNoticeMs() * (0.5 + world.directoryRandom.nextDouble()));
+        } else {
+            s.die();
+            world.serverDied(s);
+        }
+        world.restart(s, backAfterMs);
+    }
+
+    private void classErrors(Fault f, List<Server> hit) {
+        int kind = world.scenario.classNames().indexOf(f.kind());
+        hit.forEach(s -> s.errorRate[kind] = f.size());
+        world.later(f.forMs(), () -> hit.forEach(s -> s.errorRate[kind] = s.machine.errorRate()));
+    }
+
+    /** Batch after batch: listed as draining, given time, ended, started anew and cold. */
+    private void deploy(Fault f, List<Integer> order, int from) {
+        int batch = Math.max(1, (int) Math.round(f.size() * world.servers.size()));
+        List<Integer> now = order.subList(Math.min(from, order.size()), Math.min(from + batch, order.size()));
+        if (now.isEmpty()) {
+            return;
+        }
+        int batches = (order.size() + batch - 1) / batch;
+        double each = Math.max(100, f.forMs() / batches);
+        for (int n : now) {
+            Server s = world.servers.get(n);
+            if (s.state() != State.UP) {
+                continue;
+            }
+            int life = s.life();
+            world.list.set(s, Availability.DRAINING);   // the deploy says so first; the process follows
+            world.later(world.scenario.directory().periodMs() * 2 + world.scenario.rules().drainMs(), () -> {
+                if (s.life() == life) {
+                    s.drain();
+                }
+            });
+            world.later(DRAIN_MS, () -> {
+                if (s.life() == life && s.state() == State.DRAINING) {
+                    s.die();
+                    world.list.set(s, Availability.REMOVED);
+                    world.restart(s, BOOT_MS);
+                }
+            });
+        }
+        world.later(each, () -> deploy(f, order, from + batch));
+    }
+
+    private void cut(Fault f, UniformRandomProvider random) {
+        List<Server> hit = some(f.part(), random);
+        List<Integer> from = shuffled(world.scenario.sidecars(), Math.min(1, f.size()), random);
+        setCuts(hit, from, true);
+        world.later(f.forMs(), () -> setCuts(hit, from, false));
+    }
+
+    private void setCuts(List<Server> servers, List<Integer> sidecars, boolean cut) {
+        for (Server s : servers) {
+            for (int n : sidecars) {
+                world.setCut(n, s.number, cut);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/dewplank/emulator/Scenario.java
@@ -0,0 +1,147 @@
+package dewplank.emulator;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import saltfield.Balancer;
+import saltfield.Balancer.Effect;
+import saltfield.Balancer.Goal;
+import saltfield.Balancer.Limits;
+import saltfield.Balancer.Prices;
+import saltfield.Balancer.RequestClass;
+import saltfield.Balancer.Safety;
+import saltfield.Balancer.Scope;
+
+/** One world and what happens in it, as a scenario file says. All times in milliseconds. */
+public record Scenario(String name, double lengthMs, double tickMs, int sidecars, List<String> zones, Servers servers,
+                       Network network, Links links, Directory directory, Reports reports, Load load, Habits clients,
+                       List<Kind> classes, Rules rules, List<Fault> faults) {
+
+    public enum Distribution { FIXED, EXP, LOGNORMAL, GAMMA }
+
+    public enum Shape { STEADY, WAVE, BURSTS }
+
+    public enum FaultKind {
+        CRASH, VANISH, SLOW, NEIGHBOUR, PAUSE, DEPLOY, CLASS_ERRORS, POISON, LOST_ANSWERS, RESETS, CUT, LOAD,
+        DIRECTORY_DOWN, DIRECTORY_SILENT, SIDECAR_KILL
+    }
+
+    public record Servers(int count, int cellSize, List<Machine> machines) { }
+
+    /**
+     * @param speed       work done by a core in a millisecond
+     * @param speedSpread coefficient of variation of the speed from server to server
+     * @param pauseEveryMs mean time between pauses, such as a collector's; 0 for none
+     */
+    public record Machine(String name, double share, int cores, double speed, double speedSpread, double slotsPerCore,
+                          double queuePerCore, double coldShare, double coldMs, double pauseEveryMs, double pauseMs,
+                          double errorRate, Choke choke) { }
+
+    /**
+     * A server that holds more than {@code at} requests a core for {@code overMs} turns slower by the factor
+     * {@code slower}, until it has held fewer than {@code below} of that for {@code restMs}, or for {@code mostMs}.
+     */
+    public record Choke(double at, double overMs, double slower, double restMs, double below, double mostMs) { }
+
+    public record Network(double sameMs, double crossMs, double clientMs, double jitter) { }
+
+    /** Connections to servers. {@code cap} 0: any number; {@code notice}: whether an idle close is seen. */
+    public record Links(double handshakeMs, double handshakeWork, double idleMs, boolean notice, int cap, double fullTax,
+                        double connectTimeoutMs) { }
+
+    /** The directory: how late it notices and says things, and how much it can say. */
+    public record Directory(double noticeMs, double silentNoticeMs, double addMs, double periodMs, double callsPerS,
+                            double timeoutMs) { }
+
+    public record Reports(boolean given, double periodMs, double noise) { }
+
+    /** {@code share}: of what all servers can do when warm; 0 where {@code perS} is given. */
+    public record Load(double share, double perS, Shape shape, double swing, double periodMs) { }
+
+    /**
+     * @param tryShare   the part of a class's deadline that a try may take
+     * @param honour     the part of clients that follow Retry-After
+     * @param impatient  the part of tries given up half way
+     */
+    public record Habits(int retries, double tryShare, double waitMs, double honour, double impatient, boolean marks) { }
+
+    public record Kind(String name, double share, double work, Distribution distribution, double cv, double aimMs,
+                       double deadlineMs, double worth, Effect effect, Scope scope, double windowMs) { }
+
+    public record Rules(double answerSlackMs, double drainMs, double fallMultiple, double fallMs, double coldMs,
+                        double coldShare, double askWithinMs, int maxAttempts, boolean probes, boolean retryAdvice,
+                        double maxAdviceMs) { }
+
+    /**
+     * @param part    of the servers (or of the sidecars, or of the requests) that it hits
+     * @param size    how hard, as the kind says: times slower, share taken, times the load, part of the requests
+     * @param everyMs rhythm, where the kind has one
+     * @param kind    class, or null
+     */
+    public record Fault(FaultKind what, double atMs, double forMs, double part, double size, double everyMs,
+                        String kind) { }
+
+    /** The mean work of a request. */
+    public double meanWork() {
+        double shares = classes.stream().mapToDouble(Kind::share).sum();
+        return classes.stream().mapToDouble(k -> k.share() / shares * k.work()).sum();
+    }
+
+    public double longestDeadlineMs() {
+        return classes.stream().mapToDouble(Kind::deadlineMs).max().orElse(0);
+    }
+
+    public String zoneOfSidecar(int sidecar) {
+        return zones.get(sidecar % zones.size());
+    }
+
+    public List<String> classNames() {
+        return classes.stream().map(Kind::name).toList();
+    }
+
+    /** What the sidecar with this number is told: the module's settings. */
+    public Balancer.Settings settings(int me) {
+        List<RequestClass> kinds = classes.stream().map(k -> new RequestClass(k.name(), k.effect(), k.scope(),
+            k.effect() == Effect.KEYED ? k.windowMs() : 0, k.aimMs(), 0, k.deadlineMs(), k.worth(), 0, false)).toList();
+        return new Balancer.Settings(me, sidecars, zoneOfSidecar(me), tickMs, false, false, false, false, 1,
+            reports.given() ? List.of("rif") : List.of(), kinds, List.of(),
+            new Limits(rules.maxAttempts(), true, true, rules.probes(), false, rules.retryAdvice(), rules.maxAdviceMs(),
+                links.connectTimeoutMs(), links.idleMs(), 1),
+            new Safety(rules.askWithinMs(), rules.coldMs(), rules.coldShare(), rules.fallMultiple(), rules.fallMs(), false,
+                false),
+            new Prices(0.03, 0), new Goal(0.8, 0.2, 0, 0));
+    }
+
+    /** The same scenario with one figure changed; {@code path} as in the file, such as {@code load.share}. */
+    public Scenario with(String path, double value) {
+        return switch (path) {
+            case "sidecars" -> with(lengthMs, (int) value, servers, load, clients, faults);
+            case "length_s" -> with(value * 1000, sidecars, servers, load, clients, faults);
+            case "servers.count" -> with(lengthMs, sidecars,
+                new Servers((int) value, servers.cellSize(), servers.machines()), load, clients, faults);
+            case "load.share" -> with(lengthMs, sidecars, servers,
+                new Load(value, 0, load.shape(), load.swing(), load.periodMs()), clients, faults);
+            case "load.per_s" -> with(lengthMs, sidecars, servers,
+                new Load(0, value, load.shape(), load.swing(), load.periodMs()), clients, faults);
+            case "clients.retries" -> with(lengthMs, sidecars, servers, load, new Habits((int) value, clients.tryShare(),
+                clients.waitMs(), clients.honour(), clients.impatient(), clients.marks()), faults);
+            case "clients.honour" -> with(lengthMs, sidecars, servers, load, new Habits(clients.retries(),
+                clients.tryShare(), clients.waitMs(), value, clients.impatient(), clients.marks()), faults);
+            case "faults.part" -> with(lengthMs, sidecars, servers, load, clients, faults.stream()
+                .map(f -> new Fault(f.what(), f.atMs(), f.forMs(), value, f.size(), f.everyMs(), f.kind())).toList());
+            case "faults.size" -> with(lengthMs, sidecars, servers, load, clients, faults.stream()
+                .map(f -> new Fault(f.what(), f.atMs(), f.forMs(), f.part(), value, f.everyMs(), f.kind())).toList());
+            default -> throw new IllegalArgumentException("no such parameter: " + path + " (known: sidecars, length_s, "
+                + "servers.count, load.share, load.per_s, clients.retries, clients.honour, faults.part, faults.size)");
+        };
+    }
+
+    private Scenario with(double length, int instances, Servers fleet, Load traffic, Habits askers, List<Fault> events) {
+        return new Scenario(name, length, tickMs, instances, zones, fleet, network, links, directory, reports, traffic,
+            askers, classes, rules, events);
+    }
+
+    static List<Integer> firstOf(List<Integer> shuffled, double part) {
+        int n = (int) Math.ceil(part * shuffled.size() - 1e-9);
+        return IntStream.range(0, Math.min(n, shuffled.size())).mapToObj(shuffled::get).toList();
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/dewplank/emulator/ServerList.java
@@ -0,0 +1,236 @@
+package dewplank.emulator;
+
+import dewplank.emulator.Note.What;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import saltfield.Balancer.Availability;
+import saltfield.Balancer.Entry;
+
+/**
+ * The directory: what it believes of the servers, and what it tells. It notices late, tells each watch now and then, and
+ * takes calls in turn at a bounded pace.
+ */
+public final class ServerList {
+    /** One entry at one version. */
+    private record Change(long version, int server) { }
+
+    /** Whoever watches. All are called on the world's thread. */
+    public interface Watcher {
+        /** {@code full}: all entries; otherwise those that changed. */
+        void told(long version, boolean full, List<Entry> entries);
+
+        /** The call failed, or the directory went down. */
+        void ended();
+    }
+
+    /** A watch in being. */
+    public final class Watch {
+        private final int sidecar;
+        private final Watcher watcher;
+        private long version;
+        private boolean open;
+        private boolean over;
+
+        private Watch(int sidecar, long version, Watcher watcher) {
+            this.sidecar = sidecar;
+            this.version = version;
+            this.watcher = watcher;
+        }
+
+        public void close() {
+            over = true;
+            watches.remove(this);
+        }
+    }
+
+    private static final int HISTORY = 4_096;
+
+    private final World world;
+    private final Map<Integer, Entry> entries = new HashMap<>();
+    private final List<Change> history = new ArrayList<>();
+    private final Set<Watch> watches = new LinkedHashSet<>();
+    private long version = 1;
+    private long oldest = 1;
+    private boolean down;
+    private boolean silent;
+    private double freeAt;
+    private long calls;
+    private long lines;
+
+    ServerList(World world) {
+        this.world = world;
+        for (Server s : world.servers) {
+            entries.put(s.number, entry(s, Availability.UP));
+        }
+    }
+
+    private Entry entry(Server s, Availability availability) {
+        double started = s.startedAt();
+        return new Entry(s.id, s.zone, s.machine.name(), s.cell, availability, 1,
+            started == Double.NEGATIVE_INFINITY ? null : (Double) started);
+    }
+
+    public long version() {
+        return version;
+    }
+
+    public boolean down() {
+        return down;
+    }
+
+    public long calls() {
+        return calls;
+    }
+
+    public long lines() {
+        return lines;
+    }
+
+    /** All that is not gone, by number. */
+    public List<Entry> whole() {
+        List<Entry> all = new ArrayList<>();
+        for (Server s : world.servers) {
+            Entry e = entries.get(s.number);
+            if (e.availability() != Availability.REMOVED) {
+                all.add(e);
+            }
+        }
+        return all;
+    }
+
+    /** Something became known of the server. */
+    void set(Server s, Availability availability) {
+        Entry e = entry(s, availability);
+        if (e.equals(entries.get(s.number))) {
+            return;
+        }
+        entries.put(s.number, e);
+        history.add(new Change(++version, s.number));
+        if (history.size() > HISTORY) {
+            oldest = history.remove(0).version();
+        }
+    }
+
+    /** A server died or vanished at this moment: noticed after a while, unless it is back by then. */
+    void noticeLoss(Server s, double afterMs) {
+        int life = s.life();
+        world.later(afterMs, () -> {
+            if (s.life() == life && s.state() != Server.State.UP) {
+                set(s, Availability.REMOVED);
+            }
+        });
+    }
+
+    void noticeStart(Server s) {
+        int life = s.life();
+        world.later(world.scenario.directory().addMs(), () -> {
+            if (s.life() == life && s.state() == Server.State.UP) {
+                set(s, Availability.UP);
+            }
+        });
+    }
+
+    /** A call for a watch from that version on. It waits its turn; the first line, or the failure, comes later. */
+    public Watch watch(int sidecar, long since, Watcher watcher) {
+        Scenario.Directory rules = world.scenario.directory();
+        Watch watch = new Watch(sidecar, since, watcher);
+        calls++;
+        double now = world.now();
+        double start = Math.max(now, freeAt);
+        if (down || start - now > rules.timeoutMs()) {
+            world.later(down ? 1 : rules.timeoutMs(), () -> end(watch));
+            return watch;
+        }
+        freeAt = start + 1000 / rules.callsPerS();
+        world.later(freeAt - now, () -> {
+            if (down) {
+                end(watch);
+            } else if (!watch.over) {
+                watch.open = true;
+                watches.add(watch);
+                tell(watch, true);
+                rhythm(watch);
+            }
+        });
+        return watch;
+    }
+
+    private void end(Watch watch) {
+        watches.remove(watch);
+        if (!watch.over) {
+            watch.over = true;
+            watch.watcher.ended();
+        }
+    }
+
+    /** Its next look is drawn anew each time, so that watches don't move in step. */
+    private void rhythm(Watch watch) {
+        double wait = world.scenario.directory().periodMs() * (0.5 + world.directoryRandom.nextDouble());
+        world.later(wait, () -> {
+            if (!watch.over) {
+                tell(watch, false);
+                rhythm(watch);
+            }
+        });
+    }
+
+    private void tell(Watch watch, boolean first) {
+        if (silent || !first && watch.version >= version) {
+            return;
+        }
+        boolean full = watch.version < oldest;
+        List<Entry> news = full ? whole() : since(watch.version);
+        watch.version = version;
+        lines += news.size() + 1;
+        for (Entry e : news) {
+            record(watch.sidecar, e);
+        }
+        if (full) {
+            for (Server s : world.servers) {
+                if (entries.get(s.number).availability() == Availability.REMOVED) {
+                    record(watch.sidecar, entries.get(s.number));
+                }
+            }
+        }
+        watch.watcher.told(version, full, news);
+    }
+
+    private List<Entry> since(long known) {
+        Set<Integer> changed = new LinkedHashSet<>();
+        for (int i = history.size() - 1; i >= 0 && history.get(i).version() > known; i--) {
+            changed.add(history.get(i).server());
+        }
+        List<Entry> news = new ArrayList<>();
+        changed.stream().sorted().forEach(n -> news.add(entries.get(n)));
+        return news;
+    }
+
+    private void record(int sidecar, Entry e) {
+        int server = world.byId.get(e.server()).number;
+        switch (e.availability()) {
+            case DRAINING -> world.note(What.TOLD_DRAINING, null, sidecar, server, 0);
+            case REMOVED -> world.note(What.TOLD_GONE, null, sidecar, server, 0);
+            default -> {
+                if (e.startedAt() != null) {   // one that has run for long says nothing that binds
+                    world.note(What.TOLD_UP, null, sidecar, server, e.startedAt());
+                }
+            }
+        }
+    }
+
+    void setDown(boolean isDown) {
+        down = isDown;
+        if (isDown) {
+            new ArrayList<>(watches).forEach(this::end);
+        }
+    }
+
+    /** It takes calls and says nothing more. */
+    void setSilent(boolean isSilent) {
+        silent = isSilent;
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/dewplank/emulator/TomlFile.java
@@ -0,0 +1,222 @@
+package dewplank.emulator;
+
+import dewplank.config.BadInput;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlParseResult;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/**
+ * Strict reading of a TOML file: every key must be known, of its type and within its range. A fault is reported with
+ * file, line and key before anything runs. Read all that a table may hold, then call {@link Table#end}.
+ */
+public final class TomlFile {
+    private final String file;
+
+    private TomlFile(String file) {
+        this.file = file;
+    }
+
+    public static Table read(Path path) {
+        try {
+            return read(Files.readString(path), path.toString());
+        } catch (IOException e) {
+            throw new BadInput(path + ": cannot be read: " + e.getMessage());
+        }
+    }
+
+    /** {@code file}: what messages call the text. */
+    public static Table read(String text, String file) {
+        TomlParseResult result = Toml.parse(text);
+        if (result.hasErrors()) {
+            throw new BadInput(result.errors().stream()
+                .map(e -> file + ":" + e.position().line() + ": " + e.getMessage()).collect(Collectors.joining("\n")));
+        }
+        return new TomlFile(file).new Table(result, "");
+    }
+
+    /** One table; keys in messages are full, such as {@code servers.machine[1].cores}. */
+    public final class Table {
+        private final TomlTable table;
+        private final String path;
+        private final Set<String> known = new HashSet<>();
+        private final Table base;
+
+        private Table(TomlTable table, String path) {
+            this(table, path, null);
+        }
+
+        private Table(TomlTable table, String path, Table base) {
+            this.table = table;
+            this.path = path;
+            this.base = base;
+        }
+
+        /** The same table, with what it does not say taken from another one; arrays are taken whole. */
+        public Table over(Table other) {
+            return new Table(table, path, other);
+        }
+
+        /** Every key that was not asked for is a mistake of the writer's. */
+        public void end() {
+            for (String key : table.keySet()) {
+                if (!known.contains(key)) {
+                    throw wrong(key, "is unknown; known here: " + known.stream().sorted().collect(Collectors.joining(", ")));
+                }
+            }
+        }
+
+        public BadInput wrong(String key, String what) {
+            TomlPosition at = table.inputPositionOf(List.of(key));
+            if (at == null && base != null && base.table.contains(List.of(key))) {
+                return base.wrong(key, what);
+            }
+            return new BadInput(file + (at == null ? "" : ":" + at.line()) + ": key " + path + key + " " + what);
+        }
+
+        private Object value(String key) {
+            known.add(key);
+            Object own = table.get(List.of(key));
+            return own != null || base == null ? own : base.value(key);
+        }
+
+        public boolean has(String key) {
+            return value(key) != null;
+        }
+
+        public String text(String key, String otherwise) {
+            Object value = value(key);
+            if (value == null && otherwise != null) {
+                return otherwise;
+            }
+            if (value instanceof String s) {
+                return s;
+            }
+            throw wrong(key, value == null ? "is missing" : "should be text");
+        }
+
+        public String text(String key) {
+            return text(key, null);
+        }
+
+        public double number(String key, double least, double most) {
+            Object value = value(key);
+            if (!(value instanceof Number n)) {
+                throw wrong(key, value == null ? "is missing" : "should be a number");
+            }
+            double number = n.doubleValue();
+            if (!(number >= least && number <= most)) {
+                throw wrong(key, "should be from " + trim(least) + " to " + trim(most));
+            }
+            return number;
+        }
+
+        public double number(String key, double least, double most, double otherwise) {
+            return value(key) == null ? otherwise : number(key, least, most);
+        }
+
+        public int whole(String key, int least, int most, int otherwise) {
+            return value(key) == null ? otherwise : whole(key, least, most);
+        }
+
+        public int whole(String key, int least, int most) {
+            double value = number(key, least, most);
+            if (value != Math.rint(value)) {
+                throw wrong(key, "should be a whole number");
+            }
+            return (int) value;
+        }
+
+        public boolean flag(String key, boolean otherwise) {
+            Object value = value(key);
+            if (value == null || value instanceof Boolean) {
+                return value == null ? otherwise : (Boolean) value;
+            }
+            throw wrong(key, "should be true or false");
+        }
+
+        public <E extends Enum<E>> E word(String key, Class<E> type, E otherwise) {
+            if (value(key) == null && otherwise != null) {
+                return otherwise;
+            }
+            String word = text(key);
+            for (E e : type.getEnumConstants()) {
+                if (e.name().toLowerCase(Locale.ROOT).equals(word)) {
+                    return e;
+                }
+            }
+            throw wrong(key, "should be one of " + Stream.of(type.getEnumConstants())
+                .map(e -> e.name().toLowerCase(Locale.ROOT)).collect(Collectors.joining(", ")));
+        }
+
+        public List<String> texts(String key, List<String> otherwise) {
+            List<String> texts = new ArrayList<>();
+            for (Object o : array(key, otherwise == null)) {
+                if (!(o instanceof String s)) {
+                    throw wrong(key, "should hold texts");
+                }
+                texts.add(s);
+            }
+            return texts.isEmpty() && otherwise != null ? otherwise : texts;
+        }
+
+        public List<Double> numbers(String key) {
+            List<Double> numbers = new ArrayList<>();
+            for (Object o : array(key, true)) {
+                if (!(o instanceof Number n)) {
+                    throw wrong(key, "should hold numbers");
+                }
+                numbers.add(n.doubleValue());
+            }
+            return numbers;
+        }
+
+        private List<Object> array(String key, boolean needed) {
+            Object value = value(key);
+            if (value == null && !needed) {
+                return List.of();
+            }
+            if (!(value instanceof TomlArray array)) {
+                throw wrong(key, value == null ? "is missing" : "should be an array");
+            }
+            return array.toList();
+        }
+
+        /** The table under the key, or an empty one. */
+        public Table table(String key) {
+            known.add(key);
+            Object own = table.get(List.of(key));
+            if (own != null && !(own instanceof TomlTable)) {
+                throw wrong(key, "should be a table");
+            }
+            return new Table(own == null ? Toml.parse("") : (TomlTable) own, path + key + ".",
+                base == null ? null : base.table(key));
+        }
+
+        public List<Table> tables(String key) {
+            List<Table> tables = new ArrayList<>();
+            for (Object o : array(key, false)) {
+                if (!(o instanceof TomlTable t)) {
+                    throw wrong(key, "should hold tables");
+                }
+                tables.add(new Table(t, path + key + "[" + tables.size() + "]."));
+            }
+            return tables;
+        }
+
+        private static String trim(double d) {
+            return d == Math.rint(d) && Math.abs(d) < 1e15 ? Long.toString((long) d) : Double.toString(d);
+        }
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/dewplank/emulator/World.java
@@ -0,0 +1,197 @@
+package dewplank.emulator;
+
+import dewplank.emulator.Note.What;
+import dewplank.emulator.Scenario.Machine;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** All that is round the sidecars in one run: servers, directory, network, what has had its effect. */
+public final class World {
+    /** By chance alone a budget in work may be overdrawn a little. */
+    public static final double FALL_SLACK = 1.1;
+
+    public final Scenario scenario;
+    public final Draws draws;
+    public final List<Server> servers = new ArrayList<>();
+    public final Map<String, Server> byId = new HashMap<>();
+    public final ServerList list;
+    private final Scheduler time;
+    private final Note.Recorder recorder;
+    private final Map<Long, Double> keys = new LinkedHashMap<>(1024, 0.75f, false) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Double> eldest) {
+            return size() > 1_000_000 || eldest.getValue() < now() - scenario.longestDeadlineMs() - keyMemoryMs();
+        }
+    };
+    private final Set<Long> cuts = new HashSet<>();
+    private final DoubleSupplier jitter;
+    final UniformRandomProvider directoryRandom;
+    private final double[] attemptNoise;
+    private double poisonPart;
+    private int poisonKind = -1;
+    private double loadFactor = 1;
+
+    public World(Scenario scenario, long seed, Scheduler time, Note.Recorder recorder) {
+        this.scenario = scenario;
+        this.draws = new Draws(seed);
+        this.time = time;
+        this.recorder = recorder;
+        this.jitter = Draws.exponential(draws.stream("network", 0));
+        this.directoryRandom = draws.stream("directory", 0);
+        this.attemptNoise = new double[] {0.15};
+        double shares = scenario.servers().machines().stream().mapToDouble(Machine::share).sum();
+        UniformRandomProvider random = draws.stream("fleet", 0);
+        DoubleSupplier normal = Draws.normal(random);
+        int count = scenario.servers().count();
+        for (int i = 0; i < count; i++) {   // kinds by their shares, spread evenly over the numbers
+            double place = (i * 0.6180339887498949 + 0.5) % 1 * shares;
+            Machine machine = scenario.servers().machines().get(0);
+            for (Machine m : scenario.servers().machines()) {
+                machine = m;
+                place -= m.share();
+                if (place < 0) {
+                    break;
+                }
+            }
+            double speed = machine.speed() * Math.max(0.3, 1 + machine.speedSpread() * normal.getAsDouble());
+            Server server = new Server(this, i, machine, scenario.zones().get(i % scenario.zones().size()), speed);
+            servers.add(server);
+            byId.put(server.id, server);
+        }
+        this.list = new ServerList(this);
+    }
+
+    public double now() {
+        return time.now();
+    }
+
+    public void later(double ms, Runnable task) {
+        time.after(ms, task);
+    }
+
+    /** Work per millisecond of all servers, warm and left alone. */
+    public double fullCapacity() {
+        return servers.stream().mapToDouble(Server::fullCapacity).sum();
+    }
+
+    /** First tries per millisecond over all sidecars, before the shape of the load. */
+    public double arrivalsPerMs() {
+        return scenario.load().perS() > 0 ? scenario.load().perS() / 1000
+            : scenario.load().share() * fullCapacity() / Math.max(1e-9, scenario.meanWork());
+    }
+
+    public void note(What what, Try request, int sidecar, int server, double value) {
+        recorder.record(new Note(time.now(), what, request == null ? -1 : request.id, request == null ? -1 : request.kind,
+            sidecar, server, value));
+    }
+
+    // ---- the network ----------------------------------------------------------------------------------
+
+    /** How long a message takes one way between a sidecar and a server. */
+    public double delay(int sidecar, Server server) {
+        Scenario.Network n = scenario.network();
+        double base = scenario.zoneOfSidecar(sidecar).equals(server.zone) ? n.sameMs() : n.crossMs();
+        return base * (1 + n.jitter() * jitter.getAsDouble());
+    }
+
+    public double clientDelay() {
+        return scenario.network().clientMs();
+    }
+
+    /** Whether messages between the two are lost without a word. */
+    public boolean cut(int sidecar, int server) {
+        return !cuts.isEmpty() && cuts.contains(pair(sidecar, server));
+    }
+
+    void setCut(int sidecar, int server, boolean isCut) {
+        if (isCut) {
+            cuts.add(pair(sidecar, server));
+        } else {
+            cuts.remove(pair(sidecar, server));
+        }
+    }
+
+    private static long pair(int sidecar, int server) {
+        return (long) sidecar << 32 | server;
+    }
+
+    // ---- requests at servers --------------------------------------------------------------------------
+
+    /** The same request takes a little more or less on each server; which, is settled by its key. */
+    double attemptNoise(Try request, int server) {
+        double u = (Draws.mix(request.key * 31 + server) >>> 11) * 0x1.0p-53;
+        return 1 + attemptNoise[0] * (2 * u - 1);
+    }
+
+    private double keyMemoryMs() {
+        return scenario.classes().stream().mapToDouble(Scenario.Kind::windowMs).max().orElse(0);
+    }
+
+    /** Whether this is the first effect of a keyed request within the memory of its group of servers. */
+    boolean firstOfKey(Try request, Server server) {
+        Scenario.Kind kind = scenario.classes().get(request.kind);
+        long group = switch (kind.scope()) {
+            case ALL -> 0;
+            case ZONE -> 1 + scenario.zones().indexOf(server.zone);
+            case CELL -> 1 + server.cell;
+        };
+        Double before = keys.get(request.key * 10_007 + group);
+        if (before != null && now() - before <= kind.windowMs() + kind.deadlineMs()) {
+            return false;
+        }
+        keys.put(request.key * 10_007 + group, now());
+        return true;
+    }
+
+    // ---- what goes wrong ------------------------------------------------------------------------------
+
+    double loadFactor() {
+        return loadFactor;
+    }
+
+    void setLoadFactor(double factor) {
+        loadFactor = factor;
+    }
+
+    void setPoison(int kind, double part) {
+        poisonKind = kind;
+        poisonPart = part;
+    }
+
+    /** Whether its server will not survive it; every try of one request is alike. */
+    boolean poison(Try request) {
+        return poisonPart > 0 && (poisonKind < 0 || poisonKind == request.kind)
+            && (Draws.mix(request.key ^ 0x5bd1e995) >>> 11) * 0x1.0p-53 < poisonPart;
+    }
+
+    void crashByPoison(Server server) {
+        if (server.state() == Server.State.UP || server.state() == Server.State.DRAINING) {
+            server.die();
+            serverDied(server);
+            restart(server, 1_000);
+        }
+    }
+
+    void serverDied(Server server) {
+        list.noticeLoss(server, scenario.directory().noticeMs() * (0.5 + directoryRandom.nextDouble()));
+    }
+
+    void restart(Server server, double afterMs) {
+        int life = server.life();
+        later(afterMs, () -> {
+            if (server.life() == life) {
+                server.start();
+                list.noticeStart(server);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/dewplank/emulator/virtualtime/VirtualRun.java
@@ -0,0 +1,136 @@
+package dewplank.emulator.virtualtime;
+
+import dewplank.emulator.Clients;
+import dewplank.emulator.Draws;
+import dewplank.emulator.Faults;
+import dewplank.emulator.Note;
+import dewplank.emulator.Scenario;
+import dewplank.emulator.Try;
+import dewplank.emulator.VirtualTime;
+import dewplank.emulator.World;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.IntStream;
+import saltfield.Balancer;
+
+/**
+ * One run in virtual time. The world is moved by one thread; the modules of one tick decide side by side, each on its
+ * own state, and their actions are carried out in the sidecars' order: the result does not hang on the number of cores.
+ */
+public final class VirtualRun implements Clients.Front {
+    private static final int SIDE_BY_SIDE_FROM = 8;
+
+    /** Makes the decision module under test. {@code world}: for a policy that sees the true state; no other may look. */
+    public interface Policy {
+        Balancer create(Balancer.Settings settings, long seed, World world, int sidecar);
+    }
+
+    /** Makes a sidecar; for tests, which need broken ones. */
+    public interface Sidecars {
+        EmulatedSidecar create(VirtualRun run, int number);
+    }
+
+    /** What a run cost, beside what its tally and its notes say. */
+    public record Cost(long events, long sends, long probes, long handshakes, long directoryCalls, long directoryLines,
+                       int connectionsAtEnd) { }
+
+    private final Scenario scenario;
+    private final long seed;
+    private final Policy policy;
+    private final boolean sideBySide;
+    private final VirtualTime time = new VirtualTime();
+    private final World world;
+    private final Clients clients;
+    private final List<EmulatedSidecar> sidecars = new ArrayList<>();
+    private List<EmulatedSidecar> awake = new ArrayList<>();
+    private boolean tickPlanned;
+
+    public VirtualRun(Scenario scenario, long seed, Policy policy, Note.Recorder recorder, Clients.Tally tally,
+                      boolean sideBySide) {
+        this(scenario, seed, policy, recorder, tally, sideBySide, EmulatedSidecar::new);
+    }
+
+    public VirtualRun(Scenario scenario, long seed, Policy policy, Note.Recorder recorder, Clients.Tally tally,
+                      boolean sideBySide, Sidecars maker) {
+        this.scenario = scenario;
+        this.seed = seed;
+        this.policy = policy;
+        this.sideBySide = sideBySide;
+        this.world = new World(scenario, seed, time, recorder);
+        this.clients = new Clients(world, this, tally);
+        for (int i = 0; i < scenario.sidecars(); i++) {
+            sidecars.add(maker.create(this, i));
+        }
+    }
+
+    /** Plays the scenario, and on until every client has its end. */
+    public Cost run() {
+        List<Balancer.Entry> known = world.list.whole();
+        long version = world.list.version();
+        sidecars.forEach(s -> s.start(known, version));
+        Faults.schedule(world, (n, back) -> sidecars.get(n).kill(back));
+        clients.start();
+        double end = scenario.lengthMs();
+        time.runUntil(end);
+        double most = end + 2 * scenario.longestDeadlineMs() + 1_000;
+        while (clients.open() > 0 && time.now() < most) {
+            time.runUntil(time.now() + 50);
+        }
+        time.runUntil(time.now() + scenario.longestDeadlineMs());   // what servers still hold may yet have an effect
+        return new Cost(time.ran(), sum(EmulatedSidecar::sends), sum(EmulatedSidecar::probes),
+            sum(EmulatedSidecar::handshakes), world.list.calls(), world.list.lines(),
+            sidecars.stream().mapToInt(EmulatedSidecar::connectionsOpen).sum());
+    }
+
+    private long sum(java.util.function.ToLongFunction<EmulatedSidecar> figure) {
+        return sidecars.stream().mapToLong(figure).sum();
+    }
+
+    public World world() {
+        return world;
+    }
+
+    public Clients clients() {
+        return clients;
+    }
+
+    Balancer newBalancer(int sidecar, int life) {
+        return policy.create(scenario.settings(sidecar), Draws.mix(seed ^ Draws.mix(sidecar * 1_000L + life)), world,
+            sidecar);
+    }
+
+    @Override
+    public void ask(Try request) {
+        sidecars.get(request.sidecar).ask(request);
+    }
+
+    @Override
+    public void leave(Try request) {
+        sidecars.get(request.sidecar).leave(request);
+    }
+
+    /** The sidecar has something for its module; it is told at the next tick. */
+    void wake(EmulatedSidecar sidecar) {
+        awake.add(sidecar);
+        if (!tickPlanned) {
+            tickPlanned = true;
+            double tick = scenario.tickMs();
+            world.later((Math.floor(time.now() / tick + 1e-9) + 1) * tick - time.now(), this::tick);
+        }
+    }
+
+    private void tick() {
+        tickPlanned = false;
+        List<EmulatedSidecar> now = awake;
+        awake = new ArrayList<>();
+        now.sort(Comparator.comparingInt(s -> s.number));
+        double at = time.now();
+        if (sideBySide && now.size() >= SIDE_BY_SIDE_FROM) {
+            IntStream.range(0, now.size()).parallel().forEach(i -> now.get(i).decide(at));
+        } else {
+            now.forEach(s -> s.decide(at));
+        }
+        now.forEach(EmulatedSidecar::act);
+    }
+}
--- /dev/null
+++ b/emulator/src/test/java/dewplank/emulator/ServerListTest.java
@@ -0,0 +1,102 @@
+package dewplank.emulator;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import dewplank.emulator.Note.What;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.Test;
+import saltfield.Balancer.Availability;
+import saltfield.Balancer.Entry;
+
+public class ServerListTest {
+    private final VirtualTime time = new VirtualTime();
+    private final List<Note> notes = new ArrayList<>();
+    private final List<String> heard = new ArrayList<>();
+    private World world;
+
+    private void world(String directory) {
+        world = new World(ScenarioFile.of(TomlFile.read("""
+            name = "list"
+            length_s = 10
+            sidecars = 2
+            servers = { count = 4 }
+            directory = { %s }
+            load = { per_s = 1 }
+            [[class]]
+            name = "k"
+            work_ms = 1
+            deadline_ms = 100
+            """.formatted(directory), "list.toml")), 1, time, notes::add);
+    }
+
+    private ServerList.Watch watch(long since) {
+        return world.list.watch(0, since, new ServerList.Watcher() {
+            @Override
+            public void told(long version, boolean full, List<Entry> entries) {
+                heard.add((full ? "full " : "changes ") + entries.size());
+            }
+
+            @Override
+            public void ended() {
+                heard.add("ended at %.0f".formatted(time.now()));
+            }
+        });
+    }
+
+    @Test
+    public void aLossIsNoticedLateAndAReturnThatWasQuickerIsNoLoss() {
+        world("notice_s = 2, add_s = 0.5, period_ms = 100, calls_per_s = 1000");
+        watch(world.list.version());
+        Server quick = world.servers.get(0);
+        Server lost = world.servers.get(1);
+        quick.die();
+        world.serverDied(quick);
+        world.restart(quick, 100);
+        lost.die();
+        world.serverDied(lost);
+        time.runUntil(900);
+        assertEquals(List.of("changes 0", "changes 1"), heard);   // the quick one's new start
+        time.runUntil(4_000);
+        assertEquals(List.of("changes 0", "changes 1", "changes 1"), heard);
+        assertEquals(1, notes.stream().filter(n -> n.what() == What.TOLD_GONE && n.server() == 1).count());
+    }
+
+    @Test
+    public void callsWaitTheirTurnAndFailWhenTheyHaveWaitedTooLong() {
+        world("calls_per_s = 2, timeout_ms = 1000");
+        for (int i = 0; i < 5; i++) {
+            watch(1);
+        }
+        time.runUntil(3_000);
+        assertEquals(3, heard.stream().filter(h -> h.equals("changes 0")).count());
+        assertEquals(2, heard.stream().filter(h -> h.equals("ended at 1000")).count());
+    }
+
+    @Test
+    public void watchesEndWhenItGoesDownAndASilentOneKeepsThemWithoutNews() {
+        world("period_ms = 100, calls_per_s = 1000");
+        watch(1);
+        time.runUntil(100);
+        world.list.setSilent(true);
+        world.list.set(world.servers.get(2), Availability.DRAINING);
+        time.runUntil(1_000);
+        assertEquals(List.of("changes 0"), heard);
+        world.list.setDown(true);
+        assertEquals(2, heard.size());
+        assertTrue(heard.get(1).startsWith("ended"));
+    }
+
+    @Test
+    public void whoIsFarBehindGetsTheWholeList() {
+        world("period_ms = 100, calls_per_s = 1000");
+        Server s = world.servers.get(0);
+        for (int i = 0; i < 5_000; i++) {
+            world.list.set(s, i % 2 == 0 ? Availability.DRAINING : Availability.UP);
+        }
+        watch(1);
+        time.runUntil(50);
+        assertEquals(List.of("full 4"), heard);
+    }
+}
--- /dev/null
+++ b/emulator/src/test/java/dewplank/emulator/ServerTest.java
@@ -0,0 +1,128 @@
+package dewplank.emulator;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import dewplank.emulator.Note.What;
+import dewplank.emulator.Server.Reply;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.DoubleSupplier;
+import org.junit.Test;
+
+public class ServerTest {
+    private final VirtualTime time = new VirtualTime();
+    private final List<Note> notes = new ArrayList<>();
+    private final List<Reply> replies = new ArrayList<>();
+    private final List<Double> times = new ArrayList<>();
+
+    private World world(String more) {
+        return new World(ScenarioFile.of(TomlFile.read("""
+            name = "one"
+            length_s = 1
+            sidecars = 1
+            [servers]
+            count = 1
+            machine = [ { cores = 1, slots_per_core = 1000, queue_per_core = 0, %s } ]
+            [load]
+            per_s = 1
+            [[class]]
+            name = "k"
+            work_ms = 100
+            deadline_ms = 60000
+            """.formatted(more), "one.toml")), 7, time, notes::add);
+    }
+
+    private void offer(World world, long id, double work) {
+        double at = world.now();
+        world.servers.get(0).offer(new Try(id, 0, id, work, 0, false, at, at + 60_000, null), 0, (reply, load) -> {
+            replies.add(reply);
+            times.add(world.now() - at);
+        });
+    }
+
+    /** Mean response of M/M/1 under processor sharing: work / (1 - load); here 100 / (1 - 0.6). */
+    @Test
+    public void sharedProcessorsTakeAsLongAsTheorySays() {
+        World world = world("error_rate = 0");
+        DoubleSupplier gap = Draws.exponential(world.draws.stream("gap", 0));
+        DoubleSupplier work = Draws.exponential(world.draws.stream("work", 0));
+        double at = 0;
+        for (int i = 0; i < 60_000; i++) {
+            at += gap.getAsDouble() * 100 / 0.6;
+            double w = 100 * work.getAsDouble();
+            long id = i;
+            time.after(at, () -> offer(world, id, w));
+        }
+        time.runUntil(at + 60_000);
+        assertEquals(60_000, times.size());
+        assertEquals(250, times.stream().mapToDouble(d -> d).average().orElse(0), 15);
+    }
+
+    @Test
+    public void beyondSlotsAndQueueWorkIsTurnedAwayUnseen() {
+        World world = world("name = \"small\", speed = 1");
+        for (int i = 0; i < 1_003; i++) {
+            offer(world, i, 100);
+        }
+        assertEquals(List.of(Reply.NEVER_RAN, Reply.NEVER_RAN, Reply.NEVER_RAN), replies);
+        assertEquals(3, notes.stream().filter(n -> n.what() == What.TURNED_AWAY).count());
+    }
+
+    @Test
+    public void aProcessThatDiesResetsAndASilentMachineSaysNothing() {
+        World world = world("cold_s = 0");
+        offer(world, 1, 100);
+        world.servers.get(0).die();
+        assertEquals(List.of(Reply.RESET), replies);
+        world.servers.get(0).start();
+        offer(world, 2, 100);
+        world.servers.get(0).vanish();
+        time.runUntil(10_000);
+        assertEquals(List.of(Reply.RESET), replies);
+        assertEquals(0, notes.stream().filter(n -> n.what() == What.EFFECT).count());
+    }
+
+    @Test
+    public void aColdServerTakesLongerAndFallsUnderTooMuch() {
+        World world = world("cold_s = 20, cold_share = 0.25");
+        Server server = world.servers.get(0);
+        server.die();
+        server.start();
+        offer(world, 1, 100);
+        time.runUntil(5_000);
+        assertTrue("took " + times.get(0), times.get(0) > 350 && times.get(0) < 480);
+        for (int i = 2; i < 2_000 && server.state() == Server.State.UP; i++) {
+            offer(world, i, 100);
+        }
+        assertEquals(Server.State.DEAD, server.state());
+        assertEquals(1, notes.stream().filter(n -> n.what() == What.SERVER_FELL).count());
+    }
+
+    @Test
+    public void oneThatIsCrowdedTurnsSlowAndRecoversOnlyAfterARest() {
+        World world = world("choke = { at = 10, over_s = 1, slower = 4, rest_s = 2, below = 0.5, most_s = 100 }");
+        Server server = world.servers.get(0);
+        for (int i = 0; i < 20; i++) {
+            offer(world, i, 200);
+        }
+        time.runUntil(900);
+        assertEquals(1, server.capacity(), 1e-9);
+        time.runUntil(1_100);
+        assertEquals(0.25, server.capacity(), 1e-9);
+        time.runUntil(60_000);
+        assertEquals(1, server.capacity(), 1e-9);
+        assertEquals(20, replies.size());
+    }
+
+    @Test
+    public void aPauseStopsTheWorkAndTheRestGoesOn() {
+        World world = world("speed = 2");
+        offer(world, 1, 100);
+        time.runUntil(10);
+        world.servers.get(0).pause(200);
+        time.runUntil(1_000);
+        double least = 200 + 100 * 0.85 / 2;
+        assertTrue("took " + times, times.get(0) >= least && times.get(0) <= 200 + 100 * 1.15 / 2 + 1);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dewplank/lab/Auditor.java
@@ -0,0 +1,349 @@
+package dewplank.lab;
+
+import dewplank.emulator.Note;
+import dewplank.emulator.Note.What;
+import dewplank.emulator.Scenario;
+import dewplank.emulator.Scenario.Kind;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Collectors;
+import saltfield.Balancer.Effect;
+import saltfield.Balancer.Scope;
+
+/**
+ * Checks the four rules from what clients, servers and the directory recorded. It knows nothing of the decision module
+ * and nothing of a sidecar's own words. Notes come in the order of their times; of an old request that has ended it
+ * keeps nothing, so a run may be of any length.
+ */
+public final class Auditor implements Note.Recorder {
+
+    /** What was broken. */
+    public enum Rule {
+        ANSWERED_TWICE, NOT_ANSWERED, ANSWERED_LATE, LOST, WRONG_ANSWER, SENT_TWICE, EFFECT_TWICE, REFUSED_AFTER_RUN,
+        KEYED_TOO_LATE, KEYED_ELSEWHERE, SENT_TO_DRAINED, COLD_PUSHED_OVER
+    }
+
+    /** One finding; {@code line}: all that is known of the request, one event a line, in the order of time. */
+    public record Violation(Rule rule, double at, long request, String what, String line) { }
+
+    private static final int KEPT = 50;
+    private static final double REMEMBER_MS = 3_000;
+    private static final double TOLD_PART = 2.0 / 3;
+
+    /** One try of a client's, as all parties saw it. */
+    private static final class Life {
+        final Note asked;
+        final List<Note> notes = new ArrayList<>(8);
+        final Map<Integer, Integer> received = new HashMap<>(4);   // by server; those turned away are taken off
+        double firstRunAt = Double.NaN;
+        int firstServer = -1;
+        int ran;
+        int effects;
+        int answers;
+        boolean refused;
+        boolean everReceived;
+
+        Life(Note asked) {
+            this.asked = asked;
+            notes.add(asked);
+        }
+    }
+
+    private record Push(double at, double work, boolean told) { }
+
+    private final Scenario scenario;
+    private final double slackMs;
+    private final int[] zoneOf;
+    private final Map<Long, Life> lives = new HashMap<>();
+    private final ArrayDeque<Life> byAge = new ArrayDeque<>();
+    private final Map<Long, Double> toldGone = new HashMap<>();
+    private final Map<Long, Double> toldStart = new HashMap<>();
+    private final Map<Integer, Double> startedAt = new HashMap<>();
+    private final Map<Integer, ArrayDeque<Push>> pushes = new HashMap<>();
+    private final Map<Integer, Double> sidecarDownAt = new HashMap<>();
+    private final Map<Integer, Double> sidecarUpAt = new HashMap<>();
+    private final Map<Rule, Integer> counts = new EnumMap<>(Rule.class);
+    private final List<Violation> kept = new ArrayList<>();
+    private long asked;
+
+    /** {@code slackMs}: how much later than told or sent a record may be, by the way that messages take. */
+    public Auditor(Scenario scenario, double slackMs) {
+        this.scenario = scenario;
+        this.slackMs = slackMs;
+        this.zoneOf = new int[scenario.servers().count()];
+        for (int i = 0; i < zoneOf.length; i++) {
+            zoneOf[i] = i % scenario.zones().size();
+        }
+    }
+
+    public long asked() {
+        return asked;
+    }
+
+    public int violations() {
+        return counts.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    public Map<Rule, Integer> counts() {
+        return counts;
+    }
+
+    /** The first ones, with their time lines. */
+    public List<Violation> kept() {
+        return kept;
+    }
+
+    public String verdict() {
+        return counts.isEmpty() ? "kept all rules (" + asked + " requests)" : counts.entrySet().stream()
+            .map(e -> e.getKey().name().toLowerCase(Locale.ROOT).replace('_', ' ') + ": " + e.getValue())
+            .collect(Collectors.joining(", ", "broken: ", ""));
+    }
+
+    @Override
+    public void record(Note n) {
+        switch (n.what()) {
+            case ASKED -> ask(n);
+            case SERVED, REFUSED, FAILED, UNREACHABLE, LEFT -> answer(n);
+            case RECEIVED -> received(n);
+            case TURNED_AWAY -> turnedAway(n);
+            case BEGUN, DROPPED -> on(n);
+            case EFFECT -> effect(n);
+            case TOLD_DRAINING, TOLD_GONE -> toldGone.putIfAbsent(pair(n), n.at());
+            case TOLD_UP -> {
+                toldGone.remove(pair(n));
+                toldStart.put(pair(n), n.value());
+            }
+            case SIDECAR_KILLED -> sidecarDownAt.put(n.sidecar(), n.at());
+            case SIDECAR_UP -> sidecarUp(n);
+            case SERVER_STARTED -> {
+                startedAt.put(n.server(), n.at());
+                pushes.put(n.server(), new ArrayDeque<>());
+            }
+            case SERVER_DOWN -> { }
+            case SERVER_FELL -> fell(n);
+        }
+    }
+
+    /** A new process was told nothing yet; it has its list from where it was kept, and is told anew. */
+    private void sidecarUp(Note n) {
+        sidecarUpAt.put(n.sidecar(), n.at());
+        toldGone.keySet().removeIf(k -> k >>> 32 == n.sidecar());
+        toldStart.keySet().removeIf(k -> k >>> 32 == n.sidecar());
+    }
+
+    private static long pair(Note n) {
+        return (long) n.sidecar() << 32 | n.server();
+    }
+
+    private Life on(Note n) {
+        Life life = lives.get(n.request());
+        if (life != null) {
+            life.notes.add(n);
+        }
+        return life;
+    }
+
+    // ---- one final answer, in time --------------------------------------------------------------------
+
+    private void ask(Note n) {
+        asked++;
+        Life life = new Life(n);
+        lives.put(n.request(), life);
+        byAge.addLast(life);
+        double before = n.at() - scenario.longestDeadlineMs() - REMEMBER_MS;
+        while (byAge.peekFirst().asked.at() < before) {
+            forget(byAge.removeFirst());
+        }
+    }
+
+    private void forget(Life life) {
+        lives.remove(life.asked.request());
+        if (life.answers == 0) {
+            broken(Rule.NOT_ANSWERED, life, life.asked, "nobody heard of it again");
+        }
+    }
+
+    /** At the end of a run: whoever still waits was not answered. */
+    public void end(double now) {
+        for (Life life : byAge) {
+            if (life.answers == 0 && life.asked.value() < now) {
+                broken(Rule.NOT_ANSWERED, life, life.asked, "nobody heard of it again");
+            }
+        }
+    }
+
+    private void answer(Note n) {
+        Life life = on(n);
+        if (life == null) {
+            return;
+        }
+        life.answers++;
+        if (life.answers > 1) {
+            if (n.what() != What.LEFT && n.what() != What.UNREACHABLE) {
+                broken(Rule.ANSWERED_TWICE, life, n, "it had an answer before");
+            }
+            return;
+        }
+        double until = life.asked.value() + scenario.rules().answerSlackMs() + slackMs;
+        switch (n.what()) {
+            case LEFT -> {
+                if (n.value() == 0) {
+                    broken(Rule.NOT_ANSWERED, life, n, "the client waited for its whole time");
+                }
+            }
+            case UNREACHABLE -> {
+                if (!downBetween(n.sidecar(), life.asked.at() - slackMs, n.at())) {
+                    broken(Rule.LOST, life, n, "its sidecar was up all the time");
+                }
+            }
+            default -> {
+                if (n.at() > until) {
+                    broken(Rule.ANSWERED_LATE, life, n, "%.0f ms after its time".formatted(n.at() - life.asked.value()));
+                }
+            }
+        }
+        if (n.what() == What.SERVED && (n.value() != n.request() || !life.everReceived)) {
+            broken(Rule.WRONG_ANSWER, life, n, life.everReceived ? "the answer was made for another request"
+                : "no server ever had it");
+        }
+        if (n.what() == What.REFUSED) {
+            life.refused = true;
+            if (life.ran > 0 && !mayRefuseAfterRun(life)) {
+                broken(Rule.REFUSED_AFTER_RUN, life, n, "server " + life.firstServer + " had it");
+            }
+        }
+    }
+
+    private boolean downBetween(int sidecar, double from, double to) {
+        Double down = sidecarDownAt.get(sidecar);
+        Double up = sidecarUpAt.get(sidecar);
+        return up == null || down != null && down <= to && (up < down || up + slackMs >= from);
+    }
+
+    private boolean mayRefuseAfterRun(Life life) {
+        Kind kind = kind(life);
+        return kind.effect() == Effect.SAFE || kind.effect() == Effect.KEYED && kind.scope() == Scope.ALL;
+    }
+
+    private Kind kind(Life life) {
+        return scenario.classes().get(life.asked.kind());
+    }
+
+    // ---- no double effect -----------------------------------------------------------------------------
+
+    private void received(Note n) {
+        pushed(n);
+        Double told = toldGone.get(pair(n));
+        Life life = on(n);
+        if (told != null && n.at() - told > scenario.rules().drainMs() + slackMs) {
+            broken(Rule.SENT_TO_DRAINED, life, n, "its sidecar was told %.0f ms before".formatted(n.at() - told));
+        }
+        if (life == null) {
+            return;
+        }
+        life.everReceived = true;
+        Kind kind = kind(life);
+        if (life.ran > 0 && kind.effect() == Effect.UNSAFE) {
+            broken(Rule.SENT_TWICE, life, n, "server " + life.firstServer + " had it, and it may have run");
+        }
+        if (life.ran > 0 && kind.effect() == Effect.KEYED) {
+            if (n.at() - life.firstRunAt > kind.windowMs() + slackMs) {
+                broken(Rule.KEYED_TOO_LATE, life, n, "%.0f ms after the first".formatted(n.at() - life.firstRunAt));
+            }
+            if (group(kind, n.server()) != group(kind, life.firstServer)) {
+                broken(Rule.KEYED_ELSEWHERE, life, n, "server " + life.firstServer + " had it, in another group");
+            }
+        }
+        if (life.refused && !mayRefuseAfterRun(life)) {
+            broken(Rule.REFUSED_AFTER_RUN, life, n, "the client had been told that it never ran");
+        }
+        if (life.ran++ == 0) {
+            life.firstRunAt = n.at();
+            life.firstServer = n.server();
+        }
+    }
+
+    private int group(Kind kind, int server) {
+        return switch (kind.scope()) {
+            case ALL -> 0;
+            case ZONE -> zoneOf[server];
+            case CELL -> server / scenario.servers().cellSize();
+        };
+    }
+
+    private void turnedAway(Note n) {
+        Life life = on(n);
+        if (life != null && --life.ran == 0) {
+            life.firstRunAt = Double.NaN;
+            life.firstServer = -1;
+        }
+    }
+
+    private void effect(Note n) {
+        Life life = on(n);
+        if (life != null && ++life.effects > 1 && kind(life).effect() != Effect.SAFE) {
+            broken(Rule.EFFECT_TWICE, life, n, "its effect had taken place before");
+        }
+    }
+
+    // ---- cold servers ---------------------------------------------------------------------------------
+
+    private void pushed(Note n) {
+        ArrayDeque<Push> own = pushes.get(n.server());
+        if (own == null) {
+            return;
+        }
+        Double start = toldStart.get(pair(n));
+        own.addLast(new Push(n.at(), n.value(), start != null && start >= startedAt.get(n.server()) - slackMs));
+        while (own.peekFirst().at() < n.at() - scenario.rules().fallMs()) {
+            own.removeFirst();
+        }
+        if (n.at() - startedAt.get(n.server()) > scenario.rules().coldMs()) {
+            pushes.remove(n.server());
+        }
+    }
+
+    /** Its own record says that it broke down cold; the fault is the sidecars' if most came from those who knew. */
+    private void fell(Note n) {
+        ArrayDeque<Push> own = pushes.getOrDefault(n.server(), new ArrayDeque<>());
+        double all = own.stream().mapToDouble(Push::work).sum();
+        double told = own.stream().filter(Push::told).mapToDouble(Push::work).sum();
+        if (all > 0 && told >= TOLD_PART * all) {
+            broken(Rule.COLD_PUSHED_OVER, null, n, "server %d got %.0f ms of work in %.1f s, %.0f %% from those told"
+                .formatted(n.server(), all, scenario.rules().fallMs() / 1000, 100 * told / all));
+        }
+    }
+
+    // ---- findings -------------------------------------------------------------------------------------
+
+    private void broken(Rule rule, Life life, Note n, String what) {
+        counts.merge(rule, 1, Integer::sum);
+        if (kept.size() < KEPT) {
+            kept.add(new Violation(rule, n.at(), n.request(), what, life == null ? line(n) : life.notes.stream()
+                .map(Auditor::line).collect(Collectors.joining("\n"))));
+        }
+    }
+
+    private static String line(Note n) {
+        StringBuilder text = new StringBuilder(String.format(Locale.ROOT, "%12.3f  %-13s", n.at(),
+            n.what().name().toLowerCase(Locale.ROOT).replace('_', ' ')));
+        if (n.request() >= 0) {
+            text.append(" request ").append(n.request());
+        }
+        if (n.sidecar() >= 0) {
+            text.append(" sidecar ").append(n.sidecar());
+        }
+        if (n.server() >= 0) {
+            text.append(" server ").append(n.server());
+        }
+        if (n.value() != 0) {
+            text.append(String.format(Locale.ROOT, " (%.3f)", n.value()));
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dewplank/lab/Experiment.java
@@ -0,0 +1,102 @@
+package dewplank.lab;
+
+import dewplank.config.BadInput;
+import dewplank.emulator.Scenario;
+import dewplank.emulator.ScenarioFile;
+import dewplank.emulator.TomlFile;
+import dewplank.emulator.TomlFile.Table;
+import dewplank.lab.policies.Policies;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * What is to be run: every scenario with every value of what is varied, every policy and every seed. All of it is read
+ * and checked before anything runs.
+ */
+public record Experiment(String name, String about, List<Cell> cells, List<String> policies, List<Long> seeds,
+                         String baseline) {
+
+    /** One world without its seed. */
+    public record Cell(String scenarioName, String parameters, Scenario scenario) { }
+
+    /** One run. */
+    public record Job(Cell cell, String policy, long seed) { }
+
+    private static final int MOST_SEEDS = 10_000;
+
+    public static Experiment read(Path file) {
+        return of(TomlFile.read(file));
+    }
+
+    static Experiment of(Table t) {
+        String name = t.text("name");
+        List<String> scenarios = t.texts("scenarios", null);
+        List<String> policies = t.texts("policies", List.of("choice"));
+        policies.forEach(p -> {
+            try {
+                Policies.named(p);
+            } catch (BadInput e) {
+                throw t.wrong("policies", "is wrong: " + e.getMessage());
+            }
+        });
+        int seeds = t.whole("seeds", 1, MOST_SEEDS, 5);
+        int first = t.whole("first_seed", 0, 1_000_000_000, 1);
+        String baseline = t.text("baseline", policies.get(0));
+        if (!policies.contains(baseline)) {
+            throw t.wrong("baseline", "is none of the policies");
+        }
+        double length = t.number("length_s", 0, 3600, 0);
+        Map<String, List<Double>> varied = new LinkedHashMap<>();
+        for (Table v : t.tables("vary")) {
+            varied.put(v.text("parameter"), v.numbers("values"));
+            v.end();
+        }
+        String about = t.text("about", "");
+        t.end();
+        List<Cell> cells = new ArrayList<>();
+        for (String s : scenarios) {
+            Scenario scenario = ScenarioFile.named(s);
+            scenario = length > 0 ? scenario.with("length_s", length) : scenario;
+            try {
+                expand(new Cell(scenario.name(), "", scenario), new ArrayList<>(varied.entrySet()), cells);
+            } catch (IllegalArgumentException e) {
+                throw t.wrong("vary", e.getMessage());
+            }
+        }
+        List<Long> seedList = new ArrayList<>();
+        for (int i = 0; i < seeds; i++) {
+            seedList.add((long) first + i);
+        }
+        return new Experiment(name, about, List.copyOf(cells), List.copyOf(policies), List.copyOf(seedList), baseline);
+    }
+
+    private static void expand(Cell cell, List<Map.Entry<String, List<Double>>> varied, List<Cell> into) {
+        if (varied.isEmpty()) {
+            into.add(cell);
+            return;
+        }
+        String parameter = varied.get(0).getKey();
+        for (double value : varied.get(0).getValue()) {
+            String text = value == Math.rint(value) ? Long.toString((long) value) : String.format(Locale.ROOT, "%s", value);
+            String parameters = (cell.parameters().isEmpty() ? "" : cell.parameters() + " ") + parameter + "=" + text;
+            expand(new Cell(cell.scenarioName(), parameters, cell.scenario().with(parameter, value)),
+                varied.subList(1, varied.size()), into);
+        }
+    }
+
+    public List<Job> jobs() {
+        List<Job> jobs = new ArrayList<>();
+        for (Cell cell : cells) {
+            for (long seed : seeds) {
+                for (String policy : policies) {
+                    jobs.add(new Job(cell, policy, seed));
+                }
+            }
+        }
+        return jobs;
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/dewplank/lab/Broken.java
@@ -0,0 +1,136 @@
+package dewplank.lab;
+
+import dewplank.emulator.Note.What;
+import dewplank.emulator.Try;
+import dewplank.emulator.virtualtime.EmulatedSidecar;
+import dewplank.emulator.virtualtime.VirtualRun;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import saltfield.Balancer;
+
+/** Balancers and sidecars that each break one rule on purpose. */
+final class Broken {
+    private Broken() { }
+
+    enum Way { NONE, NEVER_ANSWERS, RESENDS_ORDERS, REFUSES_AFTER_RUN, KEYED_PAST_WINDOW, SENDS_TO_DRAINED, FLOODS_COLD }
+
+    /** A plain balancer that keeps the rules but for its one way of breaking them. */
+    static final class Plain implements Balancer {
+        private final Settings settings;
+        private final Way way;
+        private final SplittableRandom random;
+        private final Map<String, Entry> list = new HashMap<>();
+        private final Map<Long, Arrived> open = new HashMap<>();
+        private final Map<Long, Integer> attempts = new HashMap<>();
+        private Consumer<Action> out;
+        private double now;
+        private int count;
+        private boolean asked;
+
+        Plain(Settings settings, long seed, Way way) {
+            this.settings = settings;
+            this.way = way;
+            this.random = new SplittableRandom(seed);
+        }
+
+        @Override
+        public void handle(double time, Event event, Consumer<Action> actions) {
+            now = time;
+            out = actions;
+            if (event instanceof ListNews e) {
+                e.entries().forEach(x -> list.put(x.server(), x));
+                if (!asked) {
+                    asked = true;
+                    out.accept(new Subscribe());
+                }
+            } else if (event instanceof Arrived e) {
+                if (way != Way.NEVER_ANSWERS || ++count % 50 != 0) {
+                    open.put(e.request(), e);
+                    send(e);
+                }
+            } else if (event instanceof Abandoned e) {
+                open.remove(e.request());
+            } else if (event instanceof Ended e) {
+                ended(e);
+            }
+        }
+
+        private void send(Arrived e) {
+            List<Entry> from = new ArrayList<>();
+            for (Entry x : list.values().stream().sorted((a, b) -> a.server().compareTo(b.server())).toList()) {
+                boolean fit = x.availability() == Availability.UP
+                    || way == Way.SENDS_TO_DRAINED && x.availability() == Availability.DRAINING;
+                boolean cold = x.startedAt() != null && now - x.startedAt() < settings.safety().coldMs();
+                if (way == Way.FLOODS_COLD && cold && fit) {
+                    from = List.of(x);
+                    break;
+                }
+                if (fit && !cold) {
+                    from.add(x);
+                }
+            }
+            if (from.isEmpty()) {
+                open.remove(e.request());
+                out.accept(new Refuse(e.request(), 0));
+                return;
+            }
+            attempts.merge(e.request(), 1, Integer::sum);
+            out.accept(new Send(e.request(), from.get(random.nextInt(from.size())).server(), 0));
+        }
+
+        private void ended(Ended e) {
+            Arrived a = open.get(e.request());
+            if (a == null || e.over()) {
+                open.remove(e.request());
+                return;
+            }
+            RequestClass c = settings.classes().stream().filter(x -> x.name().equals(a.requestClass())).findFirst().orElseThrow();
+            boolean may = c.effect() == Effect.SAFE || e.outcome() == Outcome.FULL && attempts.get(e.request()) == 1
+                || way == Way.RESENDS_ORDERS && c.effect() == Effect.UNSAFE && e.outcome() == Outcome.RESET
+                || way == Way.KEYED_PAST_WINDOW && c.effect() == Effect.KEYED;
+            if (may && attempts.get(e.request()) < 3) {
+                send(a);
+                return;
+            }
+            open.remove(e.request());
+            boolean never = e.outcome() == Outcome.FULL || e.outcome() == Outcome.CONNECT_FAILED;
+            out.accept(way == Way.REFUSES_AFTER_RUN || never && attempts.get(e.request()) == 1
+                ? new Refuse(e.request(), 0) : new Fail(e.request()));
+        }
+    }
+
+    /** Gives the client its answer a second time. */
+    static final class AnswersTwice extends EmulatedSidecar {
+        AnswersTwice(VirtualRun run, int number) {
+            super(run, number);
+        }
+
+        @Override
+        protected void answer(Try t, What what, double value) {
+            super.answer(t, what, value);
+            if (t.id % 100 == 0) {
+                super.answer(t, What.FAILED, 0);
+            }
+        }
+    }
+
+    /** Gives a client what was made for another one. */
+    static final class MixesUp extends EmulatedSidecar {
+        private long last = -1;
+
+        MixesUp(VirtualRun run, int number) {
+            super(run, number);
+        }
+
+        @Override
+        protected void answer(Try t, What what, double value) {
+            boolean mix = what == What.SERVED && t.id % 100 == 0 && last >= 0;
+            super.answer(t, what, mix ? last : value);
+            last = what == What.SERVED ? t.id : last;
+        }
+    }
+}
