--- a/cli/src/main/java/dewplank/LabMain.java
+++ b/cli/src/main/java/dewplank/LabMain.java
@@ -14,6 +14,7 @@
 import dewplank.lab.policies.Policies;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import org.kohsuke.args4j.Argument;
@@ -101,10 +102,18 @@
         @Option(name = "--seed", metaVar = "N")
         private long seed = 1;
         @Option(name = "--set", metaVar = "KEY=VALUE", usage = "changes one figure, such as load.share=0.7")
-        private List<String> changes = List.of();
+        private List<String> changes = new ArrayList<>();
+        @Option(name = "--rounds", metaVar = "N", usage = "plays it so often, to measure the emulator's speed when warm")
+        private int rounds = 1;
 
         @Override
         public void run() {
+            for (int i = 0; i < rounds; i++) {
+                round();
+            }
+        }
+
+        private void round() {
             Scenario s = ScenarioFile.named(scenario);
             for (String change : changes) {
                 s = changed(s, change);
@@ -115,8 +124,9 @@
             print(trial.service());
             System.out.println("auditor: " + trial.auditor().verdict());
             trial.auditor().kept().stream().limit(3).forEach(LabMain::print);
-            System.out.printf(Locale.ROOT, "%d events, %d requests, %.1f s%n", trial.cost().events(),
-                trial.auditor().asked(), (System.nanoTime() - began) / 1e9);
+            double took = (System.nanoTime() - began) / 1e9;
+            System.out.printf(Locale.ROOT, "%d events, %d requests in %.1f s: %.0f requests/s%n", trial.cost().events(),
+                trial.auditor().asked(), took, trial.auditor().asked() / took);
         }
     }
 
--- a/emulator/src/main/java/dewplank/emulator/Clients.java
+++ b/emulator/src/main/java/dewplank/emulator/Clients.java
@@ -3,7 +3,7 @@
 import dewplank.emulator.Note.What;
 import dewplank.emulator.Scenario.Kind;
 import dewplank.emulator.Scenario.Load;
-import java.util.List;
+import java.util.Arrays;
 import java.util.function.DoubleSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import saltfield.Balancer.Effect;
@@ -52,6 +52,7 @@
     private final Tally tally;
     private final Scenario scenario;
     private final double end;
+    private final double[] upTo;   // the classes' shares, added up
     private long ids;
     private int open;
 
@@ -61,6 +62,11 @@
         this.tally = tally;
         this.scenario = world.scenario;
         this.end = world.now() + scenario.lengthMs();
+        this.upTo = scenario.classes().stream().mapToDouble(Kind::share).toArray();
+        double sum = Arrays.stream(upTo).sum();
+        for (int i = 0; i < upTo.length; i++) {
+            upTo[i] = upTo[i] / sum + (i == 0 ? 0 : upTo[i - 1]);
+        }
     }
 
     public void start() {
@@ -141,23 +147,19 @@
         }
 
         void arrive() {
-            double place = random.nextDouble() * scenario.classes().stream().mapToDouble(Kind::share).sum();
+            double place = random.nextDouble();
             int kind = 0;
-            for (; kind < work.length - 1; kind++) {
-                place -= scenario.classes().get(kind).share();
-                if (place < 0) {
-                    break;
-                }
+            while (kind < work.length - 1 && place >= upTo[kind]) {
+                kind++;
             }
             double load = scenario.classes().get(kind).work() * work[kind].getAsDouble();
             long key = ((long) sidecar + 1 << 36) + ++ids;
             open++;
-            attempt(new Ask(kind, key, load, world.now(), random.nextDouble() < scenario.clients().honour()), sidecar,
-                random);
+            attempt(new Ask(kind, key, load, world.now(), random.nextDouble() < scenario.clients().honour()), sidecar);
         }
     }
 
-    private void attempt(Ask ask, int sidecar, UniformRandomProvider random) {
+    private void attempt(Ask ask, int sidecar) {
         Kind kind = scenario.classes().get(ask.kind);
         double now = world.now();
         double last = ask.at + kind.deadlineMs();
@@ -166,12 +168,13 @@
         ask.tries++;
         world.note(What.ASKED, t, sidecar, -1, until);
         front.ask(t);
-        boolean impatient = scenario.clients().impatient() > 0 && random.nextDouble() < scenario.clients().impatient();
+        boolean impatient = scenario.clients().impatient() > 0
+            && world.draws.unit(-t.id) < scenario.clients().impatient();
         double wait = (until - now) * (impatient ? 0.5 : 1) + (impatient ? 0 : scenario.rules().answerSlackMs() + 1);
         world.later(wait, () -> {
             if (!t.over) {
                 front.leave(t);
-                over(t, What.LEFT, impatient ? 1 : 0, random);
+                over(t, What.LEFT, impatient ? 1 : 0);
             }
         });
     }
@@ -182,10 +185,10 @@
             world.note(what, t, t.sidecar, -1, value);   // a second answer: the auditor will see it
             return;
         }
-        over(t, what, value, world.draws.stream("retry", t.id));
+        over(t, what, value);
     }
 
-    private void over(Try t, What what, double value, UniformRandomProvider random) {
+    private void over(Try t, What what, double value) {
         t.over = true;
         world.note(what, t, t.sidecar, -1, value);
         Ask ask = t.ask;
@@ -200,7 +203,7 @@
             default -> kind.effect() == Effect.SAFE
                 || kind.effect() == Effect.KEYED && kind.scope() == Scope.ALL && now - ask.at < kind.windowMs();
         };
-        double wait = scenario.clients().waitMs() * (0.5 + random.nextDouble());
+        double wait = scenario.clients().waitMs() * (0.5 + world.draws.unit(t.id));
         if (what == What.REFUSED && ask.honours && value > 0) {
             wait = Math.max(wait, Math.min(value, scenario.rules().maxAdviceMs()));
         }
@@ -209,15 +212,10 @@
             again = false;   // its repeat would no longer be recognised
         }
         if (again) {
-            world.later(wait, () -> attempt(ask, t.sidecar, random));
+            world.later(wait, () -> attempt(ask, t.sidecar));
         } else {
             open--;
             tally.ended(ask.kind, ask.at, what == What.SERVED ? now - ask.at : Double.NaN, ask.tries, what);
         }
     }
-
-    static List<Double> shares(Scenario scenario) {
-        double sum = scenario.classes().stream().mapToDouble(Kind::share).sum();
-        return scenario.classes().stream().map(k -> k.share() / sum).toList();
-    }
 }
--- a/emulator/src/main/java/dewplank/emulator/Draws.java
+++ b/emulator/src/main/java/dewplank/emulator/Draws.java
@@ -24,6 +24,11 @@
         return RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {mixed, mix(mixed + 1)});
     }
 
+    /** A number from 0 to 1 that hangs on the run's seed and the given one alone. */
+    public double unit(long number) {
+        return (mix(seed ^ mix(number)) >>> 11) * 0x1.0p-53;
+    }
+
     /** The finalizer of SplitMix64 (Steele, Lea, Flood, OOPSLA '14). */
     public static long mix(long value) {
         long z = value + 0x9E3779B97F4A7C15L;
--- a/lab/src/main/java/dewplank/lab/Auditor.java
+++ b/lab/src/main/java/dewplank/lab/Auditor.java
@@ -45,6 +45,7 @@
         int ran;
         int effects;
         int answers;
+        int finals;
         boolean refused;
         boolean everReceived;
 
@@ -183,11 +184,12 @@
             return;
         }
         life.answers++;
+        boolean whole = n.what() != What.LEFT && n.what() != What.UNREACHABLE;
+        if (whole && ++life.finals > 1) {
+            broken(Rule.ANSWERED_TWICE, life, n, "it had an answer before");
+        }
         if (life.answers > 1) {
-            if (n.what() != What.LEFT && n.what() != What.UNREACHABLE) {
-                broken(Rule.ANSWERED_TWICE, life, n, "it had an answer before");
-            }
-            return;
+            return;   // one that was on its way when the client left
         }
         double until = life.asked.value() + scenario.rules().answerSlackMs() + slackMs;
         switch (n.what()) {
--- a/lab/src/main/java/dewplank/lab/policies/Textbook.java
+++ b/lab/src/main/java/dewplank/lab/policies/Textbook.java
@@ -31,7 +31,7 @@
         final Arrived arrived;
         final RequestClass rules;
         final double until;
-        final Set<String> tried = new HashSet<>();
+        final Set<String> tried = new HashSet<>(4);
         int attempts;
         boolean mayHaveRun;
         double firstSentAt = Double.NaN;
@@ -51,6 +51,8 @@
     private final Map<Long, Open> open = new HashMap<>();
     private Consumer<Action> out;
     private boolean watching;
+    private final List<Peer> usable = new ArrayList<>();   // those up, in the list's order
+    private boolean anyCold;
 
     Textbook(Settings settings, long seed) {
         this.settings = settings;
@@ -108,6 +110,14 @@
                 peers.computeIfAbsent(e.server(), id -> new Peer()).entry = e;
             }
         }
+        usable.clear();
+        anyCold = false;
+        for (Peer p : peers.values()) {
+            if (p.entry.availability() == Availability.UP) {
+                usable.add(p);
+                anyCold |= p.entry.startedAt() != null;
+            }
+        }
         if (!watching) {
             watching = true;
             out.accept(new Subscribe());
@@ -126,10 +136,13 @@
     }
 
     private void attempt(Open o) {
-        List<Peer> from = new ArrayList<>();
-        for (Peer p : peers.values()) {
-            if (p.entry.availability() == Availability.UP && !o.tried.contains(p.entry.server()) && warmEnough(p)) {
-                from.add(p);
+        List<Peer> from = usable;
+        if (anyCold || !o.tried.isEmpty()) {
+            from = new ArrayList<>();
+            for (Peer p : usable) {
+                if (!o.tried.contains(p.entry.server()) && warmEnough(p)) {
+                    from.add(p);
+                }
             }
         }
         Peer peer = from.isEmpty() ? null : pick(from);
