--- a/emulator/src/main/java/dewplank/emulator/Scenario.java
+++ b/emulator/src/main/java/dewplank/emulator/Scenario.java
@@ -140,6 +140,14 @@
             askers, classes, rules, events);
     }
 
+    /** The same on sockets, where an answer may come a little later. */
+    public Scenario withAnswerSlack(double ms) {
+        Rules r = rules;
+        return new Scenario(name, lengthMs, tickMs, sidecars, zones, servers, network, links, directory, reports, load,
+            clients, classes, new Rules(ms, r.drainMs(), r.fallMultiple(), r.fallMs(), r.coldMs(), r.coldShare(),
+                r.askWithinMs(), r.maxAttempts(), r.probes(), r.retryAdvice(), r.maxAdviceMs()), faults);
+    }
+
     static List<Integer> firstOf(List<Integer> shuffled, double part) {
         int n = (int) Math.ceil(part * shuffled.size() - 1e-9);
         return IntStream.range(0, Math.min(n, shuffled.size())).mapToObj(shuffled::get).toList();
--- a/emulator/src/main/java/dewplank/emulator/ServerList.java
+++ b/emulator/src/main/java/dewplank/emulator/ServerList.java
@@ -82,6 +82,10 @@
         return down;
     }
 
+    public boolean silent() {
+        return silent;
+    }
+
     public long calls() {
         return calls;
     }
--- /dev/null
+++ b/emulator/src/main/java/dewplank/emulator/loopback/Addresses.java
@@ -0,0 +1,54 @@
+package dewplank.emulator.loopback;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.UnknownHostException;
+
+/**
+ * Addresses in 127.0.0.0/8. Each sidecar reaches every party at an address kept for it alone: so a party knows who is
+ * calling, links can be cut pair by pair, and no pair of addresses runs out of ports.
+ */
+final class Addresses {
+    private static final int EACH = 250;
+    private static final int SERVERS_FROM = 64;
+    private static final int SIDECARS = 1;
+    private static final int DIRECTORIES = 2;
+
+    private Addresses() { }
+
+    private static InetAddress of(int first, int number) {
+        int second = first + number / (EACH * EACH);
+        if (second > 254) {
+            throw new IllegalArgumentException("127.0.0.0/8 has no room for so many pairs of sidecar and server");
+        }
+        try {
+            return InetAddress.getByAddress(new byte[] {127, (byte) second, (byte) (number / EACH % EACH),
+                (byte) (1 + number % EACH)});
+        } catch (UnknownHostException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Port 0: any that is free there. */
+    static InetSocketAddress server(int sidecar, int server, int servers) {
+        return new InetSocketAddress(of(SERVERS_FROM, sidecar * servers + server), 0);
+    }
+
+    static InetSocketAddress directory(int sidecar) {
+        return new InetSocketAddress(of(DIRECTORIES, sidecar), 0);
+    }
+
+    /** With a port that is free now. */
+    static InetSocketAddress sidecar(int sidecar) throws IOException {
+        InetAddress address = of(SIDECARS, sidecar);
+        try (ServerSocket socket = new ServerSocket(0, 1, address)) {
+            return new InetSocketAddress(address, socket.getLocalPort());
+        }
+    }
+
+    static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/dewplank/emulator/loopback/HttpClient.java
@@ -0,0 +1,203 @@
+package dewplank.emulator.loopback;
+
+import dewplank.http.BadMessageException;
+import dewplank.http.MessageParser;
+import dewplank.http.ResponseParser;
+import dewplank.net.Connection;
+import dewplank.net.EventLoop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * A client of one HTTP/1.1 address, on a loop: keeps its connections, opens more when all are busy, up to a bound; calls
+ * beyond wait in line. A call that meets the close of a kept connection before any byte of its answer goes once more on a
+ * new one.
+ */
+public final class HttpClient {
+
+    /** Told once. {@code parser} holds the answer's head; null: the connection never came up, or broke. */
+    public interface Answered {
+        void answered(ResponseParser parser, byte[] body);
+    }
+
+    /** One exchange. */
+    public final class Call implements Connection.Handler {
+        private final ByteBuffer request;
+        private final Answered whenAnswered;
+        private final ResponseParser parser = new ResponseParser(MessageParser.MAX_BODY);
+        private Connection connection;
+        private Connection.Connecting connecting;
+        private boolean reused;
+        private boolean heard;
+        private boolean over;
+
+        private Call(ByteBuffer request, Answered whenAnswered) {
+            this.request = request;
+            this.whenAnswered = whenAnswered;
+        }
+
+        /** The client gives up: its connection ends, and nothing is told. */
+        public void cancel() {
+            if (over) {
+                return;
+            }
+            over = true;
+            if (connection != null) {
+                connection.close();
+                open--;
+            } else if (connecting != null) {
+                connecting.cancel();
+                open--;
+            } else {
+                waiting.remove(this);
+            }
+            next();
+        }
+
+        private void begin() {
+            Connection kept = takeIdle();
+            if (kept != null) {
+                reused = true;
+                connection = kept;
+                kept.setHandler(this);
+                kept.write(request.duplicate(), () -> { });
+            } else {
+                open++;
+                opened++;
+                connect();
+            }
+        }
+
+        private void connect() {
+            reused = false;
+            connecting = Connection.open(loop, to, this, up -> {
+                connecting = null;
+                connection = up;
+                up.write(request.duplicate(), () -> { });
+            }, e -> end(null));
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            heard = true;
+            try {
+                if (parser.feed(bytes)) {
+                    end(parser);
+                }
+            } catch (BadMessageException e) {
+                end(null);
+            }
+        }
+
+        @Override
+        public void closed(IOException why) {
+            if (reused && !heard && !over) {
+                connection = null;
+                opened++;
+                connect();
+            } else {
+                end(why == null && parser.endOfInput() ? parser : null);
+            }
+        }
+
+        private void end(ResponseParser answer) {
+            if (over) {
+                return;
+            }
+            over = true;
+            if (answer != null && answer.keepAlive() && connection != null && !connection.isClosed()) {
+                keep(connection);
+            } else {
+                if (connection != null) {
+                    connection.close();
+                }
+                open--;
+            }
+            whenAnswered.answered(answer, answer == null ? null : answer.takeBody());
+            next();
+        }
+    }
+
+    private final EventLoop loop;
+    private final InetSocketAddress to;
+    private final int most;
+    private final Deque<Connection> idle = new ArrayDeque<>();
+    private final Deque<Call> waiting = new ArrayDeque<>();
+    private int open;
+    private long opened;
+
+    public HttpClient(EventLoop loop, InetSocketAddress to, int most) {
+        this.loop = loop;
+        this.to = to;
+        this.most = most;
+    }
+
+    /** On the loop's thread. The request's bytes are not changed. */
+    public Call call(ByteBuffer request, Answered whenAnswered) {
+        Call call = new Call(request, whenAnswered);
+        if (idle.isEmpty() && open >= most) {
+            waiting.addLast(call);
+        } else {
+            call.begin();
+        }
+        return call;
+    }
+
+    /** Connections opened so far. */
+    public long opened() {
+        return opened;
+    }
+
+    /** Calls that wait for a connection. */
+    public int waiting() {
+        return waiting.size();
+    }
+
+    public void close() {
+        idle.forEach(Connection::close);
+        idle.clear();
+    }
+
+    private Connection takeIdle() {
+        while (!idle.isEmpty()) {
+            Connection c = idle.removeLast();
+            if (!c.isClosed()) {
+                return c;
+            }
+            open--;
+        }
+        return null;
+    }
+
+    private void keep(Connection connection) {
+        idle.addLast(connection);
+        connection.setHandler(new Connection.Handler() {
+            @Override
+            public void received(ByteBuffer bytes) {
+                bytes.position(bytes.limit());
+                drop();
+                connection.close();
+            }
+
+            @Override
+            public void closed(IOException why) {
+                drop();
+            }
+
+            private void drop() {
+                if (idle.remove(connection)) {
+                    open--;
+                }
+            }
+        });
+    }
+
+    private void next() {
+        if (!waiting.isEmpty() && (!idle.isEmpty() || open < most)) {
+            waiting.removeFirst().begin();
+        }
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/dewplank/emulator/loopback/LoopbackRun.java
@@ -0,0 +1,265 @@
+package dewplank.emulator.loopback;
+
+import com.google.gson.JsonObject;
+import dewplank.emulator.Clients;
+import dewplank.emulator.Faults;
+import dewplank.emulator.Note;
+import dewplank.emulator.Note.What;
+import dewplank.emulator.Scenario;
+import dewplank.emulator.Try;
+import dewplank.emulator.World;
+import dewplank.http.MessageWriter;
+import dewplank.http.ResponseParser;
+import dewplank.net.EventLoop;
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import saltfield.Balancer.Effect;
+
+/**
+ * One run in real time: the scenario's world on loopback sockets, and a sidecar process for each of its sidecars. State
+ * is the loop's; {@link #run} is called once, from another thread.
+ */
+public final class LoopbackRun implements Clients.Front, Closeable {
+    private static final double READY_LOOK_MS = 20;
+    private static final double READY_MOST_MS = 30_000;
+    private static final int CONNECTIONS = 10_000;
+    private static final double REMEMBER_MS = 10_000;
+
+    /** Makes the figures as the parties act; both are called on the loop's thread. */
+    public interface Observer extends Note.Recorder {
+        Clients.Tally begin(World world);
+    }
+
+    /** What a run was like beside what its notes say. */
+    public record Outcome(long sends, long handshakes, long directoryCalls, long directoryLines, double latestMs,
+                          boolean unsound) { }
+
+    private final Scenario scenario;
+    private final long seed;
+    private final Observer observer;
+    private final EventLoop loop = new EventLoop();
+    private final RealTime time = new RealTime(loop);
+    private final World world;
+    private final Map<Long, Try> tries = new HashMap<>();
+    private final Map<Long, HttpClient.Call> calls = new HashMap<>();
+    private final List<ServerEnd> servers = new ArrayList<>();
+    private final List<DirectoryEnd> directories = new ArrayList<>();
+    private final List<SidecarProcess> sidecars = new ArrayList<>();
+    private final List<HttpClient> fronts = new ArrayList<>();
+    private final Path folder;
+    private final CountDownLatch done = new CountDownLatch(1);
+    private Clients clients;
+    private long sends;
+    private int ready;
+    private volatile String failure;
+
+    /** {@code command}: starts a sidecar that reads {@code GW_CONFIG}. */
+    public LoopbackRun(Scenario scenario, long seed, List<String> command, Observer observer) throws IOException {
+        this.scenario = scenario;
+        this.seed = seed;
+        this.observer = observer;
+        this.folder = Files.createTempDirectory("dewplank-lab");
+        this.world = new World(scenario, seed, time, this::note);
+        try {
+            for (int i = 0; i < world.servers.size(); i++) {
+                servers.add(new ServerEnd(loop, world, world.servers.get(i), tries));
+            }
+            for (int i = 0; i < scenario.sidecars(); i++) {
+                directories.add(new DirectoryEnd(loop, world, i, (s, n) -> servers.get(n).address(s)));
+                SidecarProcess process = new SidecarProcess(command, folder, i, Addresses.sidecar(i));
+                sidecars.add(process);
+                fronts.add(new HttpClient(loop, process.listen(), CONNECTIONS));
+            }
+        } catch (IOException | RuntimeException e) {
+            loop.stop();
+            throw e;
+        }
+    }
+
+    /** Where the sidecars' logs are. */
+    public Path folder() {
+        return folder;
+    }
+
+    /** Starts all, plays the scenario, waits until every client has its end. */
+    public Outcome run() throws IOException, InterruptedException {
+        for (int i = 0; i < sidecars.size(); i++) {
+            start(i, 0);
+        }
+        loop.execute(() -> {
+            double began = time.now();
+            for (int i = 0; i < sidecars.size(); i++) {
+                awaitReady(i, began, () -> {
+                    if (++ready == sidecars.size()) {
+                        begin();
+                    }
+                });
+            }
+        });
+        double most = READY_MOST_MS + scenario.lengthMs() + 3 * scenario.longestDeadlineMs() + 10_000;
+        if (!done.await((long) most, TimeUnit.MILLISECONDS) && failure == null) {
+            failure = "the run did not end within " + (long) most + " ms";
+        }
+        if (failure != null) {
+            throw new IllegalStateException(failure + "; the sidecars' logs are in " + folder);
+        }
+        long opened = fronts.stream().mapToLong(HttpClient::opened).sum();
+        return new Outcome(sends, opened, world.list.calls(), world.list.lines(), time.latestMs(), time.unsound());
+    }
+
+    @Override
+    public void close() {
+        sidecars.forEach(SidecarProcess::kill);
+        loop.execute(time::end);
+        loop.stop();
+    }
+
+    // ---- sidecars -------------------------------------------------------------------------------------
+
+    private void start(int sidecar, int life) throws IOException {
+        JsonObject config = new JsonObject();
+        SidecarProcess process = sidecars.get(sidecar);
+        config.addProperty("name", "n" + sidecar);
+        config.addProperty("listen", Addresses.text(process.listen()));
+        config.addProperty("discovery", Addresses.text(directories.get(sidecar).address()));
+        config.addProperty("seed", Long.toHexString(dewplank.emulator.Draws.mix(seed + 31L * sidecar + life)));
+        config.add("known", directories.get(sidecar).json(world.list.version(), true, world.list.whole()));
+        config.add("settings", SidecarFile.settings(scenario.settings(sidecar)));
+        process.start(config.toString());
+    }
+
+    private void awaitReady(int sidecar, double since, Runnable then) {
+        ByteBuffer ask = MessageWriter.request("GET", "/_health", "sidecar").noBody();
+        fronts.get(sidecar).call(ask, (answer, body) -> {
+            if (answer != null && answer.status() == 200) {
+                note(new Note(time.now(), What.SIDECAR_UP, -1, -1, sidecar, -1, 0));
+                then.run();
+            } else if (time.now() - since > READY_MOST_MS || !sidecars.get(sidecar).alive()) {
+                failure = "sidecar " + sidecar + " did not become ready";
+                done.countDown();
+            } else {
+                time.after(READY_LOOK_MS, () -> awaitReady(sidecar, since, then));
+            }
+        });
+    }
+
+    private void kill(int sidecar, double backAfterMs) {
+        SidecarProcess process = sidecars.get(sidecar);
+        note(new Note(time.now(), What.SIDECAR_KILLED, -1, -1, sidecar, -1, 0));
+        process.kill();
+        time.after(Math.max(50, backAfterMs), () -> {
+            try {
+                start(sidecar, 1);
+                awaitReady(sidecar, time.now(), () -> { });
+            } catch (IOException e) {
+                failure = "sidecar " + sidecar + " did not start again: " + e.getMessage();
+                done.countDown();
+            }
+        });
+    }
+
+    // ---- the day --------------------------------------------------------------------------------------
+
+    private void begin() {
+        clients = new Clients(world, this, observer.begin(world));
+        Faults.schedule(world, this::kill);
+        time.watch();
+        clients.start();
+        double end = time.now() + scenario.lengthMs();
+        time.after(scenario.lengthMs(), () -> awaitEnd(end + 2 * scenario.longestDeadlineMs() + 1_000));
+    }
+
+    private void awaitEnd(double most) {
+        if (clients.open() == 0 || time.now() > most) {
+            time.after(Math.min(2_000, scenario.longestDeadlineMs()), done::countDown);   // late effects show
+        } else {
+            time.after(READY_LOOK_MS, () -> awaitEnd(most));
+        }
+    }
+
+    /** What the model says of a server is done on its sockets too. */
+    private void note(Note n) {
+        sends += n.what() == What.RECEIVED ? 1 : 0;
+        observer.record(n);
+        if (n.what() == What.SERVER_DOWN && n.value() == 0) {
+            loop.execute(() -> servers.get(n.server()).down());
+        } else if (n.what() == What.SERVER_STARTED) {
+            loop.execute(() -> {
+                try {
+                    servers.get(n.server()).up();
+                } catch (IOException e) {
+                    failure = "server " + n.server() + " can't listen again: " + e.getMessage();
+                    done.countDown();
+                }
+            });
+        }
+    }
+
+    // ---- clients --------------------------------------------------------------------------------------
+
+    @Override
+    public void ask(Try t) {
+        tries.put(t.id, t);
+        world.later(REMEMBER_MS, () -> tries.remove(t.id));
+        Scenario.Kind kind = scenario.classes().get(t.kind);
+        boolean safe = kind.effect() == Effect.SAFE;
+        MessageWriter request = MessageWriter.request(safe ? "GET" : "POST", "/api", "api.internal")
+            .header("X-Trace-Id", Long.toHexString(t.id)).header("X-Qos", kind.name())
+            .header("X-Expires-In-Ms", Long.toString(Math.max(1, Math.round(t.until - t.at))))
+            .header("X-Second-Try", t.repeat && scenario.clients().marks() ? "1" : null)
+            .header("Idempotency-Key", kind.effect() == Effect.KEYED ? Long.toHexString(t.key) : null);
+        ByteBuffer bytes = safe ? request.noBody() : request.body("{\"lines\":[]}".getBytes(StandardCharsets.US_ASCII));
+        boolean[] answered = new boolean[1];
+        HttpClient.Call call = fronts.get(t.sidecar).call(bytes, (answer, body) -> {
+            answered[0] = true;
+            calls.remove(t.id);
+            answered(t, answer, body);
+        });
+        if (!answered[0]) {
+            calls.put(t.id, call);
+        }
+    }
+
+    private void answered(Try t, ResponseParser answer, byte[] body) {
+        if (answer == null) {
+            clients.answered(t, What.UNREACHABLE, 0);
+        } else if (answer.status() == 200) {
+            clients.answered(t, What.SERVED, madeFor(body));
+        } else if (answer.status() == 429 || answer.status() == 503) {
+            clients.answered(t, What.REFUSED, 1000 * number(answer.headers().get("Retry-After")));
+        } else {
+            clients.answered(t, What.FAILED, answer.status());
+        }
+    }
+
+    private static double madeFor(byte[] body) {
+        String text = new String(body, StandardCharsets.US_ASCII);
+        return text.startsWith("made for ") ? number(text.substring("made for ".length())) : -1;
+    }
+
+    private static double number(String text) {
+        try {
+            return text == null ? 0 : Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    @Override
+    public void leave(Try t) {
+        HttpClient.Call call = calls.remove(t.id);
+        if (call != null) {
+            call.cancel();
+        }
+    }
+}
--- a/sidecar/src/main/java/dewplank/net/EventLoop.java
+++ b/sidecar/src/main/java/dewplank/net/EventLoop.java
@@ -58,6 +58,14 @@
         return wheel.add(now() + ms, task);
     }
 
+    /**
+     * Runs the task after so long, as exactly as the system's clock allows, instead of at a tick. It can't be cancelled
+     * and costs more than {@link #after}: for load tools and emulators, not for a sidecar.
+     */
+    public void exactlyAfter(double ms, Runnable task) {
+        executor.schedule(() -> guarded(task), (long) (ms * 1e6), TimeUnit.NANOSECONDS);
+    }
+
     /** Runs the task on the loop's thread, soon. */
     public void execute(Runnable task) {
         executor.execute(() -> guarded(task));
