Add an open-loop load tool, and decide keyed repeats in the model as servers do

Need: no tool could load an HTTP target without waiting for it, and so hiding its stalls. The model's servers also forgot a keyed request by the time of its effect instead of by the time at which a repeat comes: a slow server's late effect counted as a second one.

Change: `load` (Poisson, uniform, bursts, ramp, steps, trace; intended start times; HdrHistogram a class; JSON; its own lag watched) and `stand-in`, a target that does no work. Keyed repeats are known within their window from the first attempt's coming; whoever of them is done first has the effect. A deploy's drain time is the fault's every_s. EventLoop.exactlyAfter and Connection.open from a given address serve these tools.

--- a/cli/src/main/java/dewplank/LabMain.java
+++ b/cli/src/main/java/dewplank/LabMain.java
@@ -14,7 +14,8 @@
 final class LabMain {
     private static final String USAGE = """
         usage: java -jar dewplank.jar try [--seed N]
-               java -jar dewplank.jar load URL --rate N [...]
+               java -jar dewplank.jar load URL... --rate N [--shape poisson|uniform|bursts|ramp|steps] [--seconds S] ...
+               java -jar dewplank.jar stand-in HOST:PORT... [--mean-ms N] [--distribution NAME] [--cv N]
                java -jar dewplank.jar lab run FILE [--out DIR] [--threads N]
                java -jar dewplank.jar lab play SCENARIO [--policy NAME] [--seed N] [--set KEY=VALUE] [--rounds N]
                java -jar dewplank.jar lab live SCENARIO [--seed N] [--set KEY=VALUE]
@@ -25,6 +26,8 @@
     @SubCommands({
         @SubCommand(name = "lab", impl = LabCommands.Lab.class),
         @SubCommand(name = "try", impl = LabCommands.TryOut.class),
+        @SubCommand(name = "load", impl = LoadCommands.Load.class),
+        @SubCommand(name = "stand-in", impl = LoadCommands.Serve.class),
     })
     private Commands.Command command;
 
--- a/cli/src/main/java/dewplank/Main.java
+++ b/cli/src/main/java/dewplank/Main.java
@@ -14,9 +14,10 @@
 /** The command line. Ends with 2 on a wrong command line and with 1 on wrong configuration or input. */
 public final class Main {
     private static final String USAGE = "usage: java -jar dewplank.jar serve | simhost | check-config | rehearse | version"
-        + " | try | lab ...";
+        + "\n"
+        + "       and for the laboratory: try | load | stand-in | lab";
     /** Commands that {@link LabMain} takes; no class of it is loaded for the others. */
-    private static final Set<String> LABORATORY = Set.of("lab", "try");
+    private static final Set<String> LABORATORY = Set.of("lab", "try", "load", "stand-in");
 
     @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class)
     @SubCommands({
--- a/emulator/src/main/java/dewplank/emulator/Faults.java
+++ b/emulator/src/main/java/dewplank/emulator/Faults.java
@@ -17,9 +17,8 @@
         void kill(int sidecar, double backAfterMs);
     }
 
-    /** How long a server that is being replaced takes to come up again. */
-    private static final double BOOT_MS = 1_500;
-    private static final double DRAIN_MS = 4_000;
+    /** How long a server's successor takes to come up: it is begun while the server drains. */
+    private static final double BOOT_MS = 200;
 
     private final World world;
     private final SidecarKiller killSidecar;
@@ -144,12 +143,13 @@
             }
             int life = s.life();
             world.list.set(s, Availability.DRAINING);   // the deploy says so first; the process follows
-            world.later(world.scenario.directory().periodMs() * 2 + world.scenario.rules().drainMs(), () -> {
+            double heard = world.scenario.directory().periodMs() * 2 + world.scenario.rules().drainMs();
+            world.later(Math.min(heard, f.everyMs()), () -> {
                 if (s.life() == life) {
                     s.drain();
                 }
             });
-            world.later(DRAIN_MS, () -> {
+            world.later(f.everyMs() + 1, () -> {
                 if (s.life() == life && s.state() == State.DRAINING) {
                     s.die();
                     world.list.set(s, Availability.REMOVED);
--- a/emulator/src/main/java/dewplank/emulator/Scenario.java
+++ b/emulator/src/main/java/dewplank/emulator/Scenario.java
@@ -74,7 +74,7 @@
     /**
      * @param part    of the servers (or of the sidecars, or of the requests) that it hits
      * @param size    how hard, as the kind says: times slower, share taken, times the load, part of the requests
-     * @param everyMs rhythm, where the kind has one
+     * @param everyMs rhythm, where the kind has one; of a deploy, how long a server drains
      * @param kind    class, or null
      */
     public record Fault(FaultKind what, double atMs, double forMs, double part, double size, double everyMs,
--- a/emulator/src/main/java/dewplank/emulator/ScenarioFile.java
+++ b/emulator/src/main/java/dewplank/emulator/ScenarioFile.java
@@ -173,7 +173,7 @@
         FaultKind what = t.word("what", FaultKind.class, null);
         double at = 1000 * t.number("at_s", 0, length / 1000);
         Fault fault = new Fault(what, at, 1000 * t.number("for_s", 0, MOST_MS / 1000, what == FaultKind.SIDECAR_KILL ? 1.7 : length / 1000),
-            t.number("part", 0, 1, 0.2), t.number("size", 0, 1000, sizeOf(what)), 1000 * t.number("every_s", 0.01, 3600, 3),
+            t.number("part", 0, 1, 0.2), t.number("size", 0, 1000, sizeOf(what)), 1000 * t.number("every_s", 0.01, 3600, what == FaultKind.DEPLOY ? 4 : 3),
             t.text("class", "").isEmpty() ? null : t.text("class"));
         if (what == FaultKind.CLASS_ERRORS && fault.kind() == null) {
             throw t.wrong("class", "is missing: this fault hits one class");
--- a/emulator/src/main/java/dewplank/emulator/Server.java
+++ b/emulator/src/main/java/dewplank/emulator/Server.java
@@ -38,11 +38,14 @@
         final Try request;
         final double work;
         final Answer answer;
+        final boolean known;
         double doneAt;
         long turn;
 
-        Job(Try request, double work, Answer answer) {
+        /** {@code known}: of a keyed one, whether its repeats are recognised. */
+        Job(Try request, double work, Answer answer, boolean known) {
             this.request = request;
+            this.known = known;
             this.work = work;
             this.answer = answer;
         }
@@ -223,7 +226,8 @@
             answer.done(Reply.NEVER_RAN, report());
             return;
         }
-        Job job = new Job(request, work, answer);
+        boolean keyed = world.scenario.classes().get(request.kind).effect() == Effect.KEYED;
+        Job job = new Job(request, work, answer, keyed && world.withinWindow(request, this));
         if (running.size() < slots) {
             begin(job);
         } else {
@@ -247,7 +251,7 @@
         Try r = job.request;
         boolean error = random.nextDouble() < errorRate[r.kind];
         if (!error) {
-            effect(r);
+            effect(r, job.known);
         }
         double fate = random.nextDouble();
         if (fate < lostAnswers) {
@@ -256,8 +260,8 @@
         job.answer.done(fate < lostAnswers + resets ? Reply.RESET : error ? Reply.ERROR : Reply.OK, report());
     }
 
-    private void effect(Try r) {
-        boolean first = world.scenario.classes().get(r.kind).effect() != Effect.KEYED || world.firstOfKey(r, this);
+    private void effect(Try r, boolean known) {
+        boolean first = !known || world.firstOfKey(r, this);
         world.note(first ? What.EFFECT : What.DROPPED, r, r.sidecar, number, 0);
     }
 
--- a/emulator/src/main/java/dewplank/emulator/World.java
+++ b/emulator/src/main/java/dewplank/emulator/World.java
@@ -16,6 +16,11 @@
 public final class World {
     /** By chance alone a budget in work may be overdrawn a little. */
     public static final double FALL_SLACK = 1.1;
+    /** The window counts from the sending; a message may take so long. */
+    private static final double WINDOW_SLACK_MS = 10;
+    /** Longer than any server holds a request. */
+    private static final double KEYS_KEPT_MS = 60_000;
+    private static final int MOST_KEYS = 1_000_000;
 
     public final Scenario scenario;
     public final Draws draws;
@@ -24,12 +29,23 @@
     public final ServerList list;
     private final Scheduler time;
     private final Note.Recorder recorder;
-    private final Map<Long, Double> keys = new LinkedHashMap<>(1024, 0.75f, false) {
+    /** What the servers of a group share about a keyed request. */
+    private static final class Key {
+        long request;
+        double firstAt;
+        boolean done;
+
+        Key(double firstAt) {
+            this.firstAt = firstAt;
+        }
+    }
+
+    private final Map<Long, Key> keys = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Double> eldest) {
-            return size() > 1_000_000 || eldest.getValue() < now() - scenario.longestDeadlineMs() - keyMemoryMs();
+        protected boolean removeEldestEntry(Map.Entry<Long, Key> eldest) {
+            return size() > MOST_KEYS || eldest.getValue().firstAt < now() - KEYS_KEPT_MS;
         }
     };
     private final Set<Long> cuts = new HashSet<>();
@@ -132,24 +148,37 @@
         return 1 + attemptNoise[0] * (2 * u - 1);
     }
 
-    private double keyMemoryMs() {
-        return scenario.classes().stream().mapToDouble(Scenario.Kind::windowMs).max().orElse(0);
-    }
-
-    /** Whether this is the first effect of a keyed request within the memory of its group of servers. */
-    boolean firstOfKey(Try request, Server server) {
-        Scenario.Kind kind = scenario.classes().get(request.kind);
-        long group = switch (kind.scope()) {
+    private long group(Try request, Server server) {
+        long group = switch (scenario.classes().get(request.kind).scope()) {
             case ALL -> 0;
             case ZONE -> 1 + scenario.zones().indexOf(server.zone);
             case CELL -> 1 + server.cell;
         };
-        Double before = keys.get(request.key * 10_007 + group);
-        if (before != null && now() - before <= kind.windowMs() + kind.deadlineMs()) {
-            return false;
+        return request.key * 10_007 + group;
+    }
+
+    /**
+     * A keyed request has come: whether its group of servers will know it from the first attempt of the same try. A
+     * client's next try begins a window of its own: clients repeat only while servers remember.
+     */
+    boolean withinWindow(Try request, Server server) {
+        double window = scenario.classes().get(request.kind).windowMs() + WINDOW_SLACK_MS;
+        Key key = keys.computeIfAbsent(group(request, server), k -> new Key(now()));
+        if (key.request != request.id) {
+            key.request = request.id;
+            key.firstAt = now();
+        }
+        return now() - key.firstAt <= window;
+    }
+
+    /** It is about to have its effect: whether it is the first of its key, among those that are known from it. */
+    boolean firstOfKey(Try request, Server server) {
+        Key key = keys.get(group(request, server));
+        boolean first = key == null || !key.done;
+        if (key != null) {
+            key.done = true;
         }
-        keys.put(request.key * 10_007 + group, now());
-        return true;
+        return first;
     }
 
     // ---- what goes wrong ------------------------------------------------------------------------------
--- a/emulator/src/main/java/dewplank/emulator/loopback/HttpClient.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/HttpClient.java
@@ -6,10 +6,12 @@
 import dewplank.net.Connection;
 import dewplank.net.EventLoop;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 
 /**
  * A client of one HTTP/1.1 address, on a loop: keeps its connections, opens more when all are busy, up to a bound; calls
@@ -73,7 +75,8 @@
 
         private void connect() {
             reused = false;
-            connecting = Connection.open(loop, to, this, up -> {
+            InetAddress from = sources.isEmpty() ? null : sources.get((int) (opened % sources.size()));
+            connecting = Connection.open(loop, from, to, this, up -> {
                 connecting = null;
                 connection = up;
                 up.write(request.duplicate(), () -> { });
@@ -124,15 +127,22 @@
     private final EventLoop loop;
     private final InetSocketAddress to;
     private final int most;
+    private final List<InetAddress> sources;
     private final Deque<Connection> idle = new ArrayDeque<>();
     private final Deque<Call> waiting = new ArrayDeque<>();
     private int open;
     private long opened;
 
     public HttpClient(EventLoop loop, InetSocketAddress to, int most) {
+        this(loop, to, most, List.of());
+    }
+
+    /** {@code sources}: addresses to connect from, in turn; where empty, the system chooses. */
+    public HttpClient(EventLoop loop, InetSocketAddress to, int most, List<InetAddress> sources) {
         this.loop = loop;
         this.to = to;
         this.most = most;
+        this.sources = sources;
     }
 
     /** On the loop's thread. The request's bytes are not changed. */
--- /dev/null
+++ b/lab/src/main/java/dewplank/lab/load/StandIn.java
@@ -0,0 +1,93 @@
+package dewplank.lab.load;
+
+import dewplank.emulator.Draws;
+import dewplank.emulator.Scenario.Distribution;
+import dewplank.emulator.loopback.HttpEnd;
+import dewplank.http.MessageWriter;
+import dewplank.http.RequestParser;
+import dewplank.net.EventLoop;
+import dewplank.net.Listener;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.DoubleSupplier;
+import java.util.function.IntFunction;
+
+/**
+ * A target that does no work: it answers at once, or after a drawn time. One loop an address. It can be told to stall, as
+ * a long collection would have it.
+ */
+public final class StandIn implements Closeable {
+    private static final int MOST = 100_000;
+    private static final ByteBuffer ANSWER = MessageWriter.response(200).body(new byte[] {'o', 'k'});
+
+    private final List<EventLoop> loops = new ArrayList<>();
+    private final List<InetSocketAddress> addresses = new ArrayList<>();
+
+    /** {@code meanMs} 0: at once. */
+    public StandIn(List<InetSocketAddress> at, Distribution distribution, double meanMs, double cv, long seed)
+            throws IOException {
+        this(at, place -> {
+            DoubleSupplier time = Draws.around(distribution, cv, new Draws(seed).stream("stand-in", place));
+            return () -> meanMs * time.getAsDouble();
+        });
+    }
+
+    /** {@code times}: for each address, by its place, how long the next answer takes, in milliseconds. */
+    StandIn(List<InetSocketAddress> at, IntFunction<DoubleSupplier> times) throws IOException {
+        for (InetSocketAddress a : at) {
+            EventLoop loop = new EventLoop();
+            DoubleSupplier time = times.apply(loops.size());
+            loops.add(loop);
+            Listener listener = new Listener(loop, a, MOST, () -> new End(loop, time));
+            addresses.add((InetSocketAddress) listener.address());
+            loop.execute(listener::accept);
+        }
+    }
+
+    public List<InetSocketAddress> addresses() {
+        return addresses;
+    }
+
+    /** For so long nothing at all moves. */
+    public void stall(long ms) {
+        for (EventLoop loop : loops) {
+            loop.execute(() -> {
+                try {
+                    Thread.sleep(ms);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+        }
+    }
+
+    @Override
+    public void close() {
+        loops.forEach(EventLoop::stop);
+    }
+
+    private static final class End extends HttpEnd {
+        private final EventLoop loop;
+        private final DoubleSupplier time;
+
+        End(EventLoop loop, DoubleSupplier time) {
+            this.loop = loop;
+            this.time = time;
+        }
+
+        @Override
+        protected void request(RequestParser request) {
+            request.takeBody();
+            double ms = time.getAsDouble();
+            if (ms <= 0) {
+                answer(ANSWER.duplicate());
+            } else {
+                loop.exactlyAfter(ms, () -> answer(ANSWER.duplicate()));
+            }
+        }
+    }
+}
--- a/lab/src/test/java/dewplank/lab/AuditorTest.java
+++ b/lab/src/test/java/dewplank/lab/AuditorTest.java
@@ -24,7 +24,7 @@
         Way.NEVER_ANSWERS, EnumSet.of(Rule.NOT_ANSWERED),
         Way.RESENDS_ORDERS, EnumSet.of(Rule.SENT_TWICE, Rule.EFFECT_TWICE),
         Way.REFUSES_AFTER_RUN, EnumSet.of(Rule.REFUSED_AFTER_RUN),
-        Way.KEYED_PAST_WINDOW, EnumSet.of(Rule.KEYED_TOO_LATE),
+        Way.KEYED_PAST_WINDOW, EnumSet.of(Rule.KEYED_TOO_LATE, Rule.EFFECT_TWICE),
         Way.SENDS_TO_DRAINED, EnumSet.of(Rule.SENT_TO_DRAINED),
         Way.FLOODS_COLD, EnumSet.of(Rule.COLD_PUSHED_OVER));
 
--- /dev/null
+++ b/lab/src/test/java/dewplank/lab/load/LoadRunTest.java
@@ -0,0 +1,123 @@
+package dewplank.lab.load;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertThrows;
+import static org.junit.Assert.assertTrue;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import dewplank.config.BadInput;
+import dewplank.emulator.Draws;
+import dewplank.emulator.Scenario.Distribution;
+import dewplank.lab.load.Arrivals.Plan;
+import dewplank.lab.load.Arrivals.Shape;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.DoubleSupplier;
+import org.junit.Test;
+
+public class LoadRunTest {
+    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+    private static LoadPlan plan(StandIn target, Plan arrivals, int connections) {
+        InetSocketAddress at = target.addresses().get(0);
+        return new LoadPlan(List.of(LoadPlan.target("http://" + at.getHostString() + ":" + at.getPort() + "/a?b=c")), arrivals,
+            null, List.of(LoadPlan.kind("read:3"), LoadPlan.kind("write:1:POST:100")), List.of("X-Id: {id}"), connections, 2,
+            5_000, 3, 1);
+    }
+
+    private static Plan steady(Shape shape, double perS, double seconds) {
+        return new Plan(shape, perS, 0, List.of(), 0, 1, 1000 * seconds);
+    }
+
+    /** The target's own draws are the known distribution; the tool must find its percentiles. */
+    @Test
+    public void percentilesAreThoseOfTheTarget() throws Exception {
+        DoubleSupplier drawn = Draws.around(Distribution.LOGNORMAL, 0.5, new Draws(5).stream("times", 0));
+        ConcurrentLinkedQueue<Double> times = new ConcurrentLinkedQueue<>();
+        try (StandIn target = new StandIn(List.of(ANY), place -> () -> {
+            double ms = 250 * drawn.getAsDouble();
+            times.add(ms);
+            return ms;
+        })) {
+            new LoadRun(plan(target, steady(Shape.POISSON, 600, 2), 800), line -> { }).run();   // code gets warm
+            times.clear();
+            LoadRun.Outcome o = new LoadRun(plan(target, steady(Shape.POISSON, 600, 5), 800), line -> { }).run();
+            double[] sorted = times.stream().mapToDouble(d -> d).sorted().toArray();
+            assertEquals(sorted.length, o.all().ok);
+            for (double p : new double[] {50, 90, 99}) {
+                double known = sorted[(int) Math.ceil(p / 100 * sorted.length) - 1];
+                assertEquals("p" + p, known, LoadReport.ms(o.all().latency, p), 0.02 * known);
+            }
+        }
+    }
+
+    /** A tool that waits for answers before it asks again would send nothing in that second, and see one slow answer. */
+    @Test
+    public void aTargetThatStallsForASecondShowsInTheHighPercentiles() throws Exception {
+        try (StandIn target = new StandIn(List.of(ANY), Distribution.FIXED, 0, 0, 1)) {
+            int[] seconds = new int[1];
+            LoadRun.Outcome o = new LoadRun(plan(target, steady(Shape.UNIFORM, 400, 5), 40), line -> {
+                if (++seconds[0] == 2) {
+                    target.stall(1_000);
+                }
+            }).run();
+            assertEquals(2_000, o.all().ok);
+            assertTrue("p99 " + LoadReport.ms(o.all().latency, 99), LoadReport.ms(o.all().latency, 99) > 800);
+            assertTrue("p50 " + LoadReport.ms(o.all().latency, 50), LoadReport.ms(o.all().latency, 50) < 100);
+        }
+    }
+
+    @Test
+    public void whatNobodyAnswersIsCountedAndTimed() throws Exception {
+        try (StandIn target = new StandIn(List.of(ANY), Distribution.FIXED, 60_000, 0, 1)) {
+            LoadPlan p = plan(target, steady(Shape.UNIFORM, 50, 1), 100);
+            LoadPlan impatient = new LoadPlan(p.targets(), p.arrivals(), null, p.kinds(), p.headers(), 100, 2, 300, 0, 1);
+            LoadRun.Outcome o = new LoadRun(impatient, line -> { }).run();
+            assertEquals(50, o.all().timedOut);
+            assertTrue(LoadReport.ms(o.all().latency, 50) >= 299);
+            JsonObject json = JsonParser.parseString(LoadReport.json(o)).getAsJsonObject();
+            assertEquals(2, json.getAsJsonArray("classes").size());
+        }
+        StandIn gone = new StandIn(List.of(ANY), Distribution.FIXED, 0, 0, 1);
+        gone.close();
+        LoadPlan nobody = plan(gone, steady(Shape.UNIFORM, 50, 1), 10);
+        assertEquals(50, new LoadRun(nobody, line -> { }).run().all().broken);
+    }
+
+    @Test
+    public void eachShapeSendsWhatItSays() {
+        assertEquals(5_000, count(steady(Shape.POISSON, 500, 10), 0, 10_000), 250);
+        assertEquals(5_000, count(steady(Shape.UNIFORM, 500, 10), 0, 10_000), 2);
+        Plan ramp = new Plan(Shape.RAMP, 100, 900, List.of(), 0, 1, 10_000);
+        assertEquals(100 + 40 * 2.5, count(ramp, 0, 2_500) / 2.5, 25);
+        assertEquals(500, count(ramp, 0, 10_000) / 10.0, 25);
+        Plan steps = new Plan(Shape.STEPS, 0, 0, List.of(100.0, 0.0, 300.0), 0, 1, 9_000);
+        assertEquals(0, count(steps, 3_000, 6_000));
+        assertEquals(900, count(steps, 6_000, 9_000), 100);
+        Plan bursts = new Plan(Shape.BURSTS, 100, 0, List.of(), 1, 2_000, 10_000);
+        assertEquals(0, count(bursts, 1_000, 2_000));
+        assertEquals(200, count(bursts, 2_000, 3_000), 50);
+    }
+
+    private static int count(Plan plan, double from, double to) {
+        int n = 0;
+        for (int part = 0; part < 3; part++) {
+            Arrivals a = Arrivals.of(plan, part, 3, 9);
+            for (double at = a.next(); at < Arrivals.NO_MORE; at = a.next()) {
+                n += at >= from && at < to ? 1 : 0;
+            }
+        }
+        return n;
+    }
+
+    @Test
+    public void wrongInputIsNamed() {
+        assertEquals("class x:0: should be NAME:WEIGHT[:METHOD[:BODY_BYTES]], with a weight above 0",
+            assertThrows(BadInput.class, () -> LoadPlan.kind("x:0")).getMessage());
+        assertEquals("target ftp://h/: only http://host:port/path is known",
+            assertThrows(BadInput.class, () -> LoadPlan.target("ftp://h/")).getMessage());
+    }
+}
--- a/sidecar/src/main/java/dewplank/net/Connection.java
+++ b/sidecar/src/main/java/dewplank/net/Connection.java
@@ -1,6 +1,7 @@
 package dewplank.net;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
@@ -59,10 +60,19 @@
     /** Opens a connection. Exactly one of {@code up} and {@code failed} is called, later; neither after a cancel. */
     public static Connecting open(EventLoop loop, InetSocketAddress to, Handler handler, Consumer<Connection> up,
                                   Consumer<IOException> failed) {
+        return open(loop, null, to, handler, up, failed);
+    }
+
+    /** The same from a given address of this machine; null: the system chooses. */
+    public static Connecting open(EventLoop loop, InetAddress from, InetSocketAddress to, Handler handler,
+                                  Consumer<Connection> up, Consumer<IOException> failed) {
         boolean[] cancelled = new boolean[1];
         AsynchronousSocketChannel channel;
         try {
             channel = AsynchronousSocketChannel.open(loop.group());
+            if (from != null) {
+                channel.bind(new InetSocketAddress(from, 0));
+            }
         } catch (IOException e) {   // no descriptor left, say
             loop.execute(() -> {
                 if (!cancelled[0]) {
