--- a/emulator/src/main/java/dewplank/emulator/Faults.java
+++ b/emulator/src/main/java/dewplank/emulator/Faults.java
@@ -64,6 +64,10 @@
                 world.setPoison(f.kind() == null ? -1 : world.scenario.classNames().indexOf(f.kind()), f.size());
                 world.later(f.forMs(), () -> world.setPoison(-1, 0));
             }
+            case LOSS -> {
+                world.setLoss(f.size());
+                world.later(f.forMs(), () -> world.setLoss(0));
+            }
             case CUT -> cut(f, random);
             case LOAD -> {
                 world.setLoadFactor(f.size());
--- a/emulator/src/main/java/dewplank/emulator/Scenario.java
+++ b/emulator/src/main/java/dewplank/emulator/Scenario.java
@@ -21,7 +21,7 @@
     public enum Shape { STEADY, WAVE, BURSTS }
 
     public enum FaultKind {
-        CRASH, VANISH, SLOW, NEIGHBOUR, PAUSE, DEPLOY, CLASS_ERRORS, POISON, LOST_ANSWERS, RESETS, CUT, LOAD,
+        CRASH, VANISH, SLOW, NEIGHBOUR, PAUSE, DEPLOY, CLASS_ERRORS, POISON, LOST_ANSWERS, RESETS, CUT, LOSS, LOAD,
         DIRECTORY_DOWN, DIRECTORY_SILENT, SIDECAR_KILL
     }
 
--- a/emulator/src/main/java/dewplank/emulator/ScenarioFile.java
+++ b/emulator/src/main/java/dewplank/emulator/ScenarioFile.java
@@ -189,7 +189,7 @@
             case DEPLOY -> 0.1;
             case PAUSE -> 500;
             case LOAD -> 2;
-            case POISON, LOST_ANSWERS, RESETS -> 0.02;
+            case POISON, LOST_ANSWERS, RESETS, LOSS -> 0.02;
             default -> 1;
         };
     }
--- a/emulator/src/main/java/dewplank/emulator/World.java
+++ b/emulator/src/main/java/dewplank/emulator/World.java
@@ -51,10 +51,12 @@
     private final Set<Long> cuts = new HashSet<>();
     private final DoubleSupplier jitter;
     final UniformRandomProvider directoryRandom;
+    private final UniformRandomProvider lossRandom;
     private final double[] attemptNoise;
     private double poisonPart;
     private int poisonKind = -1;
     private double loadFactor = 1;
+    private double loss;
 
     public World(Scenario scenario, long seed, Scheduler time, Note.Recorder recorder) {
         this.scenario = scenario;
@@ -63,6 +65,7 @@
         this.recorder = recorder;
         this.jitter = Draws.exponential(draws.stream("network", 0));
         this.directoryRandom = draws.stream("directory", 0);
+        this.lossRandom = draws.stream("loss", 0);
         this.attemptNoise = new double[] {0.15};
         double shares = scenario.servers().machines().stream().mapToDouble(Machine::share).sum();
         UniformRandomProvider random = draws.stream("fleet", 0);
@@ -136,6 +139,15 @@
         }
     }
 
+    /** Whether this message is lost on its way: its connection stays open, and nothing comes. */
+    public boolean lost() {
+        return loss > 0 && lossRandom.nextDouble() < loss;
+    }
+
+    void setLoss(double part) {
+        loss = part;
+    }
+
     private static long pair(int sidecar, int server) {
         return (long) sidecar << 32 | server;
     }
--- a/emulator/src/main/java/dewplank/emulator/loopback/HttpClient.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/HttpClient.java
@@ -29,7 +29,7 @@
     public final class Call implements Connection.Handler {
         private final ByteBuffer request;
         private final Answered whenAnswered;
-        private final ResponseParser parser = new ResponseParser(MessageParser.MAX_BODY);
+        private final ResponseParser parser;
         private Connection connection;
         private Connection.Connecting connecting;
         private boolean reused;
@@ -39,6 +39,11 @@
         private Call(ByteBuffer request, Answered whenAnswered) {
             this.request = request;
             this.whenAnswered = whenAnswered;
+            this.parser = new ResponseParser(keepsBodies ? MessageParser.MAX_BODY : Integer.MAX_VALUE);
+            if (request.remaining() > 5 && request.get(request.position()) == 'H'
+                    && request.get(request.position() + 1) == 'E') {
+                parser.expectHead();
+            }
         }
 
         /** The client gives up: its connection ends, and nothing is told. */
@@ -87,7 +92,11 @@
         public void received(ByteBuffer bytes) {
             heard = true;
             try {
-                if (parser.feed(bytes)) {
+                boolean whole = parser.feed(bytes);
+                if (!keepsBodies) {
+                    parser.takeBody();
+                }
+                if (whole) {
                     end(parser);
                 }
             } catch (BadMessageException e) {
@@ -130,6 +139,7 @@
     private final List<InetAddress> sources;
     private final Deque<Connection> idle = new ArrayDeque<>();
     private final Deque<Call> waiting = new ArrayDeque<>();
+    private boolean keepsBodies = true;
     private int open;
     private long opened;
 
@@ -145,6 +155,12 @@
         this.sources = sources;
     }
 
+    /** From here on answers' bodies may be of any length, and are forgotten as they come. */
+    public HttpClient forgetBodies() {
+        keepsBodies = false;
+        return this;
+    }
+
     /** On the loop's thread. The request's bytes are not changed. */
     public Call call(ByteBuffer request, Answered whenAnswered) {
         Call call = new Call(request, whenAnswered);
--- a/emulator/src/main/java/dewplank/emulator/loopback/ServerEnd.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/ServerEnd.java
@@ -79,6 +79,9 @@
         private final int life = server.life();
         private boolean counted;
         private double readyAt;
+        private int busy;
+        private int idles;
+        private boolean stale;
 
         End(int sidecar) {
             this.sidecar = sidecar;
@@ -92,7 +95,9 @@
                 return;
             }
             counted = server.connect();
-            if (!counted) {
+            if (counted) {
+                idle();
+            } else {
                 end();
             }
         }
@@ -131,14 +136,41 @@
                 reply(MessageWriter.response(400).body("no client sent this\n".getBytes(StandardCharsets.US_ASCII)));
                 return;
             }
+            if (stale) {   // it had closed this one long ago, without a word
+                end();
+                return;
+            }
+            busy++;
             world.later(there, () -> {
-                if (listens() && open()) {
+                if (listens() && open() && !world.lost()) {
                     server.offer(t, sidecar, (reply, inFlight) -> world.later(back, () -> done(t, reply, inFlight)));
                 }
             });
         }
 
+        /** One that stands idle for too long is closed, or forgotten without notice. */
+        private void idle() {
+            double limit = world.scenario.links().idleMs();
+            int then = ++idles;
+            if (limit > 0) {
+                world.later(limit, () -> {
+                    if (then == idles && busy == 0 && open()) {
+                        if (world.scenario.links().notice()) {
+                            end();
+                        } else {
+                            stale = true;
+                        }
+                    }
+                });
+            }
+        }
+
         private void done(Try t, Server.Reply reply, double inFlight) {
+            busy--;
+            idle();
+            if (world.lost()) {
+                return;
+            }
             if (reply == Server.Reply.RESET) {
                 end();
                 return;
--- a/emulator/src/main/java/dewplank/emulator/virtualtime/EmulatedSidecar.java
+++ b/emulator/src/main/java/dewplank/emulator/virtualtime/EmulatedSidecar.java
@@ -355,8 +355,11 @@
                 world.later(back, () -> end(call, Outcome.RESET, -1));
                 return;
             }
+            if (world.lost()) {
+                return;
+            }
             server.offer(call.open.request, number, (reply, inFlight) -> {
-                if (!world.cut(number, server.number)) {
+                if (!world.cut(number, server.number) && !world.lost()) {
                     world.later(back, () -> end(call, outcome(reply), inFlight));
                 }
             });
--- a/lab/src/main/java/dewplank/lab/Report.java
+++ b/lab/src/main/java/dewplank/lab/Report.java
@@ -1,5 +1,6 @@
 package dewplank.lab;
 
+import java.awt.Color;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -20,6 +21,8 @@
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
 import org.knowm.xchart.internal.chartpart.Chart;
+import org.knowm.xchart.style.AxesChartStyler;
+import org.knowm.xchart.style.Styler.LegendLayout;
 import org.knowm.xchart.style.Styler.LegendPosition;
 import org.knowm.xchart.style.markers.SeriesMarkers;
 
@@ -137,7 +140,7 @@
         Map<String, List<Result>> places = byPlace(results);
         CategoryChart chart = new CategoryChartBuilder().width(WIDTH).height(HEIGHT).title("Service by scenario")
             .yAxisTitle("service").build();
-        chart.getStyler().setYAxisMin(0.0).setYAxisMax(1.0).setLegendPosition(LegendPosition.OutsideS);
+        style(chart.getStyler());
         chart.getStyler().setAvailableSpaceFill(0.8).setXAxisLabelRotation(45);
         for (String p : Comparison.policies(results)) {
             List<Double> means = new ArrayList<>();
@@ -152,11 +155,17 @@
         return chart;
     }
 
+    private static void style(AxesChartStyler styler) {
+        styler.setYAxisMin(0.0).setYAxisMax(1.0).setPlotBorderVisible(false).setChartBackgroundColor(Color.WHITE)
+            .setLegendPosition(LegendPosition.OutsideS).setLegendLayout(LegendLayout.Horizontal)
+            .setLegendBorderColor(Color.WHITE);
+    }
+
     private static XYChart lines(List<Result> results, String scenario) {
         String parameter = results.get(0).parameters().replaceAll("=.*", "");
         XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(scenario).xAxisTitle(parameter)
             .yAxisTitle("service").build();
-        chart.getStyler().setYAxisMin(0.0).setYAxisMax(1.0).setLegendPosition(LegendPosition.OutsideS);
+        style(chart.getStyler());
         for (String p : Comparison.policies(results)) {
             Map<Double, List<Result>> by = new TreeMap<>();
             results.stream().filter(r -> r.policy().equals(p)).forEach(r -> by
@@ -177,7 +186,8 @@
     static XYChart timeLine(Service service, String title) {
         XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).xAxisTitle("second")
             .yAxisTitle("service").build();
-        chart.getStyler().setYAxisMin(0.0).setYAxisMax(1.0).setLegendVisible(false);
+        style(chart.getStyler());
+        chart.getStyler().setLegendVisible(false);
         List<Double> at = new ArrayList<>();
         List<Double> share = new ArrayList<>();
         for (int i = 0; i < service.seconds().size(); i++) {
--- a/lab/src/main/java/dewplank/lab/load/LoadRun.java
+++ b/lab/src/main/java/dewplank/lab/load/LoadRun.java
@@ -98,7 +98,7 @@
             plan.kinds().forEach(k -> kinds.add(new OfKind(k.name())));
             int each = Math.max(1, plan.connections() / plan.threads() / plan.targets().size());
             for (int t = 0; t < plan.targets().size(); t++) {
-                clients.add(new HttpClient(loop, plan.targets().get(t).address(), each, sources(number)));
+                clients.add(new HttpClient(loop, plan.targets().get(t).address(), each, sources(number)).forgetBodies());
             }
             boolean template = plan.headers().stream().anyMatch(h -> h.contains("{id}"));
             fixed = new ByteBuffer[plan.targets().size()][plan.kinds().size()];
@@ -232,7 +232,7 @@
             writer.header(header.substring(0, colon).strip(),
                 header.substring(colon + 1).strip().replace("{id}", id).replace("{class}", k.name()));
         }
-        return k.bodyBytes() == 0 && k.method().equals("GET") ? writer.noBody() : writer.body(new byte[k.bodyBytes()]);
+        return k.bodyBytes() == 0 && (k.method().equals("GET") || k.method().equals("HEAD")) ? writer.noBody() : writer.body(new byte[k.bodyBytes()]);
     }
 
     /** Runs to the end of the plan, and until all is answered or timed out. */
--- a/lab/src/test/java/dewplank/lab/load/LoadRunTest.java
+++ b/lab/src/test/java/dewplank/lab/load/LoadRunTest.java
@@ -11,8 +11,14 @@
 import dewplank.emulator.Scenario.Distribution;
 import dewplank.lab.load.Arrivals.Plan;
 import dewplank.lab.load.Arrivals.Shape;
+import dewplank.emulator.loopback.HttpEnd;
+import dewplank.http.MessageWriter;
+import dewplank.http.RequestParser;
+import dewplank.net.EventLoop;
+import dewplank.net.Listener;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.DoubleSupplier;
@@ -87,6 +93,33 @@
         assertEquals(50, new LoadRun(nobody, line -> { }).run().all().broken);
     }
 
+    /** Any target: long bodies, whatever their framing, no body where there must be none, and statuses of all kinds. */
+    @Test
+    public void longBodiesAndAnswersToHeadAreRead() throws Exception {
+        EventLoop loop = new EventLoop();
+        try {
+            Listener listener = new Listener(loop, ANY, 100, () -> new HttpEnd() {
+                @Override
+                protected void request(RequestParser request) {
+                    byte[] body = new byte[300_000];
+                    ByteBuffer whole = MessageWriter.response(request.method().equals("PUT") ? 500 : 200).body(body);
+                    answer(request.method().equals("HEAD") ? whole.limit(whole.limit() - body.length) : whole);
+                }
+            });
+            loop.execute(listener::accept);
+            InetSocketAddress at = (InetSocketAddress) listener.address();
+            LoadRun.Outcome o = new LoadRun(new LoadPlan(List.of(LoadPlan.target("http://127.0.0.1:" + at.getPort())),
+                steady(Shape.UNIFORM, 100, 1), null, List.of(LoadPlan.kind("long:1"), LoadPlan.kind("head:1:HEAD"),
+                    LoadPlan.kind("bad:1:PUT:10")), List.of(), 10, 1, 5_000, 0, 2), line -> { }).run();
+            assertEquals(100, o.all().answered());
+            assertEquals(o.kinds().get(2).sent, o.kinds().get(2).otherStatus);
+            assertEquals(o.kinds().get(1).sent, o.kinds().get(1).ok);
+            assertTrue(o.connectionsOpened() <= 10);
+        } finally {
+            loop.stop();
+        }
+    }
+
     @Test
     public void eachShapeSendsWhatItSays() {
         assertEquals(5_000, count(steady(Shape.POISSON, 500, 10), 0, 10_000), 250);
--- a/sidecar/src/main/java/dewplank/http/ResponseParser.java
+++ b/sidecar/src/main/java/dewplank/http/ResponseParser.java
@@ -8,11 +8,17 @@
 
     private int status;
     private boolean oldVersion;
+    private boolean toHead;
 
     public ResponseParser(int maxBody) {
         super(maxBody);
     }
 
+    /** The next answer is to a HEAD request: it has no body, whatever its fields say (RFC 9110, 9.3.2). */
+    public void expectHead() {
+        toHead = true;
+    }
+
     @Override
     String startsWith() {
         return "HTTP/1.";
@@ -45,7 +51,7 @@
 
     @Override
     boolean bodyless() {
-        return status == 204 || status == 304;
+        return toHead || status == 204 || status == 304;
     }
 
     @Override
