--- a/cli/src/main/java/dewplank/LabCommands.java
+++ b/cli/src/main/java/dewplank/LabCommands.java
@@ -35,6 +35,7 @@
         @SubCommands({
             @SubCommand(name = "run", impl = Run.class),
             @SubCommand(name = "play", impl = Play.class),
+            @SubCommand(name = "losses", impl = Losses.class),
             @SubCommand(name = "live", impl = Live.class),
             @SubCommand(name = "twin", impl = Twin.class),
             @SubCommand(name = "show", impl = Show.class),
@@ -118,6 +119,33 @@
         }
     }
 
+    /** Plays scenarios and prints what became of the worth that was lost, by policy. */
+    public static final class Losses implements Commands.Command {
+        @Argument(required = true, multiValued = true, metaVar = "SCENARIO")
+        private List<String> scenarios = new ArrayList<>();
+        @Option(name = "--policy", metaVar = "NAME", usage = "may be given several times; default: choice and oracle")
+        private List<String> policies = new ArrayList<>();
+        @Option(name = "--seed", metaVar = "N")
+        private long seed = 1;
+        @Option(name = "--set", metaVar = "KEY=VALUE", usage = "changes one figure, such as load.share=0.7")
+        private List<String> changes = new ArrayList<>();
+
+        @Override
+        public void run() {
+            for (String name : scenarios) {
+                Scenario s = ScenarioFile.named(name);
+                for (String change : changes) {
+                    s = changed(s, change);
+                }
+                for (String policy : policies.isEmpty() ? List.of("choice", "oracle") : policies) {
+                    Trial trial = Trial.split(s, policy, seed);
+                    System.out.printf(Locale.ROOT, "%s, %s: service %.3f, %s%n%s", s.name(), policy, trial.service().share(),
+                        trial.auditor().verdict(), trial.losses().table());
+                }
+            }
+        }
+    }
+
     /** Plays one run on loopback sockets, against sidecars that are processes of their own. */
     public static final class Live implements Commands.Command {
         @Argument(required = true, metaVar = "SCENARIO", usage = "a file, or a name from 'lab list'")
--- a/cli/src/main/java/dewplank/LabMain.java
+++ b/cli/src/main/java/dewplank/LabMain.java
@@ -18,6 +18,7 @@
                java -jar dewplank.jar stand-in HOST:PORT... [--mean-ms N] [--distribution NAME] [--cv N]
                java -jar dewplank.jar lab run FILE [--out DIR] [--threads N]
                java -jar dewplank.jar lab play SCENARIO [--policy NAME] [--seed N] [--set KEY=VALUE] [--rounds N]
+               java -jar dewplank.jar lab losses SCENARIO... [--policy NAME] [--seed N] [--set KEY=VALUE]
                java -jar dewplank.jar lab live SCENARIO [--seed N] [--set KEY=VALUE]
                java -jar dewplank.jar lab twin SCENARIO... [--seeds N] [--length S] [--out FILE]
                java -jar dewplank.jar lab show DIR | lab compare DIR DIR | lab list""";
--- a/cli/src/main/java/dewplank/LoadCommands.java
+++ b/cli/src/main/java/dewplank/LoadCommands.java
@@ -42,6 +42,8 @@
         private Path trace;
         @Option(name = "--seconds", metaVar = "S")
         private double seconds = 10;
+        @Option(name = "--warm-up-s", metaVar = "S", usage = "at the first rate, not counted; default: 2")
+        private double warmUp = 2;
         @Option(name = "--connections", metaVar = "N", usage = "open at the same time, at the most")
         private int connections = 64;
         @Option(name = "--threads", metaVar = "N")
@@ -61,7 +63,12 @@
 
         @Override
         public void run() throws IOException, InterruptedException {
-            LoadRun.Outcome outcome = new LoadRun(plan(), System.err::println).run();
+            LoadPlan plan = plan();
+            if (warmUp > 0) {
+                System.err.println("warming up");
+                new LoadRun(plan.warmUp(1000 * warmUp), line -> { }).run();
+            }
+            LoadRun.Outcome outcome = new LoadRun(plan, System.err::println).run();
             System.out.print(LoadReport.table(outcome));
             if (json != null) {
                 Files.writeString(json, LoadReport.json(outcome));
@@ -75,6 +82,7 @@
             check(connections >= threads && connections <= 1_000_000, "--connections should be from --threads to 1,000,000");
             check(sources >= 0 && sources <= 250, "--sources should be from 0 to 250");
             check(timeout > 0 && timeout <= 600_000, "--timeout-ms should be above 0 and at most 600,000");
+            check(warmUp >= 0 && warmUp <= 3_600, "--warm-up-s should be from 0 to 3,600");
             check(swing >= 0 && period > 0, "--swing and --period-s can't be below 0");
             headers.forEach(h -> check(h.indexOf(':') > 0, "--header " + h + ": should be NAME: VALUE"));
             Arrivals.Shape form = Stream.of(Arrivals.Shape.values())
--- a/emulator/src/main/java/dewplank/emulator/Server.java
+++ b/emulator/src/main/java/dewplank/emulator/Server.java
@@ -157,6 +157,20 @@
         return sum;
     }
 
+    /**
+     * How long a request of that work would take that comes now, by the true state: the cores shared with what is held and
+     * with as many more of the mean as are {@code coming}, and no sooner than the backlog lets it. Infinite where it can't.
+     */
+    public double expectedMs(double work, int coming) {
+        double capacity = capacity();
+        if (capacity <= 0 || state != State.UP) {
+            return Double.POSITIVE_INFINITY;
+        }
+        double crowd = Math.max(1, (double) (held() + coming + 1) / machine.cores());
+        double mean = world.scenario.meanWork();
+        return Math.max(work * machine.cores() / capacity * crowd, (backlog() + coming * mean + work) / capacity);
+    }
+
     public double startedAt() {
         return startedAt;
     }
--- a/lab/src/main/java/dewplank/lab/LiveTrial.java
+++ b/lab/src/main/java/dewplank/lab/LiveTrial.java
@@ -55,7 +55,7 @@
                     .formatted(outcome.latestMs()));
             }
             return new Trial(trial.service, trial.auditor, new Cost(0, outcome.sends(), 0, outcome.handshakes(),
-                outcome.directoryCalls(), outcome.directoryLines(), 0), outcome.unsound());
+                outcome.directoryCalls(), outcome.directoryLines(), 0), outcome.unsound(), null);
         }
     }
 
--- a/lab/src/main/java/dewplank/lab/Trial.java
+++ b/lab/src/main/java/dewplank/lab/Trial.java
@@ -8,8 +8,11 @@
 import java.util.Map;
 import org.HdrHistogram.Histogram;
 
-/** One run in virtual time, judged: scenario, policy, seed in; service, cost and the auditor's findings out. */
-public record Trial(Service service, Auditor auditor, Cost cost, boolean unsound) {
+/**
+ * One run, judged: scenario, policy, seed in; service, cost and the auditor's findings out. {@code losses} is null unless
+ * they were asked for.
+ */
+public record Trial(Service service, Auditor auditor, Cost cost, boolean unsound, LossSplit losses) {
     /** Messages take a few milliseconds at the most in virtual time, a handshake included. */
     private static final double SLACK_MS = 50;
 
@@ -20,7 +23,19 @@
         VirtualRun run = new VirtualRun(scenario, seed, Policies.named(policy), auditor, service, sideBySide);
         Cost cost = run.run();
         auditor.end(run.world().now());
-        return new Trial(service, auditor, cost, false);
+        return new Trial(service, auditor, cost, false, null);
+    }
+
+    /** The same, with the losses split by cause; slower, since each refusal is held against every server's true state. */
+    public static Trial split(Scenario scenario, String policy, long seed) {
+        Auditor auditor = new Auditor(scenario, SLACK_MS);
+        Service service = new Service(scenario, 0);
+        LossSplit losses = new LossSplit(scenario, auditor, service);
+        VirtualRun run = new VirtualRun(scenario, seed, Policies.named(policy), losses, losses, false);
+        losses.watch(run.world());
+        Cost cost = run.run();
+        auditor.end(run.world().now());
+        return new Trial(service, auditor, cost, false, losses);
     }
 
     public Result result(String scenario, String parameters, String policy, long seed) {
--- a/lab/src/main/java/dewplank/lab/load/LoadPlan.java
+++ b/lab/src/main/java/dewplank/lab/load/LoadPlan.java
@@ -19,6 +19,13 @@
 public record LoadPlan(List<Target> targets, Arrivals.Plan arrivals, double[] trace, List<Kind> kinds,
                        List<String> headers, int connections, int threads, double timeoutMs, int sources, long seed) {
 
+    /** The same for so long at its first rate, to warm up code and connections. */
+    public LoadPlan warmUp(double lengthMs) {
+        double perS = arrivals.shape() == Arrivals.Shape.STEPS ? arrivals.steps().get(0) : arrivals.perS();
+        return new LoadPlan(targets, new Arrivals.Plan(Arrivals.Shape.POISSON, perS, 0, List.of(), 0, 1, lengthMs), null, kinds,
+            headers, connections, threads, timeoutMs, sources, seed + 1);
+    }
+
     /** One address, and the path to ask for there. */
     public record Target(InetSocketAddress address, String host, String path) { }
 
--- a/lab/src/main/java/dewplank/lab/load/LoadReport.java
+++ b/lab/src/main/java/dewplank/lab/load/LoadReport.java
@@ -22,9 +22,10 @@
         if (o.kinds().size() > 1) {
             row(text, o.all());
         }
-        return text.append(String.format(Locale.ROOT, "%.0f answered a second over %.1f s, %d connections opened, own lag p99 %.2f ms%n",
-            o.all().answered() / o.tookS(), o.tookS(), o.connectionsOpened(), o.lag().getValueAtPercentile(99) / 1000.0))
-            .append(o.sound() ? "" : "UNSOUND: the tool itself began requests late; give it more threads or less load\n")
+        return text.append(String.format(Locale.ROOT, "%.0f answered a second over %.1f s, %d connections opened, own lag p99 %.2f ms, "
+            + "own loops busy %.2f%n",
+            o.all().answered() / o.tookS(), o.tookS(), o.connectionsOpened(), o.lag().getValueAtPercentile(99) / 1000.0, o.busy()))
+            .append(o.sound() ? "" : "UNSOUND: the tool itself was late or had no time left; give it more threads or less load\n")
             .toString();
     }
 
@@ -44,6 +45,7 @@
         all.addProperty("answered_per_s", o.all().answered() / o.tookS());
         all.addProperty("connections_opened", o.connectionsOpened());
         all.addProperty("sound", o.sound());
+        all.addProperty("own_loops_busy", o.busy());
         all.add("own_lag_ms", percentiles(o.lag()));
         JsonArray kinds = new JsonArray();
         for (OfKind k : o.kinds()) {
--- a/lab/src/main/java/dewplank/lab/load/LoadRun.java
+++ b/lab/src/main/java/dewplank/lab/load/LoadRun.java
@@ -6,6 +6,8 @@
 import dewplank.http.ResponseParser;
 import dewplank.net.EventLoop;
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.net.InetAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -23,6 +25,7 @@
     private static final double LEAST_NAP_MS = 0.2;
     private static final double LEAD_MS = 50;
     private static final double GRACE_MS = 2_000;
+    private static final ThreadMXBean CPU = ManagementFactory.getThreadMXBean();
 
     /** Figures of one class. Latencies in microseconds, from the intended start to the answer's last byte. */
     public static final class OfKind {
@@ -55,10 +58,12 @@
     }
 
     /**
-     * @param lag how late the tool itself began requests for which a connection was free, microseconds
+     * @param lag how late the tool itself was, for its turns and for requests that had a free connection, microseconds
+     * @param busy the part of a core that the busiest of the tool's loops used: at 1 the tool is what was measured
      */
-    public record Outcome(List<OfKind> kinds, Histogram lag, double tookS, long connectionsOpened) {
+    public record Outcome(List<OfKind> kinds, Histogram lag, double busy, double tookS, long connectionsOpened) {
         private static final long SOUND_LAG_US = 5_000;
+        private static final double SOUND_BUSY = 0.97;
 
         public OfKind all() {
             OfKind all = new OfKind("all");
@@ -68,7 +73,7 @@
 
         /** Whether the tool kept its own times well enough for its figures to be the target's. */
         public boolean sound() {
-            return lag.getValueAtPercentile(99) <= SOUND_LAG_US;
+            return lag.getValueAtPercentile(99) <= SOUND_LAG_US && busy <= SOUND_BUSY;
         }
     }
 
@@ -86,6 +91,9 @@
         final ByteBuffer[][] fixed;
         double start;
         double due;
+        double planned;
+        double busy;
+        long cpuAtStart;
         long out;
         long ids;
         int turn;
@@ -112,12 +120,15 @@
         void begin(double at) {
             start = at;
             due = start + arrivals.next();
-            loop.execute(this::pump);
+            planned = start;
+            loop.execute(() -> cpuAtStart = CPU.getCurrentThreadCpuTime());
+            loop.exactlyAfter(LEAD_MS, this::pump);
         }
 
         /** Sends all that is due, and sleeps until the next is. */
         private void pump() {
             double now = loop.now();
+            lag.recordValue(micros(now - planned));   // a loop that can't keep up comes late to this
             while (due <= now) {
                 send(due);
                 due = start + arrivals.next();
@@ -125,13 +136,15 @@
             if (due == Arrivals.NO_MORE) {
                 await(loop.now() + plan.timeoutMs() + GRACE_MS);
             } else {
-                loop.exactlyAfter(Math.max(LEAST_NAP_MS, due - loop.now()), this::pump);
+                planned = Math.max(loop.now() + LEAST_NAP_MS, due);
+                loop.exactlyAfter(planned - loop.now(), this::pump);
             }
         }
 
         private void await(double most) {
             if (out == 0 || loop.now() > most) {
                 clients.forEach(HttpClient::close);
+                busy = (CPU.getCurrentThreadCpuTime() - cpuAtStart) / 1e6 / Math.max(1, loop.now() - start);
                 done.countDown();
             } else {
                 loop.exactlyAfter(5, () -> await(most));
@@ -282,6 +295,6 @@
             lag.add(p.lag);
             opened += p.clients.stream().mapToLong(HttpClient::opened).sum();
         }
-        return new Outcome(kinds, lag, took, opened);
+        return new Outcome(kinds, lag, parts.stream().mapToDouble(p -> p.busy).max().orElse(0), took, opened);
     }
 }
--- a/lab/src/main/java/dewplank/lab/policies/Policies.java
+++ b/lab/src/main/java/dewplank/lab/policies/Policies.java
@@ -176,15 +176,7 @@
         }
 
         private double time(Server s) {
-            double capacity = s.capacity();
-            if (capacity <= 0 || s.state() != Server.State.UP) {
-                return Double.POSITIVE_INFINITY;
-            }
-            double mean = world.scenario.meanWork();
-            int coming = coming(s);
-            double crowd = Math.max(1, (double) (s.held() + coming + 1) / s.machine.cores());
-            return Math.max(mean * s.machine.cores() / capacity * crowd,
-                (s.backlog() + (coming + 1) * mean) / capacity);
+            return s.expectedMs(world.scenario.meanWork(), coming(s));
         }
 
         @Override
