Measure on JMH what a decision costs by the number of servers listed

Need: the cost of a request grows with the fleet; it was known through sockets only, mixed with all else that the host does.

Change: `lab bench` runs the module alone, its timers fired, 16 requests in flight, with 6 to 2,000 servers, for plain requests and for requests after one entry of the list has changed.

--- a/cli/src/main/java/dewplank/LabCommands.java
+++ b/cli/src/main/java/dewplank/LabCommands.java
@@ -12,6 +12,7 @@
 import dewplank.lab.Runner;
 import dewplank.lab.Service;
 import dewplank.lab.Trial;
+import dewplank.lab.bench.DecisionBench;
 import dewplank.lab.policies.Policies;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -24,6 +25,7 @@
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
+import org.openjdk.jmh.runner.RunnerException;
 
 /** The laboratory's commands. Apart from {@link Commands}, so that the others load nothing of the laboratory. */
 final class LabCommands {
@@ -36,6 +38,7 @@
             @SubCommand(name = "run", impl = Run.class),
             @SubCommand(name = "play", impl = Play.class),
             @SubCommand(name = "losses", impl = Losses.class),
+            @SubCommand(name = "bench", impl = Bench.class),
             @SubCommand(name = "live", impl = Live.class),
             @SubCommand(name = "twin", impl = Twin.class),
             @SubCommand(name = "show", impl = Show.class),
@@ -146,6 +149,32 @@
         }
     }
 
+    /** Measures what the decision module costs a request, by the number of servers listed. */
+    public static final class Bench implements Commands.Command {
+        @Option(name = "--forks", metaVar = "N", usage = "JVMs one after the other; default: 1")
+        private int forks = 1;
+        @Option(name = "--seconds", metaVar = "S", usage = "of each of eight rounds; default: 1")
+        private int seconds = 1;
+        @Option(name = "--out", metaVar = "FILE", usage = "a CSV table of it")
+        private Path out;
+
+        @Override
+        public void run() throws IOException {
+            if (forks < 1 || seconds < 1) {
+                throw new BadInput("--forks and --seconds should be 1 or more");
+            }
+            try {
+                String table = DecisionBench.table(forks, seconds);
+                System.out.print(table);
+                if (out != null) {
+                    Files.writeString(out, table);
+                }
+            } catch (RunnerException e) {
+                throw new IOException("the benchmark did not run: " + e.getMessage(), e);
+            }
+        }
+    }
+
     /** Plays one run on loopback sockets, against sidecars that are processes of their own. */
     public static final class Live implements Commands.Command {
         @Argument(required = true, metaVar = "SCENARIO", usage = "a file, or a name from 'lab list'")
--- a/cli/src/main/java/dewplank/LabMain.java
+++ b/cli/src/main/java/dewplank/LabMain.java
@@ -21,6 +21,7 @@
                java -jar dewplank.jar lab losses SCENARIO... [--policy NAME] [--seed N] [--set KEY=VALUE]
                java -jar dewplank.jar lab live SCENARIO [--seed N] [--set KEY=VALUE]
                java -jar dewplank.jar lab twin SCENARIO... [--seeds N] [--length S] [--out FILE]
+               java -jar dewplank.jar lab bench [--forks N] [--seconds S] [--out FILE]
                java -jar dewplank.jar lab show DIR | lab compare DIR DIR | lab list""";
 
     @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class)
--- /dev/null
+++ b/lab/src/main/java/dewplank/lab/bench/DecisionBench.java
@@ -0,0 +1,119 @@
+package dewplank.lab.bench;
+
+import dewplank.emulator.Scenario;
+import dewplank.emulator.ScenarioFile;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.results.RunResult;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.Options;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.openjdk.jmh.runner.options.TimeValue;
+import saltfield.Balancer;
+import saltfield.Balancer.*;
+import saltfield.Choice;
+
+/**
+ * What the decision module costs, without sockets and without a world: one request from its arrival to its served end, with
+ * some in flight, and one change of the list followed by a request, by the number of servers listed.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class DecisionBench {
+    private static final int IN_FLIGHT = 16;
+    private static final double GAP_MS = 0.06;
+    private static final double SERVED_MS = 1;
+
+    private record Due(double at, long timer) { }
+
+    /** Servers listed. */
+    @Param({"6", "60", "200", "2000"})
+    public int servers;
+
+    private final List<Entry> entries = new ArrayList<>();
+    private final Queue<Send> out = new ArrayDeque<>();
+    private final PriorityQueue<Due> timers = new PriorityQueue<>(Comparator.comparingDouble(Due::at));
+    private List<String> classes;
+    private Balancer module;
+    private double now;
+    private long request;
+    private int changed;
+
+    @Setup
+    public void setUp() {
+        Scenario scenario = ScenarioFile.named("fleet").with("sidecars", 1);
+        classes = scenario.classNames();
+        module = new Choice(scenario.settings(0), new SplittableRandom(1));
+        entries.clear();
+        for (int i = 0; i < servers; i++) {
+            entries.add(entry(i, 1));
+        }
+        tell(new ListNews(ListForm.STALE, entries));
+    }
+
+    private static Entry entry(int number, double rating) {
+        return new Entry("server-" + number, number % 2 == 0 ? "a" : "b", "kind", number / 5, Availability.UP, rating, null);
+    }
+
+    private void tell(Event event) {
+        module.handle(now, event, action -> {
+            if (action instanceof Send s) {
+                out.add(s);
+            } else if (action instanceof SetTimer t) {
+                timers.add(new Due(now + t.afterMs(), t.timer()));
+            }
+        });
+    }
+
+    @Benchmark
+    public void request() {
+        now += GAP_MS;
+        while (!timers.isEmpty() && timers.peek().at() <= now) {
+            tell(new TimerFired(timers.remove().timer()));
+        }
+        request++;
+        tell(new Arrived(request, null, null, false, classes.get((int) (request % classes.size())), 600, null));
+        while (out.size() > IN_FLIGHT) {
+            Send s = out.remove();
+            tell(new Ended(s.request(), 0, s.server(), Outcome.SERVED, SERVED_MS, true, null));
+        }
+    }
+
+    @Benchmark
+    public void requestAfterAChangeOfTheList() {
+        changed = (changed + 1) % servers;
+        tell(new ListNews(ListForm.CHANGES, List.of(entry(changed, 1 + request % 7 * 0.1))));
+        request();
+    }
+
+    /** Runs both and returns a table: servers, microseconds, half width of the 99.9 % interval. */
+    public static String table(int forks, int seconds) throws RunnerException {
+        Options options = new OptionsBuilder().include(DecisionBench.class.getName()).forks(forks).warmupIterations(3)
+            .warmupTime(TimeValue.seconds(seconds)).measurementIterations(5).measurementTime(TimeValue.seconds(seconds))
+            .jvmArgsAppend("-XX:+UseSerialGC", "-Xmx256m").build();
+        Collection<RunResult> results = new Runner(options).run();
+        StringBuilder text = new StringBuilder("benchmark,servers,microseconds,error\n");
+        for (RunResult r : results) {
+            text.append("%s,%s,%.3f,%.3f%n".formatted(r.getPrimaryResult().getLabel(), r.getParams().getParam("servers"),
+                r.getPrimaryResult().getScore(), r.getPrimaryResult().getScoreError()));
+        }
+        return text.toString();
+    }
+}
