--- a/decisions/src/main/java/saltfield/Choice.java
+++ b/decisions/src/main/java/saltfield/Choice.java
@@ -487,7 +487,7 @@
     private double drawWeight(Server s) {
         double rated = cfg.ratedServers() ? Math.max(s.entry.rating(), WEIGHT_FLOOR) : 1;
         double reach = connects(s) ? Math.max(WEIGHT_FLOOR, 1 - connectFailing) : 1;
-        return s.weight * rated * reach * warmth(s);
+        return s.weight * rated * reach * likelyWarmth(s);
     }
 
     /** Whether an attempt there now would have to wait for a new connection. */
@@ -860,6 +860,15 @@
         return Math.min(1, cfg.safety().coldShare() + (1 - cfg.safety().coldShare()) * age);
     }
 
+    /**
+     * The part of its capacity that it is expected to have: half way, as ratios go, between what it surely has
+     * and all. Guards against a whole fleet that leaves its newcomers idle while the others are crowded: the
+     * least is what the budget may rest on, not what a request there will meet.
+     */
+    private double likelyWarmth(Server s) {
+        return Math.sqrt(warmth(s));
+    }
+
     /**
      * This instance's part of the stated budget, as work saved up since its start; trials and copies count. A
      * part of less than one request starts with a debt drawn by lot: of hundreds of sidecars only so many
@@ -913,7 +922,7 @@
         Request r = a.request;
         Server s = a.server;
         if (a.connects) {   // the connection's time is not the server's
-            double extra = Math.max(0, took - slowness(s) / warmth(s) * cost(r));
+            double extra = Math.max(0, took - slowness(s) / likelyWarmth(s) * cost(r));
             connectExtra += (extra - connectExtra) * CONNECT_STEP;
             return;
         }
@@ -939,7 +948,7 @@
         }
         fleetDeviation += (Math.abs(ratio - fleetSlowness) - fleetDeviation) * FLEET_STEP;
         fleetSlowness += (ratio - fleetSlowness) * FLEET_STEP;
-        double own = ratio * warmth(s) * meanTook;   // in time: a change of the usual must not count twice
+        double own = ratio * likelyWarmth(s) * meanTook;   // in time: a changed usual must not count twice
         double risen = s.zone.least + (took - s.zone.least) * WAY_STEP;
         s.zone.least = s.zone.least == 0 ? took : Math.min(took, risen);
         s.samples++;
@@ -960,7 +969,7 @@
 
     /** The time the request would likely take there, by learned speed, own load and what is overdue. */
     private double predicted(Server s, Request r) {
-        double time = slowness(s) / warmth(s) * cost(r) * (2 + load(s)) / (2 + s.usualLoad);
+        double time = slowness(s) / likelyWarmth(s) * cost(r) * (2 + load(s)) / (2 + s.usualLoad);
         for (Attempt a : s.outstanding) {   // by age: the oldest tells, unless it is stuck by itself
             if (!overtaken(a)) {
                 time = Math.max(time, now - a.sentAt);
@@ -1004,7 +1013,7 @@
     }
 
     private double overdueAfter(Request r, Server s) {
-        double usual = cost(r) / warmth(s);
+        double usual = cost(r) / likelyWarmth(s);
         double least = OVERDUE_LEAST * fleetSlowness * usual;
         double most = Math.max(least, OVERDUE_AIM_SHARE * r.aim());
         double spread = usual * (fleetSlowness + OVERDUE_DEVIATIONS * fleetDeviation);
--- a/decisions/src/test/java/saltfield/RulesTest.java
+++ b/decisions/src/test/java/saltfield/RulesTest.java
@@ -14,6 +14,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
 import org.junit.jupiter.api.Test;
 import saltfield.Balancer.*;
 
@@ -151,6 +153,29 @@
         assertNotNull(sent(h.arrive("read")));
     }
 
+    /** Found on the days at size: newcomers stood idle for seconds beside crowded servers, in all sidecars alike. */
+    @Test
+    void newcomersTakeTheirPartOfABusyFleetsWork() {
+        Host h = Host.with(new Host.Setup(), 4);
+        RandomGenerator random = new SplittableRandom(5);
+        int newcomers = 0;
+        for (int i = 0; i < 800; i++) {   // one request at a time: others crowd the old servers
+            if (i == 400) {
+                h.list(ListForm.CHANGES, entry("n0", "z1", 0, Availability.UP, h.now),
+                    entry("n1", "z1", 0, Availability.UP, h.now));
+            }
+            Send s = sent(h.arrive("read"));
+            h.now += 10;
+            if (s != null) {
+                boolean newcomer = s.server().startsWith("n");
+                newcomers += newcomer ? 1 : 0;
+                h.end(s, 0, Outcome.SERVED, random.nextExponential() * (newcomer ? 90 : 60), true);
+            }
+        }
+        // Two of six, expected at 0.55 to 0.8 of their capacity in these 4 s, are a fifth of the fleet.
+        assertTrue(newcomers >= 75, newcomers + " of 400 sends");
+    }
+
     /** Hundreds of sidecars, each with a share of the budget under one request: together they keep to it. */
     @Test
     void allSidecarsTogetherKeepToTheColdBudget() {
