--- a/decisions/src/main/java/saltfield/Choice.java
+++ b/decisions/src/main/java/saltfield/Choice.java
@@ -861,9 +861,9 @@
     }
 
     /**
-     * The part of its capacity that it is expected to have: half way, as ratios go, between what it surely has
-     * and all. Guards against a whole fleet that leaves its newcomers idle while the others are crowded: the
-     * least is what the budget may rest on, not what a request there will meet.
+     * The part of its capacity that it is expected to have: half way, as ratios go, between what it surely
+     * has and all. Guards against a whole fleet that leaves its newcomers idle while the others are crowded:
+     * the least is what the budget may rest on, not what a request there will meet.
      */
     private double likelyWarmth(Server s) {
         return Math.sqrt(warmth(s));
@@ -948,7 +948,7 @@
         }
         fleetDeviation += (Math.abs(ratio - fleetSlowness) - fleetDeviation) * FLEET_STEP;
         fleetSlowness += (ratio - fleetSlowness) * FLEET_STEP;
-        double own = ratio * likelyWarmth(s) * meanTook;   // in time: a changed usual must not count twice
+        double own = ratio * likelyWarmth(s) * meanTook;   // a changed usual must not count twice
         double risen = s.zone.least + (took - s.zone.least) * WAY_STEP;
         s.zone.least = s.zone.least == 0 ? took : Math.min(took, risen);
         s.samples++;
