Let lasting lateness fade without answers, so no quiet sidecar refuses for good

Ruled out by printing each admission: the early share itself, whose news fade in a second, and the cost of connecting (under 7 ms there).

Lines at fault: onArrival added the whole of `shortage`, 0.7, however long ago the answers were from which it was learnt, and a silence counts for 100 ms of its falling. It now fades at its own time scale from the last answer on. Also, shed took 0 for its floor while the crowd's part was 0, where a share below 0 used to offset lasting lateness; it does again.

All tests pass.

--- a/decisions/src/main/java/saltfield/Choice.java
+++ b/decisions/src/main/java/saltfield/Choice.java
@@ -130,6 +130,7 @@
     private double pressure;
     private double pressureAt;
     private double shortage;
+    private double answeredAt;
     private long timed;
     private double timedAt;
     private double recentTook;   // by warm servers on connections that were there, the way taken off
@@ -751,7 +752,8 @@
         }
         double late = crowded(s, r);
         feelPressure(late);
-        if (shed(r, s) + shortage * Math.min(1, late / SHORTAGE_FROM) > rank) {
+        double lasting = shortage * Math.exp((answeredAt - now) / SHORTAGE_TAU_MS);   // news fade
+        if (shed(r, s) + lasting * Math.min(1, late / SHORTAGE_FROM) > rank) {
             giveUp(r);
         } else {
             send(r, s);
@@ -769,7 +771,8 @@
         double slower = (times - SLOWER_FROM) / (SLOWER_ALL - SLOWER_FROM);
         double early = (Math.min(late, pressure / strictness) - EARLY_FROM) / (EARLY_ALL - EARLY_FROM);
         double crowd = Math.min(SHORTAGE_MOST, Math.min(slower, early));
-        return Math.max(crowd, (late - SHED_FROM) / (SHED_ALL - SHED_FROM));
+        double share = (late - SHED_FROM) / (SHED_ALL - SHED_FROM);   // below 0: offsets lasting lateness
+        return crowd > 0 ? Math.max(crowd, share) : share;
     }
 
     /**
@@ -919,6 +922,7 @@
     }
 
     private void learnTime(Attempt a, double took) {
+        answeredAt = now;
         Request r = a.request;
         Server s = a.server;
         if (a.connects) {   // the connection's time is not the server's
--- a/decisions/src/test/java/saltfield/AdmissionTest.java
+++ b/decisions/src/test/java/saltfield/AdmissionTest.java
@@ -60,6 +60,24 @@
         assertEquals(1, of(h.arrive("read"), Send.class).size());
     }
 
+    /** Lasting lateness is news of the last answers: it may not keep a quiet sidecar shut long after them. */
+    @Test
+    void aQuietSidecarDoesNotRefuseForLatenessOfLongAgo() {
+        Host h = Host.with(new Host.Setup(), 4);
+        load(h, 100, 20);
+        load(h, 200, 150);
+        int refused = 0;
+        for (int i = 0; i < 20; i++) {
+            h.now += 5_000;
+            Send s = sent(h.arrive("read"));
+            if (s != null) {
+                h.end(s, 0, Outcome.SERVED, 150, true);
+            }
+            refused += s == null ? 1 : 0;
+        }
+        assertTrue(refused <= 8, refused + " of 20 refused");   // half of the aim alone calls for a fifth
+    }
+
     @Test
     void aQuickFleetRefusesNobody() {
         Host h = Host.with(new Host.Setup(), 4);
