--- a/decisions/src/test/java/saltfield/AdmissionTest.java
+++ b/decisions/src/test/java/saltfield/AdmissionTest.java
@@ -50,16 +50,6 @@
         assertEquals(0, refused[0] + refused[1]);
     }
 
-    /** A crowd is refused for as long as it shows: without answers nobody is held to be crowded for good. */
-    @Test
-    void newsOfACrowdFade() {
-        Host h = Host.with(new Host.Setup(), 4);
-        load(h, 100, 20);
-        load(h, 100, 80);
-        h.now += 10_000;
-        assertEquals(1, of(h.arrive("read"), Send.class).size());
-    }
-
     /** Lasting lateness is news of the last answers: it may not keep a quiet sidecar shut long after them. */
     @Test
     void aQuietSidecarDoesNotRefuseForLatenessOfLongAgo() {
