--- a/sidecar/src/main/java/dewplank/sidecar/Host.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Host.java
@@ -50,6 +50,7 @@
     private long nextInvocation = 1;
     private int callsOut;
     private double boundLogged;
+    private double answerBy = Double.POSITIVE_INFINITY;
 
     Host(EventLoop loop, SidecarConfig config, Balancer balancer) {
         this.loop = loop;
@@ -95,6 +96,24 @@
         return settings.classes().stream().mapToDouble(RequestClass::deadlineMs).max().orElse(0);
     }
 
+    /** The shortest time within which a class wants its answers. */
+    double shortestAimMs() {
+        return settings.classes().stream().mapToDouble(RequestClass::aimMs).min().orElse(0);
+    }
+
+    /** All is answered by then: new invocations have no longer than that, and what is still open is failed. */
+    void answerBy(double time) {
+        answerBy = time;
+        loop.after(time - loop.now(), () -> {
+            for (Invocation invocation : new ArrayList<>(invocations.values())) {
+                if (!invocation.over) {
+                    abandon(invocation);
+                    invocation.answerer.failed();
+                }
+            }
+        });
+    }
+
     void directoryMoved(InetSocketAddress to) {
         directory.moveTo(to);
     }
@@ -173,7 +192,7 @@
     /** Takes a consumer's request. */
     Invocation invoke(Invocation.Call call, String requestClass, double budgetMs, boolean repeat,
                       Invocation.Answerer answerer) {
-        double budget = Math.max(1, budgetMs - ANSWER_MARGIN_MS);
+        double budget = Math.max(1, Math.min(budgetMs, answerBy - loop.now()) - ANSWER_MARGIN_MS);
         Invocation invocation = new Invocation(nextInvocation++, call, loop.now() + budget, answerer);
         invocations.put(invocation.id, invocation);
         openIds.add(call.id());
--- a/sidecar/src/main/java/dewplank/sidecar/HttpConsumer.java
+++ b/sidecar/src/main/java/dewplank/sidecar/HttpConsumer.java
@@ -142,7 +142,7 @@
     private void answer(MessageWriter head, byte[] body) {
         waitsSince = sidecar.loop().now();
         answered = true;
-        boolean last = !keepAlive || sidecar.draining() || !sidecar.roomy();
+        boolean last = !keepAlive || sidecar.closing() || !sidecar.roomy();
         connection.write(head.header("Connection", last ? "close" : null).body(body), () -> { });
         invocation = null;
         parser.reset();
--- a/sidecar/src/main/java/dewplank/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Sidecar.java
@@ -24,6 +24,11 @@
     private static final double ACCEPT_ON_MS = 600;
     /** And a request half read then gets this long to become whole. */
     private static final double READ_ON_MS = 500;
+    /** SIGKILL comes no sooner after SIGTERM than this and the longest deadline, counted as 3 s where it is longer. */
+    private static final double KILL_AFTER_MS = 700;
+    private static final double KILL_DEADLINE_MS = 3_000;
+    /** By this long before it all is answered: the last answers' way, on a core that others use too. */
+    private static final double KILL_SPARE_MS = 200;
     private static final double LOOK_MS = 10;
     private static final double SWEEP_MS = 50;
     /** How long a connection may wait for a whole request. */
@@ -45,6 +50,7 @@
     private final CountDownLatch drained = new CountDownLatch(1);
     private final CountDownLatch drainBegun = new CountDownLatch(1);
     private boolean draining;
+    private boolean closing;
     private boolean rehearsing;
 
     public Sidecar(SidecarConfig config) throws IOException {
@@ -113,30 +119,53 @@
     }
 
     /**
-     * Serves on while consumers may still come, each answer being the last on its connection; then ends idle
-     * connections and waits for the rest.
+     * Serves on as long as the platform surely lets it, then ends idle connections and waits for the rest. Guards
+     * against consumers that have nobody to ask: one that ended a second after SIGTERM was started again 2.3 s later.
      */
     public void drain() throws InterruptedException {
-        drain(ACCEPT_ON_MS);
+        Drain d = Drain.of(host.longestDeadlineMs(), host.shortestAimMs());
+        drain(d.takeOnMs(), d.answerByMs());
     }
 
-    void drain(double acceptOnMs) throws InterruptedException {
-        double most = acceptOnMs + host.longestDeadlineMs() + DRAIN_SPARE_MS;
+    /**
+     * {@code takeOnMs}: requests are taken for so long, as ever. A later one could not be sure to meet even the
+     * shortest aim before {@code answerByMs}, by which all is answered, if need be as failed: SIGKILL may follow.
+     */
+    record Drain(double takeOnMs, double answerByMs) {
+        static Drain of(double longestDeadlineMs, double shortestAimMs) {
+            double by = Math.min(longestDeadlineMs, KILL_DEADLINE_MS) + KILL_AFTER_MS - KILL_SPARE_MS;
+            double takeOn = Math.max(ACCEPT_ON_MS, by - shortestAimMs);
+            return new Drain(takeOn, Math.max(by, takeOn));
+        }
+    }
+
+    void drain(double takeOnMs, double answerByMs) throws InterruptedException {
         loop.execute(() -> {
+            LOG.log(System.Logger.Level.INFO, "draining: {0} invocations open", host.invocationsOpen());
             draining = true;
+            host.answerBy(loop.now() + answerByMs);
+            double until = loop.now() + takeOnMs;
+            loop.after(Math.min(ACCEPT_ON_MS, takeOnMs), () -> serveOn(until, (answerByMs - takeOnMs) / 2));
             drainBegun.countDown();
-            LOG.log(System.Logger.Level.INFO, "draining: {0} invocations open", host.invocationsOpen());
-            loop.after(acceptOnMs, () -> {
-                listener.close();
-                endWhenIdle(loop.now() + READ_ON_MS);
-            });
         });
+        double most = answerByMs + DRAIN_SPARE_MS;
         if (!drained.await((long) most, TimeUnit.MILLISECONDS)) {
             LOG.log(System.Logger.Level.WARNING, "draining did not end within {0} ms", Long.toString((long) most));
         }
         stop();
     }
 
+    /** Until then, or until there is nobody left to serve; nobody new comes any more. */
+    private void serveOn(double until, double readOnMs) {
+        if (loop.now() < until && !consumers.isEmpty()) {
+            loop.after(LOOK_MS, () -> serveOn(until, readOnMs));
+            return;
+        }
+        closing = true;
+        listener.close();
+        endWhenIdle(loop.now() + Math.min(READ_ON_MS, readOnMs));
+    }
+
     /** Ends at once, whatever is open. */
     public void stop() {
         loop.stop();
@@ -166,9 +195,10 @@
     /**
      * Whether another connection may be kept idle. Where not, each answer is the last on its connection: consumers
      * that ask once and keep theirs have a bound of their own, and reach it before the idle ones are old enough to end.
+     * A draining sidecar ends none: no new ones come, and the consumer leaves it once all that it has are busy.
      */
     boolean roomy() {
-        return consumers.size() <= mostConsumers / ROOMY_PART;
+        return draining || consumers.size() <= mostConsumers / ROOMY_PART;
     }
 
     /**
@@ -190,8 +220,9 @@
         return loop;
     }
 
-    boolean draining() {
-        return draining;
+    /** Whether each answer is the last on its connection, as the sidecar is about to end. */
+    boolean closing() {
+        return closing;
     }
 
     void joined(HttpConsumer consumer) {
--- a/sidecar/src/test/java/dewplank/sidecar/SidecarTest.java
+++ b/sidecar/src/test/java/dewplank/sidecar/SidecarTest.java
@@ -258,19 +258,46 @@
     @Test
     public void whereManyKeepConnectionsAnAnswerIsTheLastOnItsOwn() throws Exception {
         try (Loopback net = new Loopback(1)) {
-            List<Client> kept = new ArrayList<>();
-            for (int i = 0; i < Host.mostConsumers(net.config) / Sidecar.ROOMY_PART; i++) {
-                kept.add(net.client());
-                kept.get(i).send("GET /_health HTTP/1.1\r\n\r\n");
-                String answer = kept.get(i).read();
-                assertStatus("200", answer);
-                assertFalse(answer, answer.contains("Connection: close"));
-            }
+            List<Client> kept = asManyAsThereIsRoomFor(net);
             Client more = net.client();
             more.ask("menu-read");
             net.servers.get(0).next().answer("200 OK", "");
             assertLast(more, "200");
+            close(kept);
+        }
+    }
+
+    /** Found at Sado: no new connections come then, and a consumer whose kept ones are all busy has nobody to ask. */
+    @Test
+    public void aDrainingSidecarEndsNoConnectionForWantOfRoom() throws Exception {
+        try (Loopback net = new Loopback(1)) {
+            List<Client> kept = asManyAsThereIsRoomFor(net);
+            Client more = net.client();
+            drain(net, 60_000, 60_000);
+            net.sidecar.awaitDraining();
+            serve(net, more, "one");
+            serve(net, more, "two");
+            close(kept);
+        }
+    }
+
+    private static void close(List<Client> clients) throws IOException {
+        for (Client c : clients) {
+            c.socket.close();
+        }
+    }
+
+    private static List<Client> asManyAsThereIsRoomFor(Loopback net) throws IOException {
+        List<Client> kept = new ArrayList<>();
+        for (int i = 0; i < Host.mostConsumers(net.config) / Sidecar.ROOMY_PART; i++) {
+            Client one = net.client();
+            one.send("GET /_health HTTP/1.1\r\n\r\n");
+            String answer = one.read();
+            assertStatus("200", answer);
+            assertFalse(answer, answer.contains("Connection: close"));
+            kept.add(one);
         }
+        return kept;
     }
 
     /** Idle connections save their consumers the opening of new ones: they stay as long as there is room. */
@@ -407,12 +434,13 @@
     @Test
     public void aDrainingSidecarServesThoseWhoStillCome() throws Exception {
         try (Loopback net = new Loopback(1)) {
-            drain(net, 60_000);
+            Client before = net.client();
+            serve(net, before, "one");
+            drain(net, 60_000, 60_000);
             net.sidecar.awaitDraining();
-            Client after = net.client();
-            after.ask("menu-read");
-            net.servers.get(0).next().answer("200 OK", "new");
-            assertLast(after, "200");
+            serve(net, before, "two");   // found at Sado: a connection that was kept ended with this answer
+            serve(net, before, "three");
+            serve(net, net.client(), "four");
         }
     }
 
@@ -422,17 +450,45 @@
             Client client = net.client();
             client.ask("menu-read");
             Exchange call = net.servers.get(0).next();
-            FutureTask<Void> drain = drain(net, 0);
+            FutureTask<Void> drain = drain(net, 0, 60_000);
             net.sidecar.awaitDraining();
+            assertNull(net.client().read());   // ended, or never taken: no request is on it
             call.answer("200 OK", "old");
             assertLast(client, "200");
             drain.get();
         }
     }
 
-    private static FutureTask<Void> drain(Loopback net, double acceptOnMs) {
+    /** What SIGKILL finds unanswered is lost: an order that may have run is failed before that, never refused. */
+    @Test
+    public void whatIsOpenWhenAKillMayComeIsFailed() throws Exception {
+        try (Loopback net = new Loopback(1)) {
+            Client client = net.client();
+            client.ask("order-place");
+            net.servers.get(0).next();
+            FutureTask<Void> drain = drain(net, 0, 300);
+            assertLast(client, "502");
+            drain.get();
+        }
+    }
+
+    /** By the protocol's figures: 0.7 s after the longest deadline, which counts as 3 s at the most. */
+    @Test
+    public void requestsAreTakenUntilTheyCouldNotBeAnsweredBeforeAKill() {
+        assertEquals(new Sidecar.Drain(2_750, 3_500), Sidecar.Drain.of(6_000, 750));
+        assertEquals(new Sidecar.Drain(1_300, 1_700), Sidecar.Drain.of(1_200, 400));
+        assertEquals(new Sidecar.Drain(600, 1_500), Sidecar.Drain.of(1_000, 2_000));
+    }
+
+    private static void serve(Loopback net, Client client, String body) throws Exception {
+        client.ask("menu-read");
+        net.servers.get(0).next().answer("200 OK", body);
+        assertTrue(client.read().endsWith("\r\n\r\n" + body));
+    }
+
+    private static FutureTask<Void> drain(Loopback net, double takeOnMs, double answerByMs) {
         FutureTask<Void> drain = new FutureTask<>(() -> {
-            net.sidecar.drain(acceptOnMs);
+            net.sidecar.drain(takeOnMs, answerByMs);
             return null;
         });
         Thread thread = new Thread(drain);
