Tell the module tenant, key and cost on sockets, and let sidecars hear each other's votes

Cause: Host.invoke built Arrived with tenant, key and cost null, and carryOut dropped TellPeers; the protocol carries all of them (X-Customer, cookie k, X-Props; peer_listen, peers, peers_all). Where reports come by probes, GET /_load is asked. Each field is read once and checked (Subject, Cookies, PeerAddresses); what cannot be told is none and passes on unchanged. Datagrams: package dewplank.peers, a channel and one thread, all bounded; the summary has a version and its time, so late, doubled and overtaken ones and restarts do no harm (docs/design-peers.md). An unknown tenant counts as beyond every share (it counted as within), remembered keys end at 2,048 (they had no end).

--- a/cli/src/test/java/dewplank/ArchitectureTest.java
+++ b/cli/src/test/java/dewplank/ArchitectureTest.java
@@ -19,7 +19,8 @@
             .layer("cli").definedBy("dewplank")
             .layer("lab").definedBy("dewplank.lab..")
             .layer("emulator").definedBy("dewplank.emulator..")
-            .layer("sidecar").definedBy("dewplank.sidecar..", "dewplank.directory..", "saltfield.adapter..")
+            .layer("sidecar").definedBy("dewplank.sidecar..", "dewplank.directory..", "dewplank.peers..",
+                "saltfield.adapter..")
             .layer("codecs").definedBy("dewplank.http..")
             .layer("net").definedBy("dewplank.net..")
             .layer("config").definedBy("dewplank.config..")
@@ -45,7 +46,7 @@
     public void servingNeedsNothingOfTheLaboratory() {
         noClasses().that().haveSimpleName("Main").or().haveSimpleNameStartingWith("Commands")
             .or().resideInAnyPackage("dewplank.sidecar..", "dewplank.net..", "dewplank.http..", "dewplank.directory..",
-                "dewplank.config..")
+                "dewplank.peers..", "dewplank.config..")
             .should().dependOnClassesThat().resideInAnyPackage("dewplank.lab..", "dewplank.emulator..").check(ALL);
     }
 }
--- /dev/null
+++ b/cli/src/test/java/dewplank/sidecar/VotesTest.java
@@ -0,0 +1,262 @@
+package dewplank.sidecar;
+
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import dewplank.sidecar.Loopback.Client;
+import dewplank.sidecar.Loopback.Exchange;
+import dewplank.sidecar.Loopback.Peer;
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.SocketException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicIntegerArray;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+import saltfield.Summary;
+
+/**
+ * Three processes of the program behind a stand-in network for their datagrams, which can lose them. A server fails for
+ * the first two and serves the third, whose own traffic says nothing against it: what it avoids, it has heard of.
+ */
+public class VotesTest {
+    private static final int PROCESSES = 3;
+    private static final int QUIET = 2;     // the process without traffic; those before it have some
+    private static final int SERVERS = 4;
+    private static final int BAD = 0;
+    private static final int HEALTHY = 1;
+    private static final int BLOCK = 200;    // requests, of which a server that is drawn takes about a quarter
+    private static final int PATIENCE_S = 30;
+
+    private final List<Peer> servers = new ArrayList<>();
+    private final List<Program> programs = new ArrayList<>();
+    private final AtomicIntegerArray quietAt = new AtomicIntegerArray(SERVERS);
+    private Network network;
+    private Peer directory;
+    private volatile boolean over;
+
+    /** Takes each sidecar's datagrams at an address of its own, and passes them on from its address in {@code peers}. */
+    private final class Network implements Closeable {
+        final List<DatagramSocket> all = new ArrayList<>();
+        final List<DatagramSocket> senders = new ArrayList<>();
+        final List<InetSocketAddress> listens = new ArrayList<>();
+        final BlockingQueue<Integer> accusers = new LinkedBlockingQueue<>();
+        volatile boolean lossy = true;
+
+        Network() throws SocketException {
+            for (int i = 0; i < PROCESSES; i++) {
+                all.add(new DatagramSocket(0, InetAddress.getLoopbackAddress()));
+                senders.add(new DatagramSocket(0, InetAddress.getLoopbackAddress()));
+                try (DatagramSocket free = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+                    listens.add((InetSocketAddress) free.getLocalSocketAddress());
+                }
+                int from = i;
+                background(() -> carry(from));
+            }
+        }
+
+        private void carry(int from) throws IOException {
+            DatagramPacket packet = new DatagramPacket(new byte[512], 512);
+            while (true) {
+                packet.setLength(512);
+                all.get(from).receive(packet);
+                byte[] bytes = java.util.Arrays.copyOf(packet.getData(), packet.getLength());
+                if (!Summary.of(bytes).unhealthy().isEmpty()) {
+                    accusers.add(from);
+                }
+                for (int to = 0; to < PROCESSES && !lossy; to++) {
+                    if (to != from) {
+                        senders.get(from).send(new DatagramPacket(bytes, bytes.length, listens.get(to)));
+                    }
+                }
+            }
+        }
+
+        @Override
+        public void close() {
+            all.forEach(DatagramSocket::close);
+            senders.forEach(DatagramSocket::close);
+        }
+    }
+
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    private static void background(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // the test has ended, or killed the other side
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** One process of the program. */
+    private final class Program {
+        final Process process;
+        final int port;
+
+        Program(int me) throws IOException {
+            port = freePort();
+            Path file = Files.createTempFile("config", ".json");
+            file.toFile().deleteOnExit();
+            List<String> peers = new ArrayList<>();
+            for (DatagramSocket s : network.senders) {
+                peers.add("\"127.0.0.1:" + s.getLocalPort() + "\"");
+            }
+            List<String> entries = new ArrayList<>();
+            for (int i = 0; i < servers.size(); i++) {
+                entries.add(servers.get(i).entry("s" + i, "active"));
+            }
+            String settings = Loopback.SETTINGS.replace("\"Peers\":false", "\"Peers\":true")
+                .replace("\"Me\":0", "\"Me\":" + me).replace("\"ReplicasOfMe\":1", "\"ReplicasOfMe\":" + PROCESSES);
+            Files.writeString(file, "{\"name\":\"n" + me + "\",\"listen\":\"127.0.0.1:" + port
+                + "\",\"discovery\":\"127.0.0.1:" + directory.address().getPort() + "\",\"seed\":\"" + (me + 5)
+                + "\",\"peer_listen\":\"127.0.0.1:" + network.listens.get(me).getPort() + "\",\"peers\":" + peers
+                + ",\"peers_all\":\"127.0.0.1:" + network.all.get(me).getLocalPort() + "\",\"known\":"
+                + Loopback.list(7, true, entries) + ",\"settings\":" + settings + "}");
+            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), "dewplank.Main", "serve").redirectErrorStream(true);
+            builder.environment().put("GW_CONFIG", file.toString());
+            process = builder.start();
+        }
+
+        void awaitServing() throws IOException {
+            BufferedReader log = process.inputReader();
+            String line = log.readLine();
+            while (line != null && !line.contains(" serves on ")) {
+                line = log.readLine();
+            }
+            assertTrue("it has ended", line != null);
+            background(() -> {
+                while (log.readLine() != null) { }
+            });
+        }
+
+        Client client() throws IOException {
+            return new Client(port);
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static void ask(Client client, String from) throws IOException {
+        client.send(Client.request("menu-read", "X-From: " + from + "\r\nContent-Length: 0\r\n"));
+        client.read();
+    }
+
+    @Before
+    public void start() throws Exception {
+        network = new Network();
+        directory = new Peer();
+        for (int i = 0; i < SERVERS; i++) {
+            Peer server = new Peer();
+            int number = i;
+            servers.add(server);
+            background(() -> {
+                while (true) {
+                    Exchange e = server.next();
+                    if (e.message() != null) {
+                        if (e.message().contains("X-From: quiet")) {
+                            quietAt.incrementAndGet(number);
+                        }
+                        boolean fails = number == BAD && e.message().contains("X-From: busy");
+                        e.answer(fails ? "500 Bad" : "200 OK", "");
+                    }
+                }
+            });
+        }
+        for (int i = 0; i < PROCESSES; i++) {
+            programs.add(new Program(i));
+        }
+        for (Program p : programs) {
+            p.awaitServing();
+        }
+        for (int i = 0; i < QUIET; i++) {
+            Client client = programs.get(i).client();
+            background(() -> {
+                while (!over) {
+                    ask(client, "busy");
+                    Thread.sleep(10);
+                }
+            });
+        }
+    }
+
+    @After
+    public void stop() throws Exception {
+        over = true;
+        for (Program p : programs) {
+            p.process.destroyForcibly().waitFor();
+        }
+        network.close();
+        directory.close();
+        for (Peer p : servers) {
+            p.close();
+        }
+    }
+
+    private void awaitAccusationsOfBoth() throws Exception {
+        ConcurrentHashMap.KeySetView<Integer, Boolean> seen = ConcurrentHashMap.newKeySet();
+        network.accusers.clear();
+        while (seen.size() < QUIET) {
+            Integer from = network.accusers.poll(PATIENCE_S, TimeUnit.SECONDS);
+            assertTrue("no process has judged the failing server", from != null);
+            seen.add(from);
+        }
+    }
+
+    /** Whether a block of requests of the quiet one's consumer met this server more often than trials would, one a second. */
+    private boolean drawn(Client client, int server) throws IOException {
+        int before = quietAt.get(server);
+        long began = System.nanoTime();
+        for (int i = 0; i < BLOCK; i++) {
+            ask(client, "quiet");
+        }
+        return quietAt.get(server) - before > 2 + (System.nanoTime() - began) / 1_000_000_000L;
+    }
+
+    @Test
+    public void votesAreHeardLostForgedAndLapse() throws Exception {
+        awaitAccusationsOfBoth();
+        Client quiet = programs.get(QUIET).client();
+        assertTrue("votes that were lost are heard", drawn(quiet, BAD));
+        for (int i = 0; i < PROCESSES; i++) {
+            try (DatagramSocket stranger = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+                byte[] forged = new Summary(System.currentTimeMillis(), List.of(("s" + HEALTHY).hashCode())).bytes();
+                stranger.send(new DatagramPacket(forged, forged.length, network.listens.get(QUIET)));
+            }
+        }
+        assertTrue("strangers are believed", drawn(quiet, HEALTHY));
+        network.lossy = false;
+        awaitAccusationsOfBoth();
+        awaitAccusationsOfBoth();   // what was sent before this has arrived
+        assertFalse("it is sent to a server that both others call ill", drawn(quiet, BAD));
+        programs.get(0).process.destroyForcibly().waitFor();
+        for (int i = 0; !drawn(quiet, BAD); i++) {   // one vote of two is no majority
+            assertTrue("the votes of one that was killed still count", i < 1_000);
+        }
+    }
+}
--- a/decisions/src/main/java/saltfield/Balancer.java
+++ b/decisions/src/main/java/saltfield/Balancer.java
@@ -45,10 +45,11 @@
      */
     record Goal(double all, double worstClass, double tail, double missAllowed) { }
 
+    /** {@code reportsByProbe}: load reports come with probes only. */
     record Settings(int me, int replicas, String zone, double tickMs, boolean listPushed, boolean worthByWork,
                     boolean ratedServers, boolean warmKeys, double overShareWorth, List<String> reportFields,
-                    List<RequestClass> classes, List<Tenant> tenants, Limits limits, Safety safety,
-                    Prices prices, Goal goal) { }
+                    boolean reportsByProbe, List<RequestClass> classes, List<Tenant> tenants,
+                    Limits limits, Safety safety, Prices prices, Goal goal) { }
 
     // ---- events ---------------------------------------------------------------------------------------
 
--- a/decisions/src/main/java/saltfield/Choice.java
+++ b/decisions/src/main/java/saltfield/Choice.java
@@ -1,8 +1,6 @@
 package saltfield;
 
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -18,7 +16,6 @@
 import saltfield.Memory.Request;
 import saltfield.Memory.Server;
 import saltfield.Memory.State;
-import saltfield.Memory.Votes;
 import saltfield.Memory.Window;
 import saltfield.Memory.Zone;
 
@@ -93,9 +90,10 @@
     private static final double LASTING_MS = 5_000;      // and its lasting slowness at this one
     private static final double WAY_STEP = 0.05;         // a zone's least time rises so far with each sample
     private static final double FIRST_GUESS = 0.15;      // of the aim: a class's time before any is known
+    // Keys
+    private static final int WARM_KEYS = 2_048;          // the last met; servers remember a few per core
     // List
     private static final double ASK_BACKOFF_MS = 500;    // after a failed call; doubles, with jitter
-    private static final int SUMMARY_BYTES = 256;
 
     private final Settings cfg;
     private final RandomGenerator random;
@@ -106,8 +104,13 @@
     final Map<String, Server> servers = new LinkedHashMap<>();
     private final Map<Long, Request> requests = new HashMap<>();
     private final Map<Long, Runnable> timers = new HashMap<>();
-    private final Map<Integer, Votes> peers = new LinkedHashMap<>();
-    private final Map<String, String> warmKeys = new LinkedHashMap<>();
+    private final Map<Integer, Summary> peers = new LinkedHashMap<>();
+    final Map<String, String> warmKeys = new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
+            return size() > WARM_KEYS;
+        }
+    };
     private long nextTimer;
     private double now;
     private Consumer<Action> out;
@@ -300,33 +303,32 @@
     private boolean condemned(Server s) {
         int votes = ownVote(s) ? 1 : 0;
         int voters = 1;
-        for (Votes v : peers.values()) {
-            if (now - v.at() <= VOTE_FRESH_MS) {
+        for (Summary p : peers.values()) {
+            if (now - p.toldAt() <= VOTE_FRESH_MS) {
                 voters++;
-                votes += v.unhealthy().contains(s.id.hashCode()) ? 1 : 0;
+                votes += p.unhealthy().contains(s.id.hashCode()) ? 1 : 0;
             }
         }
-        return 2 * votes > voters;
+        // A tie goes by own traffic: a quiet peer that has seen nothing must not outvote the only other.
+        return 2 * votes > voters || 2 * votes == voters && ownVote(s);
     }
 
     private void tellPeers() {
-        ByteBuffer buffer = ByteBuffer.allocate(SUMMARY_BYTES);
-        for (Server s : servers.values()) {
-            if (buffer.remaining() >= Integer.BYTES && listed(s) && ownVote(s)) {
-                buffer.putInt(s.id.hashCode());
-            }
-        }
-        out.accept(new TellPeers(Arrays.copyOf(buffer.array(), buffer.position())));
+        List<Integer> unhealthy = servers.values().stream().filter(s -> listed(s) && ownVote(s))
+            .map(s -> s.id.hashCode()).toList();
+        out.accept(new TellPeers(new Summary(now, unhealthy).bytes()));
         after(TELL_EVERY_MS, this::tellPeers);
     }
 
+    /** One that comes late, twice, after a newer one, or from a time still to come changes nothing. */
     private void onPeer(PeerSaid e) {
-        List<Integer> unhealthy = new ArrayList<>();
-        ByteBuffer buffer = ByteBuffer.wrap(e.bytes());
-        while (buffer.remaining() >= Integer.BYTES) {
-            unhealthy.add(buffer.getInt());
+        Summary said = Summary.of(e.bytes());
+        Summary last = peers.get(e.peer());
+        boolean known = e.peer() >= 0 && e.peer() < cfg.replicas();
+        if (known && said != null && Math.abs(now - said.toldAt()) <= VOTE_FRESH_MS
+            && (last == null || last.toldAt() < said.toldAt())) {
+            peers.put(e.peer(), said);
         }
-        peers.put(e.peer(), new Votes(now, unhealthy));
     }
 
     private void onProbe(Probed e) {
@@ -811,6 +813,9 @@
     /** Expected worth, as a part: less for a tenant whose use of its share is above the tenants' mean. */
     private double withinShare(String tenant) {
         Account mine = tenant == null ? null : accounts.get(tenant);
+        if (mine == null && !accounts.isEmpty()) {   // a stranger has no share
+            return cfg.overShareWorth();
+        }
         if (mine == null || mine.tenant.allowancePerS() <= 0) {
             return 1;
         }
--- a/decisions/src/main/java/saltfield/Memory.java
+++ b/decisions/src/main/java/saltfield/Memory.java
@@ -190,6 +190,4 @@
             this.connects = connects;
         }
     }
-
-    record Votes(double at, List<Integer> unhealthy) { }
 }
--- a/decisions/src/test/java/saltfield/AdmissionTest.java
+++ b/decisions/src/test/java/saltfield/AdmissionTest.java
@@ -147,15 +147,21 @@
         assertTrue(away > 30, away + " crossed");
     }
 
+    /** One at ten times its share, and a stranger, who has none: neither pushes out who is within the share. */
     @Test
     void theTenantFarOverItsShareIsRefusedFirst() {
+        refusedBefore("small", "big");
+        refusedBefore("small", null);
+    }
+
+    private static void refusedBefore(String within, String over) {
         Host.Setup setup = new Host.Setup();
         setup.tenants = List.of(new Tenant("big", 0.5, 50), new Tenant("small", 0.5, 50));
         Host h = Host.with(setup, 4);
         int[] refused = new int[2];
         for (int i = 0; i < 1_500; i++) {
             boolean small = i % 10 == 0;
-            Send s = sent(h.tell(new Arrived(h.nextRequest++, small ? "small" : "big", null, false, "read",
+            Send s = sent(h.tell(new Arrived(h.nextRequest++, small ? within : over, null, false, "read",
                 Host.DEADLINE, 20.0)));
             h.now += 5;
             if (s != null) {
@@ -168,6 +174,20 @@
         assertTrue(refused[1] <= refused[0] / 30, refused[1] + " refused within the share");
     }
 
+    /** Every key comes once: what is remembered of them has to have an end. */
+    @Test
+    void keysRememberedAreBounded() {
+        Host.Setup setup = new Host.Setup();
+        setup.warmKeys = true;
+        Host h = Host.with(setup, 4);
+        for (int i = 0; i < 5_000; i++) {
+            Send s = sent(h.tell(new Arrived(h.nextRequest++, null, "k" + i, false, "read", Host.DEADLINE, 20.0)));
+            h.now += 5;
+            h.end(s, 0, Outcome.SERVED, 5, true);
+        }
+        assertEquals(2_048, ((Choice) h.balancer).warmKeys.size());
+    }
+
     /** Found in ib55b21: where crossing costs next to nothing, home was crowded to a quarter of the aim. */
     @Test
     void cheapCrossingSpreadsBeforeHomeIsLate() {
--- a/decisions/src/test/java/saltfield/Host.java
+++ b/decisions/src/test/java/saltfield/Host.java
@@ -42,8 +42,8 @@
             classes.add(new RequestClass("read", Effect.SAFE, Scope.ALL, 0, AIM, aimPerWork, DEADLINE, 1, 0, stream));
             classes.add(new RequestClass("act", effect, scope, 400, AIM, 0, DEADLINE, 5, 0, false));
             classes.addAll(more);
-            return new Settings(me, replicas, "z1", 1, pushed, false, rated, warmKeys, 0.1, List.of("busy"), classes,
-                tenants,
+            return new Settings(me, replicas, "z1", 1, pushed, false, rated, warmKeys, 0.1, List.of("busy"), false,
+                classes, tenants,
                 new Limits(maxAttempts, copies, cancel, probes, peers, true, 300, 100, 15_000, 100),
                 new Safety(10_000, 10_000, 0.3, 3, 1_000, soft, fullMayHaveRun),
                 new Prices(crossPrice, 0), new Goal(0.9, 0.1, tail, tail > 0 ? 0.01 : 0));
--- a/decisions/src/test/java/saltfield/VerdictTest.java
+++ b/decisions/src/test/java/saltfield/VerdictTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static saltfield.Host.of;
 import static saltfield.Host.sent;
@@ -231,19 +232,84 @@
 
     @Test
     void aMajorityOfVotesDecidesWherePeersTalk() {
+        Host h = talking();
+        h.tell(new PeerSaid(1, against(h.now, "s0")));
+        h.tell(new PeerSaid(2, against(h.now, "s0")));
+        assertTrue(play(h, 100, 1).getOrDefault("s0", 0) <= 1, "two of three votes condemn");
+        h.now += 4_000;
+        assertTrue(play(h, 100, 5).getOrDefault("s0", 0) > 5, "old votes lapse");
+    }
+
+    @Test
+    void aSummaryTellsWhoIsJudgedUnhealthy() {
+        Host h = talking();
+        play(h, 600, 5, "s0");
+        Summary said = Summary.of(of(h.fire(h.tell(new TimerFired(1))), TellPeers.class).stream().findFirst()
+            .orElseGet(() -> of(h.all, TellPeers.class).get(0)).bytes());
+        assertEquals(List.of("s0".hashCode()), said.unhealthy());
+    }
+
+    /** Found at Sado: a failing server stayed in use, since the one peer had seen nothing of it. */
+    @Test
+    void aQuietPeerDoesNotOutvoteOwnTraffic() {
+        Host h = talking();
+        play(h, 1_200, 5, "s0");
+        h.tell(new PeerSaid(1, against(h.now)));
+        h.now += 300;
+        h.arrive("read");
+        assertTrue(((Choice) h.balancer).servers.get("s0").condemned, "one of two votes, and its own");
+    }
+
+    @Test
+    void aPeerThatCallsAllIllCondemnsNobodyAlone() {
+        Host h = talking();
+        h.tell(new PeerSaid(1, against(h.now, "s0", "s1", "s2", "s3")));
+        assertEquals(4, play(h, 100, 1).size(), "one of two votes is no majority");
+        h.tell(new PeerSaid(2, against(h.now, "s0", "s1", "s2", "s3")));
+        assertEquals(4, play(h, 100, 1).size(), "with none left free, all are drawn");
+    }
+
+    /** Late, doubled, overtaken, of a time to come, of a peer that does not exist, torn, or of another version. */
+    @Test
+    void datagramsThatWentWrongChangeNothing() {
+        Host h = talking();
+        byte[] bad = against(h.now, "s0");
+        h.tell(new PeerSaid(1, against(h.now + 1)));
+        h.tell(new PeerSaid(2, against(h.now + 1)));
+        h.tell(new PeerSaid(1, bad));   // overtaken by a newer one
+        h.tell(new PeerSaid(2, bad));
+        h.tell(new PeerSaid(4, bad));   // there are four, from 0 on
+        h.tell(new PeerSaid(-1, bad));
+        for (double wrong : new double[] {h.now - 3_001, h.now + 3_500, Double.NaN, Double.POSITIVE_INFINITY}) {
+            h.tell(new PeerSaid(3, against(wrong, "s0")));
+        }
+        byte[] torn = java.util.Arrays.copyOf(bad, bad.length - 1);
+        byte[] other = bad.clone();
+        other[0] = 2;
+        for (byte[] wrong : List.of(torn, other, new byte[0], new byte[257])) {
+            assertNull(Summary.of(wrong));
+            h.tell(new PeerSaid(3, wrong));
+        }
+        assertTrue(play(h, 100, 1).getOrDefault("s0", 0) > 5);
+    }
+
+    @Test
+    void aSummaryKeepsToItsBytes() {
+        List<Integer> many = java.util.stream.IntStream.range(0, 300).boxed().toList();
+        byte[] bytes = new Summary(5, many).bytes();
+        assertEquals(253, bytes.length);
+        assertEquals(many.subList(0, 61), Summary.of(bytes).unhealthy());
+    }
+
+    private static Host talking() {
         Host.Setup setup = new Host.Setup();
         setup.peers = true;
         Host h = Host.with(setup, 4);
-        Host peer = Host.with(setup, 4);
-        play(peer, 600, 5, "s0");
-        byte[] summary = of(peer.fire(peer.tell(new TimerFired(1))), TellPeers.class).stream().findFirst()
-            .orElseGet(() -> of(peer.all, TellPeers.class).get(0)).bytes();
-        assertEquals(4, summary.length, "one condemned server");
         play(h, 100, 5);
-        h.tell(new PeerSaid(1, summary));
-        h.tell(new PeerSaid(2, summary));
-        assertTrue(play(h, 100, 1).getOrDefault("s0", 0) <= 1, "two of three votes condemn");
-        h.now += 4_000;
-        assertTrue(play(h, 100, 5).getOrDefault("s0", 0) > 5, "old votes lapse");
+        return h;
+    }
+
+    private static byte[] against(double toldAt, String... servers) {
+        return new Summary(toldAt, java.util.stream.Stream.of(servers).map(String::hashCode).toList()).bytes();
     }
 }
--- a/emulator/src/main/java/dewplank/emulator/Scenario.java
+++ b/emulator/src/main/java/dewplank/emulator/Scenario.java
@@ -103,7 +103,7 @@
         List<RequestClass> kinds = classes.stream().map(k -> new RequestClass(k.name(), k.effect(), k.scope(),
             k.effect() == Effect.KEYED ? k.windowMs() : 0, k.aimMs(), 0, k.deadlineMs(), k.worth(), 0, false)).toList();
         return new Balancer.Settings(me, sidecars, zoneOfSidecar(me), tickMs, false, false, false, false, 1,
-            reports.given() ? List.of("rif") : List.of(), kinds, List.of(),
+            reports.given() ? List.of("rif") : List.of(), false, kinds, List.of(),
             new Limits(rules.maxAttempts(), true, true, rules.probes(), false, rules.retryAdvice(), rules.maxAdviceMs(),
                 links.connectTimeoutMs(), links.idleMs(), 1),
             new Safety(rules.askWithinMs(), rules.coldMs(), rules.coldShare(), rules.fallMultiple(), rules.fallMs(), false,
--- a/sidecar/src/main/java/dewplank/config/Fields.java
+++ b/sidecar/src/main/java/dewplank/config/Fields.java
@@ -1,8 +1,10 @@
 package dewplank.config;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 
 /** Typed access to a JSON object's values by key. A key that is needed and missing, or of another type, is named. */
@@ -28,6 +30,10 @@
         throw wrong(key, "text");
     }
 
+    public String text(String key, String otherwise) {
+        return fields.get(key) == null ? otherwise : text(key);
+    }
+
     public double number(String key) {
         if (fields.get(key) instanceof Number n) {
             return n.doubleValue();
@@ -109,6 +115,22 @@
         return parts;
     }
 
+    /** The array's values as fields of their own, in order: {@code key[0]} and on. */
+    public Fields elements(String key) {
+        if (!(fields.get(key) instanceof List<?> l)) {
+            throw wrong(key, "an array");
+        }
+        Map<String, Object> elements = new LinkedHashMap<>();
+        for (int i = 0; i < l.size(); i++) {
+            elements.put(key + "[" + i + "]", l.get(i));
+        }
+        return new Fields(elements, path);
+    }
+
+    public Set<String> keys() {
+        return fields.keySet();
+    }
+
     public List<String> texts(String key) {
         List<String> texts = new ArrayList<>();
         if (fields.get(key) instanceof List<?> l) {
--- a/sidecar/src/main/java/dewplank/config/Params.java
+++ b/sidecar/src/main/java/dewplank/config/Params.java
@@ -23,7 +23,8 @@
             p.choice("RegistryMode", Map.of("pushed", true, "on_request", false)),
             "work".equals(p.text("CountedBy")), !"none".equals(p.text("Weights")),
             p.part("FamilyInfo").flag("WarmKeys", false), p.number("OverShareWorth", 1),
-            p.part("Feedback").texts("Names"), p.list("Classes").stream().map(Params::requestClass).toList(),
+            p.part("Feedback").texts("Names"), "probe".equals(p.part("Feedback").text("Via", "none")),
+            p.list("Classes").stream().map(Params::requestClass).toList(),
             p.list("Accounts").stream().map(Params::tenant).toList(), limits(p.part("Limits")),
             safety(p.part("Safety")), prices(p.part("Tariffs")), goal(p.part("Goal")));
     }
--- a/sidecar/src/main/java/dewplank/config/SidecarConfig.java
+++ b/sidecar/src/main/java/dewplank/config/SidecarConfig.java
@@ -14,10 +14,11 @@
 
 /**
  * What one real sidecar is told: the one place where its configuration is read, checked and given defaults.
- * {@code known} is the directory's list as last received, still in the directory's form.
+ * {@code known} is the directory's list as last received, still in the directory's form; {@code peers} is null where
+ * the settings allow none.
  */
 public record SidecarConfig(String name, InetSocketAddress listen, InetSocketAddress directory, long seed,
-                            int sockets, Fields known, Settings settings) {
+                            int sockets, Fields known, Settings settings, PeerAddresses peers) {
     private static final int DEFAULT_SOCKETS = 1_024;
     private static final int LEAST_SOCKETS = 256;
 
@@ -40,7 +41,7 @@
             String text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
             SidecarConfig c = of(new Fields(Json.object(text), "rehearsal key "));
             return new SidecarConfig(c.name, new InetSocketAddress(c.listen.getAddress(), 0), c.directory, c.seed,
-                c.sockets, c.known, c.settings);   // any port that is free
+                c.sockets, c.known, c.settings, null);   // any port that is free
         } catch (IOException e) {
             throw new BadInput("rehearsal.json: " + e.getMessage());
         }
@@ -75,8 +76,14 @@
         if (sockets < LEAST_SOCKETS) {
             throw c.part("limits").wrong("sockets", "at least " + LEAST_SOCKETS);
         }
-        return new SidecarConfig(c.text("name"), Addresses.parse(c, "listen"), Addresses.parse(c, "discovery"),
-            seed(c), sockets, c.needed("known"), Params.settings(c.needed("settings")));
+        String name = c.text("name");
+        InetSocketAddress listen = Addresses.parse(c, "listen");
+        InetSocketAddress directory = Addresses.parse(c, "discovery");
+        long seed = seed(c);
+        Fields known = c.needed("known");
+        Settings settings = Params.settings(c.needed("settings"));
+        return new SidecarConfig(name, listen, directory, seed, sockets, known, settings,
+            settings.limits().peers() ? PeerAddresses.of(c) : null);
     }
 
     private static long seed(Fields c) {
--- a/sidecar/src/main/java/dewplank/sidecar/Host.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Host.java
@@ -5,8 +5,10 @@
 import dewplank.directory.Listing;
 import dewplank.http.MessageWriter;
 import dewplank.net.EventLoop;
+import dewplank.peers.Peers;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -18,6 +20,7 @@
 import java.util.stream.Collectors;
 import saltfield.Balancer;
 import saltfield.Balancer.*;
+import saltfield.Summary;
 
 /**
  * The module's host on sockets: what happens there goes in as events, and the actions that come out are carried
@@ -41,6 +44,8 @@
     private final Directory directory;
     private final Listing known;
     private final Map<String, Effect> effects;
+    private final Set<String> tenants;
+    private final Peers peers;   // null where the settings allow none
     private final Map<Long, Invocation> invocations = new HashMap<>();
     private final Set<String> openIds = new HashSet<>();
     private final Map<String, ServerPool> pools = new HashMap<>();
@@ -59,6 +64,9 @@
         this.directory = new Directory(loop, config.directory(), settings.safety().onlyDrainingBinds(), this::listed);
         this.known = Listing.of(config.known());
         this.effects = settings.classes().stream().collect(Collectors.toMap(RequestClass::name, RequestClass::effect));
+        this.tenants = settings.tenants().stream().map(Tenant::name).collect(Collectors.toSet());
+        this.peers = config.peers() == null ? null : new Peers(loop, config.peers(), settings.me(),
+            bytes -> Summary.of(bytes) != null, (peer, bytes) -> tell(new PeerSaid(peer, bytes)));
         this.mostServerConnections = mostServerConnections(config);
     }
 
@@ -72,6 +80,9 @@
     }
 
     public void start() {
+        if (peers != null) {
+            peers.start();
+        }
         directory.start(known);
         loop.after(SWEEP_MS, this::sweep);
     }
@@ -124,6 +135,23 @@
 
     void close() {
         directory.close();
+        closePeers();
+    }
+
+    /** May be called from any thread. */
+    void closePeers() {
+        if (peers != null) {
+            peers.close();
+        }
+    }
+
+    Peers peers() {
+        return peers;
+    }
+
+    /** The tenants that the settings name. */
+    Set<String> tenants() {
+        return tenants;
     }
 
     /** What is kept for a server goes with it: over a day servers come and go with ever new ids. */
@@ -190,7 +218,7 @@
     }
 
     /** Takes a consumer's request. */
-    Invocation invoke(Invocation.Call call, String requestClass, double budgetMs, boolean repeat,
+    Invocation invoke(Invocation.Call call, Subject subject, String requestClass, double budgetMs, boolean repeat,
                       Invocation.Answerer answerer) {
         double budget = Math.max(1, Math.min(budgetMs, answerBy - loop.now()) - ANSWER_MARGIN_MS);
         Invocation invocation = new Invocation(nextInvocation++, call, loop.now() + budget, answerer);
@@ -202,7 +230,7 @@
             abandon(invocation);
             answerer.failed();
         });
-        tell(new Arrived(invocation.id, null, null, repeat, requestClass, budget, null));
+        tell(new Arrived(invocation.id, subject.tenant(), subject.key(), repeat, requestClass, budget, subject.cost()));
         return invocation;
     }
 
@@ -258,8 +286,8 @@
             probe(a.server());
         } else if (action instanceof CloseIdle a) {
             pool(a.server()).closeIdleBefore(loop.now());
-        } else if (action instanceof TellPeers) {
-            LOG.log(System.Logger.Level.DEBUG, "no way to tell peers on sockets");
+        } else if (action instanceof TellPeers a && peers != null) {
+            peers.tell(a.bytes());
         }
     }
 
@@ -341,11 +369,14 @@
             return;
         }
         callsOut++;
-        ByteBuffer request = MessageWriter.request("GET", "/ping", host(to)).noBody();
+        boolean load = settings.reportsByProbe();
+        ByteBuffer request = MessageWriter.request("GET", load ? "/_load" : "/ping", host(to)).noBody();
         new InvokerCall(loop, to, pool(server), request, (c, end) -> {
             callsOut--;
+            boolean inBody = load && end.loadReport() == null && end.body() != null;
+            String report = inBody ? new String(end.body(), StandardCharsets.US_ASCII) : end.loadReport();
             tell(new Probed(server, end.outcome() == Outcome.SERVED, end.tookMs(),
-                LoadReport.parse(end.loadReport(), settings.reportFields())));
+                LoadReport.parse(report, settings.reportFields())));
         }).start(PROBE_TIMEOUT_MS, settings.limits().connectTimeoutMs());
     }
 
--- a/sidecar/src/main/java/dewplank/sidecar/HttpConsumer.java
+++ b/sidecar/src/main/java/dewplank/sidecar/HttpConsumer.java
@@ -97,7 +97,8 @@
         List<Headers.Field> passedOn = h.endToEnd().stream()
             .filter(f -> !f.name().equalsIgnoreCase(Host.EXPIRES)).toList();   // each invoker call has its own
         Invocation.Call call = new Invocation.Call(id, parser.method(), parser.target(), passedOn, parser.takeBody());
-        invocation = host.invoke(call, requestClass, budget(h), "1".equals(h.get("X-Second-Try")), this);
+        Subject subject = Subject.of(h, host.tenants());
+        invocation = host.invoke(call, subject, requestClass, budget(h), "1".equals(h.get("X-Second-Try")), this);
     }
 
     private static double budget(Headers h) throws BadMessageException {
--- a/sidecar/src/main/java/dewplank/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Sidecar.java
@@ -168,6 +168,7 @@
 
     /** Ends at once, whatever is open. */
     public void stop() {
+        host.closePeers();
         loop.stop();
     }
 
--- a/sidecar/src/test/java/dewplank/config/SidecarConfigTest.java
+++ b/sidecar/src/test/java/dewplank/config/SidecarConfigTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import org.junit.Test;
 
@@ -77,4 +78,29 @@
             assertThrows(text, BadInput.class, () -> Json.object(text));
         }
     }
+
+    @Test
+    public void peersThatCannotBeUsedAreNamed() {
+        assertEquals("configuration key peer_listen is missing", withPeers(""));
+        assertEquals("configuration key peers is missing", withPeers("\"peer_listen\":\"10.0.0.4:7946\","));
+        String listen = "\"peer_listen\":\"10.0.0.4:7946\",\"peers\":[\"10.0.0.5:7946\"";
+        String address = " should be an address and a port, such as 10.0.0.4:5000";
+        assertEquals("configuration key peers[1]" + address, withPeers(listen + ",\"10.0.0.6\"],"));
+        assertEquals("configuration key peers[1] should be another address than those before it",
+            withPeers(listen + ",\"10.0.0.5:7946\"],"));
+        for (String foreign : List.of("8.8.8.8:53", "224.0.0.1:7946", "0.0.0.0:7946", "[::1]:7946", "100.128.0.1:1")) {
+            assertEquals("configuration key peers[1] should be an IPv4 address of a private network or of loopback",
+                withPeers(listen + ",\"" + foreign + "\"],"));
+        }
+        assertEquals("configuration key peers_all" + address, withPeers(listen + "],\"peers_all\":\"all\","));
+    }
+
+    private static String withPeers(String keys) {
+        return complaint("{" + keys + """
+            "name":"n","listen":"127.0.0.1:5000","discovery":"127.0.0.1:2","seed":"1","known":{},"settings":
+            {"Accounts":[],"Az":"a","CountedBy":"request","Classes":[],"Me":0,"RegistryMode":"on_request",
+             "ReplicasOfMe":1,"Tick":5,"Weights":"none","Limits":{"SendCap":4,"SecondCopies":false,
+             "Cancelling":true,"MayProbe":false,"Peers":true},
+             "Safety":{"Cold":1,"ColdShare":1,"FallMultiple":4,"TipAfter":1}}}""");
+    }
 }
--- a/sidecar/src/test/java/dewplank/sidecar/Loopback.java
+++ b/sidecar/src/test/java/dewplank/sidecar/Loopback.java
@@ -59,7 +59,7 @@
         Fields known = new Fields(Json.object(list(7, true, entries)), "known ");
         Settings settings = Params.settings(new Fields(Json.object(other.apply(SETTINGS)), "setting "));
         config = new SidecarConfig("n0", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-            directory.address(), 5, SOCKETS, known, settings);
+            directory.address(), 5, SOCKETS, known, settings, null);
         sidecar = new Sidecar(config, round.apply(new Choice(settings, new SplittableRandom(5))));
         sidecar.start();
     }
@@ -71,7 +71,7 @@
     /** The same configuration with its directory elsewhere. */
     SidecarConfig withDirectory(InetSocketAddress at) {
         return new SidecarConfig(config.name(), config.listen(), at, config.seed(), config.sockets(), config.known(),
-            config.settings());
+            config.settings(), config.peers());
     }
 
     Client client() throws IOException {
--- /dev/null
+++ b/sidecar/src/test/java/dewplank/sidecar/SubjectTest.java
@@ -0,0 +1,68 @@
+package dewplank.sidecar;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertTrue;
+
+import dewplank.sidecar.Loopback.Client;
+import dewplank.sidecar.Loopback.Exchange;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.Test;
+import saltfield.Balancer.Arrived;
+
+/** Found at Sado: on sockets the module was told neither the tenant nor the key, both null. */
+public class SubjectTest {
+    private static final String TENANTS = "\"Accounts\":[{\"Name\":\"porto\",\"Share\":0.6,\"AllowancePerS\":9},"
+        + "{\"Name\":\"praias\",\"Share\":0.4,\"AllowancePerS\":6}]";
+
+    private final BlockingQueue<Arrived> arrived = new LinkedBlockingQueue<>();
+
+    /** What the module is told of a request with these fields; they reach the server as they came. */
+    private Arrived told(String fields) throws Exception {
+        try (Loopback net = new Loopback(1, s -> s.replace("\"Accounts\":[]", TENANTS), module -> (now, event, out) -> {
+            if (event instanceof Arrived a) {
+                arrived.add(a);
+            }
+            module.handle(now, event, out);
+        })) {
+            Client client = net.client();
+            client.send(Client.request("menu-read", fields + "Content-Length: 0\r\n"));
+            Exchange call = net.servers.get(0).next();
+            for (String field : fields.split("\r\n")) {
+                assertTrue(call.message(), call.message().contains(field));
+            }
+            call.answer("200 OK", "");
+            assertTrue(client.read().startsWith("HTTP/1.1 200"));
+            return arrived.take();
+        }
+    }
+
+    @Test
+    public void tenantKeyAndCostReachTheModule() throws Exception {
+        Arrived a = told("X-Customer: porto\r\nCookie: session=1; k=7f3a=c2; lang=pt\r\nX-Props: Work=12.5,other=3\r\n");
+        assertEquals("porto", a.tenant());
+        assertEquals("7f3a=c2", a.key());
+        assertEquals(12.5, a.cost(), 0);
+    }
+
+    @Test
+    public void whatCannotBeToldIsNone() throws Exception {
+        String[] strange = {"X-Customer: pesca\r\nCookie: kk=1; xk=2\r\nX-Props: Work=NaN\r\n",
+            "X-Customer: porto\r\nX-Customer: praias\r\nCookie: k=1\r\nCookie: k=2\r\nX-Props: Work=1,Work=2\r\n",
+            "X-Customer: \r\nCookie: k=a\u00e9b\r\nX-Props: Work=-1\r\n",
+            "X-Customer: PORTO\r\nCookie: k=" + "x".repeat(8 * 1024) + "\r\nX-Props: ,=,Work\r\n",
+            "Cookie: k=\r\nX-Props: Work=1e300\r\n"};
+        for (String fields : strange) {
+            Arrived a = told(fields);
+            assertNull(fields, a.tenant());
+            assertNull(fields, a.key());
+            assertNull(fields, a.cost());
+        }
+    }
+
+    @Test
+    public void theSameKeyTwiceIsThatKey() throws Exception {
+        assertEquals("k1", told("Cookie: k=k1\r\nCookie: a=b; k=k1\r\n").key());
+    }
+}
