--- a/cli/src/test/java/dewplank/sidecar/ReloadTest.java
+++ b/cli/src/test/java/dewplank/sidecar/ReloadTest.java
@@ -5,7 +5,6 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -48,17 +47,11 @@
     }
 
     private static void write(Path file, Loopback.Peer directory) throws IOException {
-        Files.writeString(file, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + freePort() + "\",\"discovery\":\"127.0.0.1:"
+        Files.writeString(file, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + Loopback.freePort() + "\",\"discovery\":\"127.0.0.1:"
             + directory.address().getPort() + "\",\"seed\":\"5\",\"known\":" + Loopback.list(7, true, List.of())
             + ",\"settings\":" + Loopback.SETTINGS + "}");
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
     private static void signal(Process program, String name) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(program.pid())).start().waitFor());
     }
--- a/cli/src/test/java/dewplank/sidecar/VotesTest.java
+++ b/cli/src/test/java/dewplank/sidecar/VotesTest.java
@@ -13,7 +13,6 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.SocketException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -66,7 +65,7 @@
                     listens.add((InetSocketAddress) free.getLocalSocketAddress());
                 }
                 int from = i;
-                background(() -> carry(from));
+                Loopback.background(() -> carry(from));
             }
         }
 
@@ -94,29 +93,13 @@
         }
     }
 
-    private interface Work {
-        void run() throws Exception;
-    }
-
-    private static void background(Work work) {
-        Thread thread = new Thread(() -> {
-            try {
-                work.run();
-            } catch (Exception e) {
-                // the test has ended, or killed the other side
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     /** One process of the program. */
     private final class Program {
         final Process process;
         final int port;
 
         Program(int me) throws IOException {
-            port = freePort();
+            port = Loopback.freePort();
             Path file = Files.createTempFile("config", ".json");
             file.toFile().deleteOnExit();
             List<String> peers = new ArrayList<>();
@@ -147,7 +130,7 @@
                 line = log.readLine();
             }
             assertTrue("it has ended", line != null);
-            background(() -> {
+            Loopback.background(() -> {
                 while (log.readLine() != null) { }
             });
         }
@@ -157,12 +140,6 @@
         }
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
     private static void ask(Client client, String from) throws IOException {
         client.send(Client.request("menu-read", "X-From: " + from + "\r\nContent-Length: 0\r\n"));
         client.read();
@@ -176,7 +153,7 @@
             Peer server = new Peer();
             int number = i;
             servers.add(server);
-            background(() -> {
+            Loopback.background(() -> {
                 while (true) {
                     Exchange e = server.next();
                     if (e.message() != null) {
@@ -197,7 +174,7 @@
         }
         for (int i = 0; i < QUIET; i++) {
             Client client = programs.get(i).client();
-            background(() -> {
+            Loopback.background(() -> {
                 while (!over) {
                     ask(client, "busy");
                     Thread.sleep(10);
--- a/sidecar/src/test/java/dewplank/sidecar/Loopback.java
+++ b/sidecar/src/test/java/dewplank/sidecar/Loopback.java
@@ -87,6 +87,30 @@
         }
     }
 
+    interface Work {
+        void run() throws Exception;
+    }
+
+    /** Work of a peer's own, until the test ends it by closing what it waits on. */
+    static Thread background(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // the test has closed this end
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
     /** One end of a connection that reads whole messages. */
     static class End {
         final Socket socket;
@@ -178,23 +202,6 @@
             });
         }
 
-        private interface Work {
-            void run() throws IOException;
-        }
-
-        private static Thread background(Work work) {
-            Thread thread = new Thread(() -> {
-                try {
-                    work.run();
-                } catch (IOException e) {
-                    // the test has closed this end
-                }
-            });
-            thread.setDaemon(true);
-            thread.start();
-            return thread;
-        }
-
         InetSocketAddress address() {
             return (InetSocketAddress) listener.getLocalSocketAddress();
         }
