Tell a shortage by the least crowded server, and each class's idle time by itself

Lines at fault: Choice.onArrival gave the drawn server's lateness to feelPressure; Choice.learnTime held one idle time for all classes, from a first guess of 0.15 of the aim, and shed counted idle time as lateness.

--- a/decisions/src/main/java/saltfield/Choice.java
+++ b/decisions/src/main/java/saltfield/Choice.java
@@ -65,12 +65,15 @@
     // answers, only later ones, and crowds it for long. A fleet so slow sheds early, by averaged lateness.
     private static final double SLOWER_FROM = 1;         // fleet's time over its idle time: sheds from here
     private static final double SLOWER_ALL = 2;          // and here in full, as far as lateness calls for it
-    private static final double EARLY_FROM = 0.2;        // averaged lateness that starts it; hardly any late
-    private static final double EARLY_ALL = 0.45;        // and has it refuse its most: one in ten is late
+    private static final double EARLY_FROM = 0.06;       // averaged part of the room in queues: starts it
+    private static final double EARLY_ALL = 0.35;        // and has it refuse its most: one in ten is late
+    private static final double IDLE_STEP = 0.01;        // of an average whose least is the idle time
+    private static final int IDLE_SAMPLES = 20;          // answers before it replaces the first guess
+    private static final double IDLE_MOST = 0.8;         // of the aim that a class may take in an idle fleet
     private static final double RECENT_TOOK_MS = 1_000;  // that time follows at this scale, or by samples
     private static final double IDLE_TOOK_MS = 60_000;   // the idle one, the least lately, rises at this
     private static final double PRESSURE_STEP = 0.05;    // the fleet's lateness is averaged over 20 requests
-    private static final double SHORTAGE_FROM = 0.3;     // averaged lateness taken to last: one in 25 misses
+    private static final double SHORTAGE_FROM = 0.12;    // that part taken to last; 0.08 and 0.16 do worse
     private static final double SHORTAGE_TAU_MS = 1_000; // lateness that lasts is answered at this time scale
     private static final double SHORTAGE_GAP_MS = 100;   // a silence counts for no more than this
     private static final double SHORTAGE_MOST = 0.7;     // of traffic that lasting lateness alone refuses
@@ -130,8 +133,7 @@
     private double answeredAt;
     private long timed;
     private double timedAt;
-    private double recentTook;   // by warm servers on connections that were there, the way taken off
-    private double idleTook;
+    private double recentTimes = 1;   // of each class's idle time, by warm servers on open connections
     private double meanTook;
     private double meanCost;
     private double meanSquare;
@@ -148,8 +150,6 @@
         Goal goal = settings.goal();
         this.strictness = 1 - goal.tail() / Math.max(1e-9, goal.all() + goal.worstClass() + goal.tail());
         settings.classes().forEach(c -> kinds.put(c.name(), new Kind(c, c.aimMs() * FIRST_GUESS)));
-        idleTook = kinds.values().stream().mapToDouble(k -> k.meanWork).average().orElse(1);
-        recentTook = idleTook;
         settings.tenants().forEach(t -> accounts.put(t.name(), new Account(t, TENANT_TAU_MS)));
     }
 
@@ -760,8 +760,8 @@
         if (shed(r, s) > rank) {
             s = fitting.stream().min(Comparator.comparingDouble(x -> risk(x, r))).orElse(s);
         }
-        double late = crowded(s, r);
-        feelPressure(late);
+        double late = queued(crowded(s, r), r);
+        feelPressure(fitting.stream().mapToDouble(x -> queued(crowded(x, r), r)).min().orElse(late));
         double lasting = shortage * Math.exp((answeredAt - now) / SHORTAGE_TAU_MS);   // news fade
         if (shed(r, s) + lasting * Math.min(1, late / SHORTAGE_FROM) > rank) {
             giveUp(r);
@@ -777,9 +777,10 @@
     private double shed(Request r, Server s) {
         double late = crowded(s, r) / strictness;
         double fresh = Math.exp((timedAt - now) / RECENT_TOOK_MS);   // news fade
-        double times = 1 + (recentTook / idleTook - 1) * fresh;
+        double times = 1 + (recentTimes - 1) * fresh;
         double slower = (times - SLOWER_FROM) / (SLOWER_ALL - SLOWER_FROM);
-        double early = (Math.min(late, pressure / strictness) - EARLY_FROM) / (EARLY_ALL - EARLY_FROM);
+        double queues = Math.min(queued(late, r), pressure / strictness);
+        double early = (queues - EARLY_FROM) / (EARLY_ALL - EARLY_FROM);
         double crowd = Math.min(SHORTAGE_MOST, Math.min(slower, early));
         double share = (late - SHED_FROM) / (SHED_ALL - SHED_FROM);   // below 0: offsets lasting lateness
         return crowd > 0 ? Math.max(crowd, share) : share;
@@ -787,7 +788,8 @@
 
     /**
      * Lateness that lasts adds to the share refused until queues are short again. Guards against servers that
-     * do less the more they hold: a share that only follows lateness would leave them crowded for good.
+     * do less the more they hold: a share that only follows lateness would leave them crowded for good. It is
+     * the least crowded server's: while one has room, others' slowness calls for choosing, not for refusing.
      */
     private void feelPressure(double late) {
         pressure += (Math.min(2, late) - pressure) * PRESSURE_STEP;
@@ -944,12 +946,7 @@
             return;
         }
         if (warmth(s) >= 1) {
-            double since = timedAt == 0 ? 0 : now - timedAt;
-            double step = Math.max(FLEET_STEP, 1 - Math.exp(-since / RECENT_TOOK_MS));
-            recentTook += (Math.max(0, took - way(s)) - recentTook) * step;
-            double risen = (recentTook - idleTook) * (1 - Math.exp(-since / IDLE_TOOK_MS));
-            idleTook = Math.min(recentTook, idleTook + risen);
-            timedAt = now;
+            learnTimes(r.kind, Math.max(0, took - way(s)));
         }
         double ratio = took / cost(r);
         if (r.cost == null) {
@@ -972,6 +969,20 @@
         s.usualLoad += (a.loadAtSend - s.usualLoad) * FAST_STEP;
     }
 
+    /** Each class by its own idle time: more of a slow class among the answers is no slower fleet. */
+    private void learnTimes(Kind k, double took) {
+        double since = k.tookAt == 0 ? 0 : now - k.tookAt;
+        k.usualTook += (took - k.usualTook) * Math.max(IDLE_STEP, 1.0 / ++k.timed);
+        double risen = (k.usualTook - k.idleTook) * (1 - Math.exp(-since / IDLE_TOOK_MS));
+        double idle = k.timed == IDLE_SAMPLES ? k.usualTook : Math.min(k.usualTook, k.idleTook + risen);
+        k.idleTook = k.timed < IDLE_SAMPLES ? k.idleTook : Math.max(1e-3, idle);
+        k.tookAt = now;
+        double any = timedAt == 0 ? 0 : now - timedAt;
+        double step = Math.max(FLEET_STEP, 1 - Math.exp(-any / RECENT_TOOK_MS));
+        recentTimes += (took / k.idleTook - recentTimes) * step;
+        timedAt = now;
+    }
+
     /**
      * No answer for so long: this server's time was that much at least. Guards against a server that answers
      * after its callers' time: by answers alone it looks as quick as the few that came, to each of many.
@@ -1034,6 +1045,15 @@
         return left <= 0 ? 2 : Math.min(2, Math.max(0, predicted(s, r) - way) / left);
     }
 
+    /**
+     * Of the room that the aim leaves above the class's idle time, the part that queues take. Guards against
+     * refusing in a calm fleet whose idle times are a larger part of its aims than elsewhere.
+     */
+    private static double queued(double late, Request r) {
+        double idle = Math.min(IDLE_MOST, r.kind.idleTook / r.aim());
+        return Math.max(0, (late - idle) / (1 - idle));
+    }
+
     /** Lateness there, as a part of the aim, plus what crossing and connecting cost in its worth. */
     private double risk(Server s, Request r) {
         double late = (predicted(s, r) + now - r.arrived) / r.aim();
--- a/decisions/src/main/java/saltfield/Memory.java
+++ b/decisions/src/main/java/saltfield/Memory.java
@@ -21,10 +21,15 @@
         double samples;
         double worthAsked;
         double worthServed;
+        double usualTook;
+        double idleTook;
+        long timed;
+        double tookAt;
 
         Kind(RequestClass rules, double firstGuess) {
             this.rules = rules;
             this.meanWork = firstGuess;
+            this.idleTook = firstGuess;
         }
 
         double servedShare() {
