Send trials however late their server was, and hold queues at 0.09 of the room

These were trials of condemned servers: pick hands out the condemned server alone, and onArrival then held that server's own lateness against the request, refused it, and fed it into the fleet's least lateness, where one such sample weighs 0.05 x 1.4 and lasts 20 requests.

Change: a trial is sent, neither shed nor felt (Choice.onArrival).

--- a/decisions/src/main/java/saltfield/Choice.java
+++ b/decisions/src/main/java/saltfield/Choice.java
@@ -73,7 +73,7 @@
     private static final double RECENT_TOOK_MS = 1_000;  // that time follows at this scale, or by samples
     private static final double IDLE_TOOK_MS = 60_000;   // the idle one, the least lately, rises at this
     private static final double PRESSURE_STEP = 0.05;    // the fleet's lateness is averaged over 20 requests
-    private static final double SHORTAGE_FROM = 0.12;    // that part taken to last; 0.08 and 0.16 do worse
+    private static final double SHORTAGE_FROM = 0.09;    // that part taken to last; 0.06 and 0.12 do worse
     private static final double SHORTAGE_TAU_MS = 1_000; // lateness that lasts is answered at this time scale
     private static final double SHORTAGE_GAP_MS = 100;   // a silence counts for no more than this
     private static final double SHORTAGE_MOST = 0.7;     // of traffic that lasting lateness alone refuses
@@ -756,12 +756,16 @@
             hold(r);
             return;
         }
+        if (s.condemned && s.lastTrial == now) {   // a trial; refused for that server's lateness it were none
+            send(r, s);
+            return;
+        }
         // A bad draw is no reason to refuse: look the working set over.
         if (shed(r, s) > rank) {
             s = fitting.stream().min(Comparator.comparingDouble(x -> risk(x, r))).orElse(s);
         }
-        double late = queued(crowded(s, r), r);
-        feelPressure(fitting.stream().mapToDouble(x -> queued(crowded(x, r), r)).min().orElse(late));
+        double late = queued(s, r);
+        feelPressure(fitting.stream().mapToDouble(x -> queued(x, r)).min().orElse(late));
         double lasting = shortage * Math.exp((answeredAt - now) / SHORTAGE_TAU_MS);   // news fade
         if (shed(r, s) + lasting * Math.min(1, late / SHORTAGE_FROM) > rank) {
             giveUp(r);
@@ -779,7 +783,7 @@
         double fresh = Math.exp((timedAt - now) / RECENT_TOOK_MS);   // news fade
         double times = 1 + (recentTimes - 1) * fresh;
         double slower = (times - SLOWER_FROM) / (SLOWER_ALL - SLOWER_FROM);
-        double queues = Math.min(queued(late, r), pressure / strictness);
+        double queues = Math.min(queued(s, r), pressure) / strictness;
         double early = (queues - EARLY_FROM) / (EARLY_ALL - EARLY_FROM);
         double crowd = Math.min(SHORTAGE_MOST, Math.min(slower, early));
         double share = (late - SHED_FROM) / (SHED_ALL - SHED_FROM);   // below 0: offsets lasting lateness
@@ -1049,9 +1053,9 @@
      * Of the room that the aim leaves above the class's idle time, the part that queues take. Guards against
      * refusing in a calm fleet whose idle times are a larger part of its aims than elsewhere.
      */
-    private static double queued(double late, Request r) {
-        double idle = Math.min(IDLE_MOST, r.kind.idleTook / r.aim());
-        return Math.max(0, (late - idle) / (1 - idle));
+    private double queued(Server s, Request r) {
+        double idle = Math.min(IDLE_MOST, r.kind.idleTook / Math.max(1e-3, r.aim() - way(s)));
+        return Math.max(0, (crowded(s, r) - idle) / (1 - idle));
     }
 
     /** Lateness there, as a part of the aim, plus what crossing and connecting cost in its worth. */
--- a/decisions/src/test/java/saltfield/VerdictTest.java
+++ b/decisions/src/test/java/saltfield/VerdictTest.java
@@ -61,6 +61,30 @@
         assertTrue(play(h, 300, 5).getOrDefault("s0", 0) > 30);
     }
 
+    /** Found at Sado: an eighth of all refusals were trials, refused for the very server's lateness that they try. */
+    @Test
+    void aTrialIsSentHoweverLateItsServerWas() {
+        Host h = Host.with(new Host.Setup(), 4);
+        play(h, 1_200, 5, "s0");
+        int refused = 0;
+        int trials = 0;
+        for (int i = 0; i < 600; i++) {
+            List<Action> actions = h.arrive("read");
+            refused += of(actions, Refuse.class).size();
+            Send s = sent(actions);
+            h.now += 20;
+            if (s != null && s.server().equals("s0")) {
+                trials++;
+                h.now += Host.DEADLINE;
+                h.end(s, 0, Outcome.TIMED_OUT, Host.DEADLINE, true);
+            } else if (s != null) {
+                h.end(s, 0, Outcome.SERVED, 20, true);
+            }
+        }
+        assertEquals(0, refused);
+        assertTrue(trials >= 6, trials + " sent to the late server");
+    }
+
     @Test
     void aServerThatServesAgainReturnsToTheDraw() {
         Host h = Host.with(new Host.Setup(), 4);
