--- a/cli/src/main/java/dewplank/LabCommands.java
+++ b/cli/src/main/java/dewplank/LabCommands.java
@@ -263,8 +263,8 @@
     }
 
     static void print(Service service) {
-        System.out.printf(Locale.ROOT, "service %.3f, worst class %.3f, worst 10 s %.3f, refused %.3f, failed %.3f, tries %.2f%n",
-            service.share(), service.worstClass(), service.worstSpell(), service.refusedShare(), service.failedShare(),
+        System.out.printf(Locale.ROOT, "service %.3f, worst class %.3f, worst tenant %.3f, worst 10 s %.3f, refused %.3f, "
+            + "failed %.3f, tries %.2f%n", service.share(), service.worstClass(), service.worstTenant(), service.worstSpell(), service.refusedShare(), service.failedShare(),
             service.triesEach());
         service.classes().forEach(c -> System.out.printf(Locale.ROOT, "  %-14s %6d asked, in aim %.3f, p50 %.0f ms, p99 %.0f ms%n",
             c.name(), c.latency().getTotalCount(), c.inAimShare(), c.latency().getValueAtPercentile(50) / 1000.0,
--- a/emulator/src/main/java/dewplank/emulator/Clients.java
+++ b/emulator/src/main/java/dewplank/emulator/Clients.java
@@ -4,6 +4,7 @@
 import dewplank.emulator.Scenario.Kind;
 import dewplank.emulator.Scenario.Load;
 import java.util.Arrays;
+import java.util.stream.IntStream;
 import java.util.function.DoubleSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import saltfield.Balancer.Effect;
@@ -26,7 +27,7 @@
     /** How a request of a client's went, over all its tries. */
     public interface Tally {
         /** {@code tookMs}: from the first try to the answer that served, or NaN where none did. */
-        void ended(int kind, double askedAt, double tookMs, int tries, Note.What last);
+        void ended(int kind, int tenant, double askedAt, double tookMs, int tries, Note.What last);
     }
 
     /** One request of a client's. */
@@ -36,14 +37,18 @@
         final double work;
         final double at;
         final boolean honours;
+        final int tenant;
+        final int about;
         int tries;
 
-        Ask(int kind, long key, double work, double at, boolean honours) {
+        Ask(int kind, long key, double work, double at, boolean honours, int tenant, int about) {
             this.kind = kind;
             this.key = key;
             this.work = work;
             this.at = at;
             this.honours = honours;
+            this.tenant = tenant;
+            this.about = about;
         }
     }
 
@@ -53,6 +58,7 @@
     private final Scenario scenario;
     private final double end;
     private final double[] upTo;   // the classes' shares, added up
+    private final double[] keysUpTo;   // the keys' popularity, added up
     private long ids;
     private int open;
 
@@ -62,11 +68,24 @@
         this.tally = tally;
         this.scenario = world.scenario;
         this.end = world.now() + scenario.lengthMs();
-        this.upTo = scenario.classes().stream().mapToDouble(Kind::share).toArray();
-        double sum = Arrays.stream(upTo).sum();
-        for (int i = 0; i < upTo.length; i++) {
-            upTo[i] = upTo[i] / sum + (i == 0 ? 0 : upTo[i - 1]);
+        this.upTo = addedUp(scenario.classes().stream().mapToDouble(Kind::share).toArray());
+        Scenario.Keys keys = scenario.subjects().keys();
+        this.keysUpTo = addedUp(IntStream.range(0, keys.count()).mapToDouble(i -> Math.pow(i + 1, -keys.zipf())).toArray());
+    }
+
+    private static double[] addedUp(double[] parts) {
+        double sum = Arrays.stream(parts).sum();
+        double[] upTo = new double[parts.length];
+        for (int i = 0; i < parts.length; i++) {
+            upTo[i] = parts[i] / sum + (i == 0 ? 0 : upTo[i - 1]);
         }
+        return upTo;
+    }
+
+    /** The number whose part holds that place; -1 where there is none. */
+    private static int at(double place, double[] upTo) {
+        int found = Arrays.binarySearch(upTo, place);
+        return Math.min(upTo.length - 1, found >= 0 ? found : -found - 1);
     }
 
     public void start() {
@@ -84,6 +103,7 @@
     private final class Copy {
         final int sidecar;
         final UniformRandomProvider random;
+        final UniformRandomProvider subjects;
         final DoubleSupplier gap;
         final DoubleSupplier[] work;
         final double perMs;
@@ -95,6 +115,7 @@
         Copy(int sidecar) {
             this.sidecar = sidecar;
             this.random = world.draws.stream("client", sidecar);
+            this.subjects = world.draws.stream("subjects", sidecar);
             this.gap = Draws.exponential(world.draws.stream("arrivals", sidecar));
             this.work = new DoubleSupplier[scenario.classes().size()];
             for (int k = 0; k < work.length; k++) {
@@ -125,7 +146,7 @@
         }
 
         void next() {
-            double rate = perMs * Math.max(0.01, shape());
+            double rate = perMs * Math.max(0.01, shape()) * world.tenantLoad();
             double wait = gap.getAsDouble() / rate;
             if (wait > 100) {   // the rate may have changed by then: exponential gaps have no memory
                 wait = 100;
@@ -147,15 +168,14 @@
         }
 
         void arrive() {
-            double place = random.nextDouble();
-            int kind = 0;
-            while (kind < work.length - 1 && place >= upTo[kind]) {
-                kind++;
-            }
+            int kind = at(random.nextDouble(), upTo);
             double load = scenario.classes().get(kind).work() * work[kind].getAsDouble();
             long key = ((long) sidecar + 1 << 36) + ++ids;
             open++;
-            attempt(new Ask(kind, key, load, world.now(), random.nextDouble() < scenario.clients().honour()), sidecar);
+            boolean honours = random.nextDouble() < scenario.clients().honour();
+            int tenant = at(subjects.nextDouble(), world.tenantsUpTo());
+            int about = at(subjects.nextDouble(), keysUpTo);
+            attempt(new Ask(kind, key, load, world.now(), honours, tenant, about), sidecar);
         }
     }
 
@@ -164,7 +184,8 @@
         double now = world.now();
         double last = ask.at + kind.deadlineMs();
         double until = Math.min(last, now + scenario.clients().tryShare() * kind.deadlineMs());
-        Try t = new Try(++ids, ask.kind, ask.key, ask.work, sidecar, ask.tries > 0, now, until, ask);
+        Try t = new Try(++ids, ask.kind, ask.key, ask.work, sidecar, ask.tries > 0, now, until, ask,
+            ask.tenant, ask.about);
         ask.tries++;
         world.note(What.ASKED, t, sidecar, -1, until);
         front.ask(t);
@@ -215,7 +236,7 @@
             world.later(wait, () -> attempt(ask, t.sidecar));
         } else {
             open--;
-            tally.ended(ask.kind, ask.at, what == What.SERVED ? now - ask.at : Double.NaN, ask.tries, what);
+            tally.ended(ask.kind, ask.tenant, ask.at, what == What.SERVED ? now - ask.at : Double.NaN, ask.tries, what);
         }
     }
 }
--- a/emulator/src/main/java/dewplank/emulator/Draws.java
+++ b/emulator/src/main/java/dewplank/emulator/Draws.java
@@ -12,6 +12,8 @@
  * test, leaves all else as it was: runs with the same seed can be paired.
  */
 public final class Draws {
+    /** No request takes more than so many times the mean: its client and its server's own limits have ended it. */
+    private static final double LONGEST = 25;
     private final long seed;
 
     public Draws(long seed) {
@@ -55,8 +57,9 @@
         return switch (distribution) {
             case LOGNORMAL -> {
                 double variance = Math.log(1 + cv * cv);
-                yield LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(random), -variance / 2,
+                DoubleSupplier sampler = LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(random), -variance / 2,
                     Math.sqrt(variance))::sample;
+                yield () -> Math.min(LONGEST, sampler.getAsDouble());
             }
             case GAMMA -> AhrensDieterMarsagliaTsangGammaSampler.of(random, 1 / (cv * cv), cv * cv)::sample;
             default -> exponential(random);
--- a/emulator/src/main/java/dewplank/emulator/Faults.java
+++ b/emulator/src/main/java/dewplank/emulator/Faults.java
@@ -73,6 +73,13 @@
                 world.setLoadFactor(f.size());
                 world.later(f.forMs(), () -> world.setLoadFactor(1));
             }
+            case ERRORS -> during(f, random, s -> s.quickErrors = f.size(), s -> s.quickErrors = 0);
+            case TENANT_LOAD -> {
+                int tenant = world.scenario.subjects().tenants().stream().map(Scenario.Customer::name).toList().indexOf(f.kind());
+                world.setTenantLoad(tenant, f.size());
+                world.later(f.forMs(), () -> world.setTenantLoad(tenant, 1));
+            }
+            case ZONE_LOSS -> zoneLoss(f, random);
             case DIRECTORY_DOWN -> {
                 world.list.setDown(true);
                 world.later(f.forMs(), () -> world.list.setDown(false));
@@ -125,6 +132,16 @@
         world.restart(s, backAfterMs);
     }
 
+    /** A drawn zone goes without a word, with the stated part of its sidecars, and comes back cold. */
+    private void zoneLoss(Fault f, UniformRandomProvider random) {
+        List<String> zones = world.scenario.zones();
+        String zone = zones.get(random.nextInt(zones.size()));
+        world.servers.stream().filter(s -> s.zone.equals(zone)).forEach(s -> lose(s, true, f.forMs()));
+        List<Integer> there = new ArrayList<>(IntStream.range(0, world.scenario.sidecars())
+            .filter(n -> world.scenario.zoneOfSidecar(n).equals(zone)).boxed().toList());
+        Scenario.firstOf(there, Math.min(1, f.size())).forEach(n -> killSidecar.kill(n, f.forMs()));
+    }
+
     private void classErrors(Fault f, List<Server> hit) {
         int kind = world.scenario.classNames().indexOf(f.kind());
         hit.forEach(s -> s.errorRate[kind] = f.size());
--- a/emulator/src/main/java/dewplank/emulator/Scenario.java
+++ b/emulator/src/main/java/dewplank/emulator/Scenario.java
@@ -14,7 +14,7 @@
 /** One world and what happens in it, as a scenario file says. All times in milliseconds. */
 public record Scenario(String name, double lengthMs, double tickMs, int sidecars, List<String> zones, Servers servers,
                        Network network, Links links, Directory directory, Reports reports, Load load, Habits clients,
-                       List<Kind> classes, Rules rules, List<Fault> faults) {
+                       List<Kind> classes, Rules rules, Subjects subjects, Messages messages, List<Fault> faults) {
 
     public enum Distribution { FIXED, EXP, LOGNORMAL, GAMMA }
 
@@ -22,7 +22,7 @@
 
     public enum FaultKind {
         CRASH, VANISH, SLOW, NEIGHBOUR, PAUSE, DEPLOY, CLASS_ERRORS, POISON, LOST_ANSWERS, RESETS, CUT, LOSS, LOAD,
-        DIRECTORY_DOWN, DIRECTORY_SILENT, SIDECAR_KILL
+        DIRECTORY_DOWN, DIRECTORY_SILENT, SIDECAR_KILL, ZONE_LOSS, ERRORS, TENANT_LOAD
     }
 
     public record Servers(int count, int cellSize, List<Machine> machines) { }
@@ -64,18 +64,41 @@
      */
     public record Habits(int retries, double tryShare, double waitMs, double honour, double impatient, boolean marks) { }
 
-    public record Kind(String name, double share, double work, Distribution distribution, double cv, double aimMs,
-                       double deadlineMs, double worth, Effect effect, Scope scope, double windowMs) { }
+    /** {@code waitMs}: mean time that it waits on others after its work, holding a slot and no core. */
+    public record Kind(String name, double share, double work, Distribution distribution, double cv, double waitMs,
+                       double aimMs, double deadlineMs, double worth, Effect effect, Scope scope, double windowMs) { }
+
+    /**
+     * @param share of the service that is the tenant's
+     * @param usage how much of its share it asks for, 1 for just that
+     */
+    public record Customer(String name, double share, double usage) { }
+
+    /**
+     * What requests may be about. {@code count} 0: no keys.
+     *
+     * @param zipf    exponent of the keys' popularity
+     * @param gain    the part of the work that a server which knows the key is spared
+     * @param freshMs how long a server knows a key that it met
+     * @param perCore how many keys a server remembers for each core
+     */
+    public record Keys(int count, double zipf, double gain, double freshMs, double perCore) { }
+
+    /** {@code quota}: what all tenants' shares add up to, of what the servers can do when warm. */
+    public record Subjects(List<Customer> tenants, double overShareWorth, double quota, Keys keys) { }
+
+    /** Datagrams between sidecars: whether there are any, how long they take, and the part that is lost. */
+    public record Messages(boolean given, double leastMs, double mostMs, double lost) { }
 
     public record Rules(double answerSlackMs, double drainMs, double fallMultiple, double fallMs, double coldMs,
-                        double coldShare, double askWithinMs, int maxAttempts, boolean probes, boolean retryAdvice,
-                        double maxAdviceMs) { }
+                        double coldShare, double askWithinMs, int maxAttempts, boolean probes, boolean copies,
+                        boolean retryAdvice, double maxAdviceMs) { }
 
     /**
      * @param part    of the servers (or of the sidecars, or of the requests) that it hits
      * @param size    how hard, as the kind says: times slower, share taken, times the load, part of the requests
      * @param everyMs rhythm, where the kind has one; of a deploy, how long a server drains
-     * @param kind    class, or null
+     * @param kind    class, or tenant where the kind hits one, or null
      */
     public record Fault(FaultKind what, double atMs, double forMs, double part, double size, double everyMs,
                         String kind) { }
@@ -102,15 +125,35 @@
     public Balancer.Settings settings(int me) {
         List<RequestClass> kinds = classes.stream().map(k -> new RequestClass(k.name(), k.effect(), k.scope(),
             k.effect() == Effect.KEYED ? k.windowMs() : 0, k.aimMs(), 0, k.deadlineMs(), k.worth(), 0, false)).toList();
-        return new Balancer.Settings(me, sidecars, zoneOfSidecar(me), tickMs, false, false, false, false, 1,
-            reports.given() ? List.of("rif") : List.of(), false, kinds, List.of(),
-            new Limits(rules.maxAttempts(), true, true, rules.probes(), false, rules.retryAdvice(), rules.maxAdviceMs(),
+        return new Balancer.Settings(me, sidecars, zoneOfSidecar(me), tickMs, false, false, false,
+            subjects.keys().count() > 0, subjects.overShareWorth(), reports.given() ? List.of("rif") : List.of(), false,
+            kinds, tenants(), new Limits(rules.maxAttempts(), rules.copies(), true, rules.probes(), messages.given(),
+                rules.retryAdvice(), rules.maxAdviceMs(),
                 links.connectTimeoutMs(), links.idleMs(), 1),
             new Safety(rules.askWithinMs(), rules.coldMs(), rules.coldShare(), rules.fallMultiple(), rules.fallMs(), false,
                 false),
             new Prices(0.03, 0), new Goal(0.8, 0.2, 0, 0));
     }
 
+    private List<Balancer.Tenant> tenants() {
+        double shares = subjects.tenants().stream().mapToDouble(Customer::share).sum();
+        double perS = 1000 * subjects.quota() * nominalCapacity() / Math.max(1e-9, meanWork());
+        return subjects.tenants().stream()
+            .map(c -> new Balancer.Tenant(c.name(), c.share() / shares, perS * c.share() / shares)).toList();
+    }
+
+    /** Work per millisecond of all servers by their machines' own figures. */
+    private double nominalCapacity() {
+        double shares = servers.machines().stream().mapToDouble(Machine::share).sum();
+        return servers.count()
+            * servers.machines().stream().mapToDouble(m -> m.share() / shares * m.cores() * m.speed()).sum();
+    }
+
+    /** What a tenant may ask for in a second and have counted in full. */
+    public double allowancePerS(int tenant) {
+        return tenants().get(tenant).allowancePerS();
+    }
+
     /** The same scenario with one figure changed; {@code path} as in the file, such as {@code load.share}. */
     public Scenario with(String path, double value) {
         return switch (path) {
@@ -122,6 +165,9 @@
                 new Load(value, 0, load.shape(), load.swing(), load.periodMs()), clients, faults);
             case "load.per_s" -> with(lengthMs, sidecars, servers,
                 new Load(0, value, load.shape(), load.swing(), load.periodMs()), clients, faults);
+            case "messages.lost" -> new Scenario(name, lengthMs, tickMs, sidecars, zones, servers, network, links, directory,
+                reports, load, clients, classes, rules, subjects,
+                new Messages(messages.given(), messages.leastMs(), messages.mostMs(), value), faults);
             case "clients.retries" -> with(lengthMs, sidecars, servers, load, new Habits((int) value, clients.tryShare(),
                 clients.waitMs(), clients.honour(), clients.impatient(), clients.marks()), faults);
             case "clients.honour" -> with(lengthMs, sidecars, servers, load, new Habits(clients.retries(),
@@ -131,13 +177,13 @@
             case "faults.size" -> with(lengthMs, sidecars, servers, load, clients, faults.stream()
                 .map(f -> new Fault(f.what(), f.atMs(), f.forMs(), f.part(), value, f.everyMs(), f.kind())).toList());
             default -> throw new IllegalArgumentException("no such parameter: " + path + " (known: sidecars, length_s, "
-                + "servers.count, load.share, load.per_s, clients.retries, clients.honour, faults.part, faults.size)");
+                + "servers.count, load.share, load.per_s, messages.lost, clients.retries, clients.honour, faults.part, faults.size)");
         };
     }
 
     private Scenario with(double length, int instances, Servers fleet, Load traffic, Habits askers, List<Fault> events) {
         return new Scenario(name, length, tickMs, instances, zones, fleet, network, links, directory, reports, traffic,
-            askers, classes, rules, events);
+            askers, classes, rules, subjects, messages, events);
     }
 
     /** The same on sockets, where an answer may come a little later. */
@@ -145,7 +191,8 @@
         Rules r = rules;
         return new Scenario(name, lengthMs, tickMs, sidecars, zones, servers, network, links, directory, reports, load,
             clients, classes, new Rules(ms, r.drainMs(), r.fallMultiple(), r.fallMs(), r.coldMs(), r.coldShare(),
-                r.askWithinMs(), r.maxAttempts(), r.probes(), r.retryAdvice(), r.maxAdviceMs()), faults);
+                r.askWithinMs(), r.maxAttempts(), r.probes(), r.copies(), r.retryAdvice(), r.maxAdviceMs()),
+            subjects, messages, faults);
     }
 
     static List<Integer> firstOf(List<Integer> shuffled, double part) {
--- a/emulator/src/main/java/dewplank/emulator/ScenarioFile.java
+++ b/emulator/src/main/java/dewplank/emulator/ScenarioFile.java
@@ -60,7 +60,8 @@
             t.whole("sidecars", 1, MOST_SIDECARS), t.texts("zones", List.of("a", "b")), servers(t.table("servers")),
             network(t.table("network")), links(t.table("connections")), directory(t.table("directory")),
             reports(t.table("reports")), load(t.table("load")), clients(t.table("clients")),
-            t.tables("class").stream().map(ScenarioFile::kind).toList(), rules(t.table("rules")),
+            t.tables("class").stream().map(ScenarioFile::kind).toList(), rules(t.table("rules")), subjects(t),
+            messages(t.table("messages")),
             t.tables("fault").stream().map(f -> fault(f, length)).toList());
         t.text("about", "");
         t.text("like", "");
@@ -68,9 +69,11 @@
         if (scenario.classes().isEmpty()) {
             throw t.wrong("class", "is missing: at least one is needed");
         }
+        List<String> tenants = scenario.subjects().tenants().stream().map(Customer::name).toList();
         for (Fault f : scenario.faults()) {
-            if (f.kind() != null && !scenario.classNames().contains(f.kind())) {
-                throw t.wrong("fault", "names the class " + f.kind() + ", which is not there");
+            boolean ofTenant = f.what() == FaultKind.TENANT_LOAD;
+            if (f.kind() != null && !(ofTenant ? tenants : scenario.classNames()).contains(f.kind())) {
+                throw t.wrong("fault", "names the " + (ofTenant ? "tenant " : "class ") + f.kind() + ", which is not there");
             }
         }
         return scenario;
@@ -152,18 +155,47 @@
         Effect effect = t.word("effect", Effect.class, Effect.SAFE);
         double deadline = t.number("deadline_ms", 1, MOST_MS);
         Kind kind = new Kind(t.text("name"), t.number("share", 0, 1000, 1), t.number("work_ms", 0, 60_000),
-            t.word("distribution", Distribution.class, Distribution.EXP), t.number("cv", 0, 10, 1),
+            t.word("distribution", Distribution.class, Distribution.EXP), t.number("cv", 0, 10, 1), t.number("waits_ms", 0, 60_000, 0),
             t.number("aim_ms", 1, deadline, deadline), deadline, t.number("worth", 0, 1e6, 1), effect,
             t.word("scope", Scope.class, Scope.ALL), t.number("window_ms", 0, MOST_MS, 750));
         t.end();
         return kind;
     }
 
+    private static Subjects subjects(Table t) {
+        List<Customer> tenants = t.tables("tenant").stream().map(ScenarioFile::tenant).toList();
+        Table rest = t.table("subjects");
+        Keys keys = new Keys(rest.whole("keys", 0, 1_000_000, 0), rest.number("zipf", 0, 10, 0.7),
+            rest.number("spared", 0, 1, 0.5), 1000 * rest.number("fresh_s", 0, 3600, 6), rest.number("per_core", 0, 1e6, 4));
+        Subjects subjects = new Subjects(tenants, rest.number("over_share_worth", 0, 1, 1),
+            rest.number("quota", 0.01, 10, 0.8), keys);
+        rest.end();
+        if (tenants.stream().map(Customer::name).distinct().count() < tenants.size()) {
+            throw t.wrong("tenant", "has one name twice");
+        }
+        return subjects;
+    }
+
+    private static Customer tenant(Table t) {
+        Customer customer = new Customer(t.text("name"), t.number("share", 1e-6, 1000), t.number("usage", 0, 1000, 1));
+        t.end();
+        return customer;
+    }
+
+    private static Messages messages(Table t) {
+        double least = t.number("least_ms", 0, 60_000, 1.7);
+        Messages messages = new Messages(t.flag("given", false), least, t.number("most_ms", least, 60_000, Math.max(least, 11)),
+            t.number("lost", 0, 1, 0));
+        t.end();
+        return messages;
+    }
+
     private static Rules rules(Table t) {
         Rules rules = new Rules(t.number("answer_slack_ms", 0, 10_000, 20), t.number("drain_ms", 0, 60_000, 500),
             t.number("fall_multiple", 1, 1000, 4), 1000 * t.number("fall_s", 0.1, 600, 2), 1000 * t.number("cold_s", 0, 600, 22),
             t.number("cold_share", 0.01, 1, 0.12), 1000 * t.number("ask_within_s", 1, 600, 10),
-            t.whole("max_attempts", 1, 100, 4), t.flag("probes", true), t.flag("retry_advice", true),
+            t.whole("max_attempts", 1, 100, 4), t.flag("probes", true), t.flag("second_copies", true),
+            t.flag("retry_advice", true),
             1000 * t.number("max_advice_s", 0, 600, 2));
         t.end();
         return rules;
@@ -174,7 +206,10 @@
         double at = 1000 * t.number("at_s", 0, length / 1000);
         Fault fault = new Fault(what, at, 1000 * t.number("for_s", 0, MOST_MS / 1000, what == FaultKind.SIDECAR_KILL ? 1.7 : length / 1000),
             t.number("part", 0, 1, 0.2), t.number("size", 0, 1000, sizeOf(what)), 1000 * t.number("every_s", 0.01, 3600, what == FaultKind.DEPLOY ? 4 : 3),
-            t.text("class", "").isEmpty() ? null : t.text("class"));
+            named(t, what == FaultKind.TENANT_LOAD ? "tenant" : "class"));
+        if (what == FaultKind.TENANT_LOAD && fault.kind() == null) {
+            throw t.wrong("tenant", "is missing: this fault is one tenant's");
+        }
         if (what == FaultKind.CLASS_ERRORS && fault.kind() == null) {
             throw t.wrong("class", "is missing: this fault hits one class");
         }
@@ -182,13 +217,17 @@
         return fault;
     }
 
+    private static String named(Table t, String key) {
+        return t.text(key, "").isEmpty() ? null : t.text(key);
+    }
+
     private static double sizeOf(FaultKind what) {
         return switch (what) {
             case SLOW -> 5;
             case NEIGHBOUR -> 0.5;
             case DEPLOY -> 0.1;
             case PAUSE -> 500;
-            case LOAD -> 2;
+            case LOAD, TENANT_LOAD -> 2;
             case POISON, LOST_ANSWERS, RESETS, LOSS -> 0.02;
             default -> 1;
         };
--- a/emulator/src/main/java/dewplank/emulator/Server.java
+++ b/emulator/src/main/java/dewplank/emulator/Server.java
@@ -6,9 +6,12 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import saltfield.Balancer.Effect;
 
@@ -96,6 +99,11 @@
     final double[] errorRate;
     double lostAnswers;
     double resets;
+    /** The part of requests that it answers with an error at once, without working on them. */
+    double quickErrors;
+    private final LinkedHashMap<Integer, Double> keysMet;
+    private final Set<Job> waiting = new HashSet<>();
+    private final DoubleSupplier waits;
 
     Server(World world, int number, Machine machine, String zone, double speed) {
         this.world = world;
@@ -110,6 +118,16 @@
         this.queueMost = (int) Math.round(machine.cores() * machine.queuePerCore());
         this.errorRate = new double[world.scenario.classes().size()];
         Arrays.fill(errorRate, machine.errorRate());
+        int keysMost = (int) Math.max(1, machine.cores() * world.scenario.subjects().keys().perCore());
+        this.keysMet = new LinkedHashMap<>(16, 0.75f, true) {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<Integer, Double> eldest) {
+                return size() > keysMost;
+            }
+        };
+        this.waits = Draws.exponential(world.draws.stream("waits", number));
         if (machine.pauseEveryMs() > 0 && machine.pauseMs() > 0) {
             nextPause();
         }
@@ -127,7 +145,7 @@
 
     /** Requests that it holds. */
     public int held() {
-        return running.size() + queue.size();
+        return running.size() + waiting.size() + queue.size();
     }
 
     public int connections() {
@@ -226,15 +244,19 @@
             answer.done(Reply.RESET, -1);
             return;
         }
-        double work = request.work * world.attemptNoise(request, number);
+        double work = request.work * world.attemptNoise(request, number) * (1 - spared(request));
         world.note(What.RECEIVED, request, sidecar, number, work);
         update();
-        if (push(work)) {
+        if (push(world.scenario.classes().get(request.kind).work())) {
             fall();
             answer.done(Reply.RESET, -1);
             return;
         }
-        boolean full = running.size() >= slots && queue.size() >= queueMost;
+        if (quickErrors > 0 && random.nextDouble() < quickErrors) {
+            answer.done(Reply.ERROR, report());
+            return;
+        }
+        boolean full = slotsTaken() >= slots && queue.size() >= queueMost;
         if (full || state == State.DRAINING) {
             world.note(What.TURNED_AWAY, request, sidecar, number, 0);
             answer.done(Reply.NEVER_RAN, report());
@@ -242,7 +264,7 @@
         }
         boolean keyed = world.scenario.classes().get(request.kind).effect() == Effect.KEYED;
         Job job = new Job(request, work, answer, keyed && world.withinWindow(request, this));
-        if (running.size() < slots) {
+        if (slotsTaken() < slots) {
             begin(job);
         } else {
             queue.addLast(job);
@@ -261,6 +283,37 @@
         running.add(job);
     }
 
+    private int slotsTaken() {
+        return running.size() + waiting.size();
+    }
+
+    /** The part of the work that it is spared for a key that it met lately. */
+    private double spared(Try request) {
+        Scenario.Keys rules = world.scenario.subjects().keys();
+        Double met = request.about < 0 ? null : keysMet.get(request.about);
+        if (request.about >= 0) {
+            keysMet.put(request.about, world.now());
+        }
+        return met != null && world.now() - met <= rules.freshMs() ? rules.gain() : 0;
+    }
+
+    /** Its work is done; it may yet wait on others, on a slot and off the cores. */
+    private void waitOrFinish(Job job) {
+        double mean = world.scenario.classes().get(job.request.kind).waitMs();
+        if (mean <= 0) {
+            finish(job);
+            return;
+        }
+        waiting.add(job);
+        world.later(mean * waits.getAsDouble(), () -> {
+            if (waiting.remove(job)) {
+                update();
+                finish(job);
+                advance();
+            }
+        });
+    }
+
     private void finish(Job job) {
         Try r = job.request;
         boolean error = random.nextDouble() < errorRate[r.kind];
@@ -339,12 +392,12 @@
     private void advance() {
         update();
         while (!running.isEmpty() && running.peek().doneAt - attained <= DONE) {
-            finish(running.poll());
+            waitOrFinish(running.poll());
             if (state == State.DEAD || state == State.SILENT) {
                 return;
             }
         }
-        while (running.size() < slots && !queue.isEmpty()) {
+        while (slotsTaken() < slots && !queue.isEmpty()) {
             begin(queue.removeFirst());
         }
         crowding();
@@ -426,7 +479,7 @@
         replan();
     }
 
-    /** Whether a cold server has now been sent more than it can bear. */
+    /** Whether a cold server has now been sent more than it can bear, each request counted by its class's mean work. */
     private boolean push(double work) {
         if (warmth() >= 1) {
             pushes.clear();
@@ -441,7 +494,7 @@
             pushed -= pushes.removeFirst().work();
         }
         double bears = rules.fallMultiple() * warmth() * fullCapacity() * rules.fallMs();
-        return pushed > bears * World.FALL_SLACK + 3 * world.scenario.meanWork();
+        return pushed > World.withChance(bears, world.scenario.meanWork());
     }
 
     // ---- life and death -------------------------------------------------------------------------------
@@ -477,7 +530,11 @@
         List<Job> lost = new ArrayList<>(running);
         lost.sort(null);
         lost.addAll(queue);
+        waiting.stream().sorted().forEach(lost::add);
         running.clear();
+        waiting.clear();
+        keysMet.clear();
+        quickErrors = 0;
         queue.clear();
         pushes.clear();
         pushed = 0;
--- a/emulator/src/main/java/dewplank/emulator/Try.java
+++ b/emulator/src/main/java/dewplank/emulator/Try.java
@@ -9,6 +9,9 @@
     public final long key;
     public final double work;
     public final int sidecar;
+    /** Whose it is and what it is about: numbers of a tenant and of a key, or -1 where the scenario has none. */
+    public final int tenant;
+    public final int about;
     public final boolean repeat;
     /** When the client sent it. */
     public final double at;
@@ -19,6 +22,11 @@
 
     public Try(long id, int kind, long key, double work, int sidecar, boolean repeat, double at, double until,
                Clients.Ask ask) {
+        this(id, kind, key, work, sidecar, repeat, at, until, ask, -1, -1);
+    }
+
+    Try(long id, int kind, long key, double work, int sidecar, boolean repeat, double at, double until,
+        Clients.Ask ask, int tenant, int about) {
         this.id = id;
         this.kind = kind;
         this.key = key;
@@ -28,5 +36,7 @@
         this.at = at;
         this.until = until;
         this.ask = ask;
+        this.tenant = tenant;
+        this.about = about;
     }
 }
--- a/emulator/src/main/java/dewplank/emulator/World.java
+++ b/emulator/src/main/java/dewplank/emulator/World.java
@@ -3,6 +3,7 @@
 import dewplank.emulator.Note.What;
 import dewplank.emulator.Scenario.Machine;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -14,8 +15,6 @@
 
 /** All that is round the sidecars in one run: servers, directory, network, what has had its effect. */
 public final class World {
-    /** By chance alone a budget in work may be overdrawn a little. */
-    public static final double FALL_SLACK = 1.1;
     /** The window counts from the sending; a message may take so long. */
     private static final double WINDOW_SLACK_MS = 10;
     /** Longer than any server holds a request. */
@@ -56,6 +55,10 @@
     private double poisonPart;
     private int poisonKind = -1;
     private double loadFactor = 1;
+    private final double[] tenantFactors;
+    private double[] tenantsUpTo;
+    private double tenantLoad = 1;
+    private final UniformRandomProvider messageRandom;
     private double loss;
 
     public World(Scenario scenario, long seed, Scheduler time, Note.Recorder recorder) {
@@ -67,6 +70,10 @@
         this.directoryRandom = draws.stream("directory", 0);
         this.lossRandom = draws.stream("loss", 0);
         this.attemptNoise = new double[] {0.15};
+        this.messageRandom = draws.stream("messages", 0);
+        this.tenantFactors = new double[scenario.subjects().tenants().size()];
+        Arrays.fill(tenantFactors, 1);
+        shareOut();
         double shares = scenario.servers().machines().stream().mapToDouble(Machine::share).sum();
         UniformRandomProvider random = draws.stream("fleet", 0);
         DoubleSupplier normal = Draws.normal(random);
@@ -193,6 +200,12 @@
         return first;
     }
 
+    /** A budget of work, with what the operators' standing test allows for chance: N + 3 sqrt(N) + 3 of mean work. */
+    static double withChance(double work, double mean) {
+        double n = work / Math.max(1e-9, mean);
+        return mean * (n + 3 * Math.sqrt(n) + 3);
+    }
+
     // ---- what goes wrong ------------------------------------------------------------------------------
 
     double loadFactor() {
@@ -203,6 +216,45 @@
         loadFactor = factor;
     }
 
+    /** The tenants' parts of the traffic, added up. */
+    double[] tenantsUpTo() {
+        return tenantsUpTo;
+    }
+
+    /** Times the usual traffic that all tenants together ask for now. */
+    double tenantLoad() {
+        return tenantLoad;
+    }
+
+    void setTenantLoad(int tenant, double factor) {
+        tenantFactors[tenant] = factor;
+        shareOut();
+    }
+
+    private void shareOut() {
+        List<Scenario.Customer> tenants = scenario.subjects().tenants();
+        double[] asks = new double[tenants.size()];
+        double usual = 0;
+        double now = 0;
+        for (int i = 0; i < asks.length; i++) {
+            double part = tenants.get(i).share() * tenants.get(i).usage();
+            usual += part;
+            now += part * tenantFactors[i];
+            asks[i] = now;
+        }
+        tenantLoad = usual <= 0 ? 1 : now / usual;
+        double sum = now;
+        tenantsUpTo = Arrays.stream(asks).map(a -> sum <= 0 ? 1 : a / sum).toArray();
+    }
+
+    /** How long a datagram between two sidecars takes, or -1 for a lost one. */
+    public double messageDelay() {
+        Scenario.Messages m = scenario.messages();
+        boolean lostOnTheWay = messageRandom.nextDouble() < m.lost();
+        double delay = m.leastMs() + (m.mostMs() - m.leastMs()) * messageRandom.nextDouble();
+        return lostOnTheWay ? -1 : delay;
+    }
+
     void setPoison(int kind, double part) {
         poisonKind = kind;
         poisonPart = part;
--- a/emulator/src/main/java/dewplank/emulator/loopback/Addresses.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/Addresses.java
@@ -1,6 +1,7 @@
 package dewplank.emulator.loopback;
 
 import java.io.IOException;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -15,6 +16,8 @@
     private static final int SERVERS_FROM = 64;
     private static final int SIDECARS = 1;
     private static final int DIRECTORIES = 2;
+    private static final int PEERS = 3;
+    private static final int PEERS_MET = 4;
 
     private Addresses() { }
 
@@ -40,6 +43,19 @@
         return new InetSocketAddress(of(DIRECTORIES, sidecar), 0);
     }
 
+    /** Where a sidecar hears the others; with a port for datagrams that is free now. */
+    static InetSocketAddress peer(int sidecar) throws IOException {
+        InetAddress address = of(PEERS, sidecar);
+        try (DatagramSocket socket = new DatagramSocket(0, address)) {
+            return new InetSocketAddress(address, socket.getLocalPort());
+        }
+    }
+
+    /** Where one sidecar reaches another. */
+    static InetSocketAddress peer(int sidecar, int other, int sidecars) {
+        return new InetSocketAddress(of(PEERS_MET, sidecar * sidecars + other), 0);
+    }
+
     /** With a port that is free now. */
     static InetSocketAddress sidecar(int sidecar) throws IOException {
         InetAddress address = of(SIDECARS, sidecar);
--- a/emulator/src/main/java/dewplank/emulator/loopback/LoopbackRun.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/LoopbackRun.java
@@ -1,5 +1,6 @@
 package dewplank.emulator.loopback;
 
+import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import dewplank.emulator.Clients;
 import dewplank.emulator.Faults;
@@ -30,6 +31,7 @@
  * is the loop's; {@link #run} is called once, from another thread.
  */
 public final class LoopbackRun implements Clients.Front, Closeable {
+    private static final System.Logger LOG = System.getLogger(LoopbackRun.class.getName());
     private static final double READY_LOOK_MS = 20;
     private static final double READY_MOST_MS = 30_000;
     private static final int CONNECTIONS = 10_000;
@@ -41,8 +43,8 @@
     }
 
     /** What a run was like beside what its notes say. */
-    public record Outcome(long sends, long handshakes, long directoryCalls, long directoryLines, double latestMs,
-                          boolean unsound) { }
+    public record Outcome(long sends, long handshakes, long directoryCalls, long directoryLines, long messages,
+                          long messagesLost, double latestMs, boolean unsound) { }
 
     private final Scenario scenario;
     private final long seed;
@@ -56,6 +58,7 @@
     private final List<DirectoryEnd> directories = new ArrayList<>();
     private final List<SidecarProcess> sidecars = new ArrayList<>();
     private final List<HttpClient> fronts = new ArrayList<>();
+    private final PeersEnd peers;   // null where sidecars may not talk
     private final Path folder;
     private final CountDownLatch done = new CountDownLatch(1);
     private Clients clients;
@@ -80,6 +83,7 @@
                 sidecars.add(process);
                 fronts.add(new HttpClient(loop, process.listen(), CONNECTIONS));
             }
+            peers = scenario.messages().given() ? new PeersEnd(loop, world, scenario.sidecars()) : null;
         } catch (IOException | RuntimeException e) {
             loop.stop();
             throw e;
@@ -114,7 +118,8 @@
             throw new IllegalStateException(failure + "; the sidecars' logs are in " + folder);
         }
         long opened = fronts.stream().mapToLong(HttpClient::opened).sum();
-        return new Outcome(sends, opened, world.list.calls(), world.list.lines(), time.latestMs(), time.unsound());
+        return new Outcome(sends, opened, world.list.calls(), world.list.lines(),
+            peers == null ? 0 : peers.passedOn(), peers == null ? 0 : peers.lost(), time.latestMs(), time.unsound());
     }
 
     @Override
@@ -122,6 +127,13 @@
         sidecars.forEach(SidecarProcess::kill);
         loop.execute(time::end);
         loop.stop();
+        if (peers != null) {
+            try {
+                peers.close();
+            } catch (IOException e) {
+                LOG.log(System.Logger.Level.WARNING, "the network between sidecars could not be closed: {0}", e.toString());
+            }
+        }
     }
 
     // ---- sidecars -------------------------------------------------------------------------------------
@@ -135,6 +147,14 @@
         config.addProperty("seed", Long.toHexString(dewplank.emulator.Draws.mix(seed + 31L * sidecar + life)));
         config.add("known", directories.get(sidecar).json(world.list.version(), true, world.list.whole()));
         config.add("settings", SidecarFile.settings(scenario.settings(sidecar)));
+        if (peers != null) {
+            config.addProperty("peer_listen", Addresses.text(peers.listen(sidecar)));
+            JsonArray others = new JsonArray();
+            for (int i = 0; i < sidecars.size(); i++) {
+                others.add(Addresses.text(peers.address(sidecar, i)));
+            }
+            config.add("peers", others);
+        }
         process.start(config.toString());
     }
 
@@ -216,6 +236,8 @@
         MessageWriter request = MessageWriter.request(safe ? "GET" : "POST", "/api", "api.internal")
             .header("X-Trace-Id", Long.toHexString(t.id)).header("X-Qos", kind.name())
             .header("X-Expires-In-Ms", Long.toString(Math.max(1, Math.round(t.until - t.at))))
+            .header("X-Customer", t.tenant < 0 ? null : scenario.subjects().tenants().get(t.tenant).name())
+            .header("Cookie", t.about < 0 ? null : "k=key-" + t.about)
             .header("X-Second-Try", t.repeat && scenario.clients().marks() ? "1" : null)
             .header("Idempotency-Key", kind.effect() == Effect.KEYED ? Long.toHexString(t.key) : null);
         ByteBuffer bytes = safe ? request.noBody() : request.body("{\"lines\":[]}".getBytes(StandardCharsets.US_ASCII));
--- a/emulator/src/main/java/dewplank/emulator/loopback/SidecarFile.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/SidecarFile.java
@@ -13,7 +13,18 @@
 
     static JsonObject settings(Settings s) {
         JsonObject o = new JsonObject();
-        o.add("Accounts", new JsonArray());
+        JsonArray accounts = new JsonArray();
+        s.tenants().forEach(t -> {
+            JsonObject account = new JsonObject();
+            account.addProperty("Name", t.name());
+            account.addProperty("Share", t.share());
+            account.addProperty("AllowancePerS", t.allowancePerS());
+            accounts.add(account);
+        });
+        o.add("Accounts", accounts);
+        JsonObject family = new JsonObject();
+        family.addProperty("WarmKeys", s.warmKeys());
+        o.add("FamilyInfo", family);
         o.addProperty("Az", s.zone());
         o.addProperty("CountedBy", s.worthByWork() ? "work" : "request");
         o.addProperty("Me", s.me());
--- a/emulator/src/main/java/dewplank/emulator/virtualtime/EmulatedSidecar.java
+++ b/emulator/src/main/java/dewplank/emulator/virtualtime/EmulatedSidecar.java
@@ -147,7 +147,8 @@
                 return;
             }
             requests.put(t.id, new Open(t));
-            tell(new Arrived(t.id, null, null, t.repeat && scenario.clients().marks(),
+            String tenant = t.tenant < 0 ? null : scenario.subjects().tenants().get(t.tenant).name();
+            tell(new Arrived(t.id, tenant, t.about < 0 ? null : "key-" + t.about, t.repeat && scenario.clients().marks(),
                 scenario.classes().get(t.kind).name(), Math.max(1, t.until - world.now()), null));
         });
     }
@@ -228,6 +229,8 @@
             probe(world.byId.get(a.server()));
         } else if (action instanceof CloseIdle a) {
             closeIdle(world.byId.get(a.server()));
+        } else if (action instanceof TellPeers a) {
+            run.tellPeers(number, message(a.bytes()));
         }
     }
 
@@ -240,6 +243,17 @@
         }
     }
 
+    /** What it tells the others; overridden by sidecars that are broken on purpose. */
+    protected byte[] message(byte[] said) {
+        return said;
+    }
+
+    void hear(int peer, byte[] said) {
+        if (up) {
+            tell(new PeerSaid(peer, said));
+        }
+    }
+
     private void subscribe() {
         if (watch != null) {
             watch.close();
--- a/emulator/src/main/java/dewplank/emulator/virtualtime/VirtualRun.java
+++ b/emulator/src/main/java/dewplank/emulator/virtualtime/VirtualRun.java
@@ -110,6 +110,16 @@
         sidecars.get(request.sidecar).leave(request);
     }
 
+    /** To each other sidecar, late or not at all. */
+    void tellPeers(int from, byte[] said) {
+        for (EmulatedSidecar to : sidecars) {
+            double delay = to.number == from ? -1 : world.messageDelay();
+            if (delay >= 0) {
+                world.later(delay, () -> to.hear(from, said));
+            }
+        }
+    }
+
     /** The sidecar has something for its module; it is told at the next tick. */
     void wake(EmulatedSidecar sidecar) {
         awake.add(sidecar);
--- a/emulator/src/test/java/dewplank/emulator/ScenarioFileTest.java
+++ b/emulator/src/test/java/dewplank/emulator/ScenarioFileTest.java
@@ -29,7 +29,8 @@
         assertEquals("x.toml:6: key servers.count should be a number", fault(scenario("[servers]\ncount = \"many\"")));
         assertEquals("x.toml: key servers.count is missing", fault(scenario("")));
         assertEquals("x.toml:8: key fault[0].what should be one of crash, vanish, slow, neighbour, pause, deploy, class_errors, "
-            + "poison, lost_answers, resets, cut, loss, load, directory_down, directory_silent, sidecar_kill",
+            + "poison, lost_answers, resets, cut, loss, load, directory_down, directory_silent, sidecar_kill, zone_loss, errors, "
+            + "tenant_load",
             fault(scenario("servers = { count = 1 }\n[[fault]]\nat_s = 1\nwhat = \"fire\"")));
         assertTrue(fault("name = ").startsWith("x.toml:1: "));
     }
@@ -38,6 +39,12 @@
     public void aFaultMustNameAClassThatIsThere() {
         assertTrue(fault(scenario("servers = { count = 1 }\n[[fault]]\nat_s = 1\nwhat = \"poison\"\nclass = \"zz\""))
             .contains("names the class zz"));
+        assertTrue(fault(scenario("servers = { count = 1 }\n[[tenant]]\nname = \"a\"\nshare = 1\n[[fault]]\nat_s = 1\n"
+            + "what = \"tenant_load\"\ntenant = \"zz\"")).contains("names the tenant zz"));
+        assertTrue(fault(scenario("servers = { count = 1 }\n[[fault]]\nat_s = 1\nwhat = \"tenant_load\""))
+            .contains("key fault[0].tenant is missing"));
+        assertTrue(fault(scenario("servers = { count = 1 }\ntenant = [ { name = \"a\", share = 1 }, "
+            + "{ name = \"a\", share = 1 } ]")).contains("key tenant has one name twice"));
     }
 
     @Test
--- a/emulator/src/test/java/dewplank/emulator/ServerTest.java
+++ b/emulator/src/test/java/dewplank/emulator/ServerTest.java
@@ -17,10 +17,15 @@
     private final List<Double> times = new ArrayList<>();
 
     private World world(String more) {
+        return world(more, "", "");
+    }
+
+    private World world(String more, String ofClass, String top) {
         return new World(ScenarioFile.of(TomlFile.read("""
             name = "one"
             length_s = 1
             sidecars = 1
+            %s
             [servers]
             count = 1
             machine = [ { cores = 1, slots_per_core = 1000, queue_per_core = 0, %s } ]
@@ -30,7 +35,8 @@
             name = "k"
             work_ms = 100
             deadline_ms = 60000
-            """.formatted(more), "one.toml")), 7, time, notes::add);
+            %s
+            """.formatted(top, more, ofClass), "one.toml")), 7, time, notes::add);
     }
 
     private void offer(World world, long id, double work) {
@@ -115,6 +121,43 @@
         assertEquals(20, replies.size());
     }
 
+    /** Ten that wait on others take no longer than one: they hold slots, and no core once their work is done. */
+    @Test
+    public void waitingOnOthersTakesNoCore() {
+        World world = world("cold_s = 0", "waits_ms = 1000", "");
+        for (int i = 0; i < 10; i++) {
+            offer(world, i, 1);
+        }
+        time.runUntil(15);
+        assertEquals(10, world.servers.get(0).held());
+        offer(world, 11, 1);
+        time.runUntil(20);
+        assertEquals(0, world.servers.get(0).backlog(), 1e-6);
+        time.runUntil(60_000);
+        assertEquals(11, replies.size());
+        assertTrue("mean " + times, times.stream().mapToDouble(d -> d).average().orElse(0) > 300);
+    }
+
+    @Test
+    public void aKeyMetLatelySparesWorkUntilItIsForgotten() {
+        World world = world("cold_s = 0", "", "subjects = { keys = 5, spared = 0.5, fresh_s = 2, per_core = 1 }");
+        double first = alone(world, 1, 7);
+        assertEquals(first / 2, alone(world, 1, 7), 1e-6);
+        alone(world, 1, 8);   // the one key that it remembers
+        assertEquals(first, alone(world, 1, 7), 1e-6);
+        time.runUntil(time.now() + 2_100);
+        assertEquals(first, alone(world, 1, 7), 1e-6);
+    }
+
+    private double alone(World world, long id, int about) {
+        double at = world.now();
+        double[] took = new double[1];
+        world.servers.get(0).offer(new Try(id, 0, id, 100, 0, false, at, at + 60_000, null, -1, about), 0,
+            (reply, load) -> took[0] = world.now() - at);
+        time.runUntil(at + 1_000);
+        return took[0];
+    }
+
     @Test
     public void aPauseStopsTheWorkAndTheRestGoesOn() {
         World world = world("speed = 2");
--- a/lab/src/main/java/dewplank/lab/LiveTrial.java
+++ b/lab/src/main/java/dewplank/lab/LiveTrial.java
@@ -54,6 +54,9 @@
                 lines.accept("UNSOUND: the emulator itself ran late, by %.0f ms at the most; run it on quieter cores"
                     .formatted(outcome.latestMs()));
             }
+            if (scenario.messages().given()) {
+                lines.accept(outcome.messages() + " datagrams between sidecars, " + outcome.messagesLost() + " more were lost");
+            }
             return new Trial(trial.service, trial.auditor, new Cost(0, outcome.sends(), 0, outcome.handshakes(),
                 outcome.directoryCalls(), outcome.directoryLines(), 0), outcome.unsound(), null);
         }
--- a/lab/src/main/java/dewplank/lab/LossSplit.java
+++ b/lab/src/main/java/dewplank/lab/LossSplit.java
@@ -102,8 +102,8 @@
     }
 
     @Override
-    public void ended(int kind, double askedAt, double tookMs, int tries, What how) {
-        tally.ended(kind, askedAt, tookMs, tries, how);
+    public void ended(int kind, int tenant, double askedAt, double tookMs, int tries, What how) {
+        tally.ended(kind, tenant, askedAt, tookMs, tries, how);
         Scenario.Kind k = scenario.classes().get(kind);
         asked += k.worth();
         if (!(tookMs <= k.aimMs())) {
--- a/lab/src/main/java/dewplank/lab/Result.java
+++ b/lab/src/main/java/dewplank/lab/Result.java
@@ -14,7 +14,7 @@
 public record Result(String scenario, String parameters, String policy, long seed, Map<String, Double> figures) {
     public static final List<String> FIGURES = List.of("service", "worst_class", "worst_spell", "refused", "failed",
         "tries_each", "sends_each", "p50_ms", "p90_ms", "p99_ms", "requests", "violations", "probes", "handshakes",
-        "directory_calls", "directory_lines", "events", "unsound");
+        "directory_calls", "directory_lines", "events", "unsound", "worst_tenant");
     private static final int KEYS = 4;
 
     static String header() {
--- a/lab/src/main/java/dewplank/lab/Service.java
+++ b/lab/src/main/java/dewplank/lab/Service.java
@@ -47,15 +47,18 @@
 
     private final double startedAt;
     private final List<OfClass> classes = new ArrayList<>();
+    private final Scenario scenario;
+    private final List<double[][]> tenantSeconds = new ArrayList<>();   // by second and tenant: asked, in aim
     private final List<double[]> seconds = new ArrayList<>();   // worth asked, worth in aim, by the second asked in
 
     public Service(Scenario scenario, double startedAt) {
         this.startedAt = startedAt;
+        this.scenario = scenario;
         scenario.classes().forEach(k -> classes.add(new OfClass(k)));
     }
 
     @Override
-    public void ended(int kind, double askedAt, double tookMs, int tries, What last) {
+    public void ended(int kind, int tenant, double askedAt, double tookMs, int tries, What last) {
         double at = askedAt - startedAt;
         OfClass c = classes.get(kind);
         boolean inAim = tookMs <= c.kind.aimMs();
@@ -63,6 +66,13 @@
         while (seconds.size() <= second) {
             seconds.add(new double[2]);
         }
+        if (tenant >= 0) {
+            while (tenantSeconds.size() <= second) {
+                tenantSeconds.add(new double[scenario.subjects().tenants().size()][2]);
+            }
+            tenantSeconds.get(second)[tenant][0] += c.kind.worth();
+            tenantSeconds.get(second)[tenant][1] += inAim ? c.kind.worth() : 0;
+        }
         seconds.get(second)[0] += c.kind.worth();
         seconds.get(second)[1] += inAim ? c.kind.worth() : 0;
         if (at < FROM_MS) {
@@ -99,6 +109,29 @@
         return classes.stream().mapToDouble(OfClass::inAimShare).min().orElse(1);
     }
 
+    /**
+     * The service of the tenant served worst, within its share: what it asks for beyond its allowance in a second counts
+     * only by the worth that such requests have. 1 without tenants.
+     */
+    public double worstTenant() {
+        double worst = 1;
+        double meanWorth = asked() == 0 ? 1
+            : classes.stream().mapToDouble(c -> c.asked * c.kind.worth()).sum() / asked();
+        for (int t = 0; t < scenario.subjects().tenants().size(); t++) {
+            double allowed = scenario.allowancePerS(t) * meanWorth;
+            double asked = 0;
+            double got = 0;
+            for (double[][] second : tenantSeconds.subList(Math.min(1, tenantSeconds.size()), tenantSeconds.size())) {
+                double within = second[t][0] <= 0 ? 0 : Math.min(1, allowed / second[t][0]);
+                double counted = second[t][0] * (within + (1 - within) * scenario.subjects().overShareWorth());
+                asked += counted;
+                got += Math.min(counted, second[t][1]);   // what is served counts as what is within the share first
+            }
+            worst = asked > 0 ? Math.min(worst, got / asked) : worst;
+        }
+        return worst;
+    }
+
     /** The service of the worst ten seconds. */
     public double worstSpell() {
         double worst = 1;
--- a/lab/src/main/java/dewplank/lab/Trial.java
+++ b/lab/src/main/java/dewplank/lab/Trial.java
@@ -63,6 +63,7 @@
         f.put("directory_lines", (double) cost.directoryLines());
         f.put("events", (double) cost.events());
         f.put("unsound", unsound ? 1.0 : 0.0);
+        f.put("worst_tenant", service.worstTenant());
         return f;
     }
 }
