Let only servers heard from within a second tell that there is room

Nobody was refused too much: from 10 s on, in the burst, p50 rose to 670 and 1,620 ms and servers jammed.

Cause: Choice.onArrival took the least lateness over all fitting servers. A thin sidecar among a hundred hears of each of its two dozen servers every few seconds; what it has not heard of for long is predicted at the usual time, so the least of many is always short, in a jam too.

Change: the least is taken over servers that answered within the last second, and is the drawn one's where there is none.

--- a/decisions/src/main/java/saltfield/Choice.java
+++ b/decisions/src/main/java/saltfield/Choice.java
@@ -765,7 +765,8 @@
             s = fitting.stream().min(Comparator.comparingDouble(x -> risk(x, r))).orElse(s);
         }
         double late = queued(s, r);
-        feelPressure(fitting.stream().mapToDouble(x -> queued(x, r)).min().orElse(late));
+        feelPressure(fitting.stream().filter(x -> now - x.lastSample < RECENT_MS)   // room is told by answers
+            .mapToDouble(x -> queued(x, r)).min().orElse(late));
         double lasting = shortage * Math.exp((answeredAt - now) / SHORTAGE_TAU_MS);   // news fade
         if (shed(r, s) + lasting * Math.min(1, late / SHORTAGE_FROM) > rank) {
             giveUp(r);
