--- a/cli/src/test/java/dewplank/sidecar/VotesTest.java
+++ b/cli/src/test/java/dewplank/sidecar/VotesTest.java
@@ -206,7 +206,7 @@
         }
     }
 
-    /** Whether a block of requests of the quiet one's consumer met this server more often than trials would, one a second. */
+    /** Whether a block of requests of the quiet one's client met this server more often than trials would, one a second. */
     private boolean drawn(Client client, int server) throws IOException {
         int before = quietAt.get(server);
         long began = System.nanoTime();
--- a/sidecar/src/main/java/dewplank/sidecar/InvokerCall.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Attempt.java
@@ -15,12 +15,12 @@
 import saltfield.Balancer.Outcome;
 
 /** One exchange with a server: a connection, a request, an answer. It ends exactly once, with an outcome. */
-final class InvokerCall implements Connection.Handler {
+final class Attempt implements Connection.Handler {
     /** How it ended; {@code body} and {@code headers} are those of an answer that served, otherwise null. */
     record End(Outcome outcome, double tookMs, byte[] body, List<Headers.Field> headers, String loadReport) { }
 
     interface Ended {
-        void ended(InvokerCall call, End end);
+        void ended(Attempt call, End end);
     }
 
     private final EventLoop loop;
@@ -37,7 +37,7 @@
     private boolean written;
     private boolean over;
 
-    InvokerCall(EventLoop loop, InetSocketAddress to, ServerPool pool, ByteBuffer request, Ended whenEnded) {
+    Attempt(EventLoop loop, InetSocketAddress to, ServerPool pool, ByteBuffer request, Ended whenEnded) {
         this.loop = loop;
         this.to = to;
         this.pool = pool;
--- a/sidecar/src/main/java/dewplank/sidecar/HttpConsumer.java
+++ b/sidecar/src/main/java/dewplank/sidecar/ClientConnection.java
@@ -14,9 +14,9 @@
 import java.util.regex.Pattern;
 import saltfield.Balancer.Effect;
 
-/** A consumer's HTTP connection: requests in, one at a time, and their final answers out. */
-final class HttpConsumer implements Listener.Accepted, Invocation.Answerer {
-    private static final System.Logger LOG = System.getLogger(HttpConsumer.class.getName());
+/** A client's HTTP connection: requests in, one at a time, and their final answers out. */
+final class ClientConnection implements Listener.Accepted, Invocation.Answerer {
+    private static final System.Logger LOG = System.getLogger(ClientConnection.class.getName());
     private static final byte[] NOTHING = new byte[0];
     private static final Pattern MILLISECONDS = Pattern.compile("[0-9]{1,9}");
     private static final long MOST_MS = 3_600_000;
@@ -33,7 +33,7 @@
     private boolean answered;
     private double waitsSince;
 
-    HttpConsumer(Host host, Sidecar sidecar) {
+    ClientConnection(Host host, Sidecar sidecar) {
         this.host = host;
         this.sidecar = sidecar;
     }
@@ -62,7 +62,7 @@
             }
         } catch (BadMessageException e) {
             reject(e);
-        } catch (RuntimeException e) {   // whatever went wrong, the consumer gets its one answer
+        } catch (RuntimeException e) {   // whatever went wrong, the client gets its one answer
             LOG.log(System.Logger.Level.ERROR, "a request failed", e);
             if (invocation != null) {
                 host.abandon(invocation);
@@ -95,7 +95,7 @@
             throw new BadMessageException(400, "Idempotency-Key is missing");
         }
         List<Headers.Field> passedOn = h.endToEnd().stream()
-            .filter(f -> !f.name().equalsIgnoreCase(Host.EXPIRES)).toList();   // each invoker call has its own
+            .filter(f -> !f.name().equalsIgnoreCase(Host.EXPIRES)).toList();   // each attempt has its own
         Invocation.Call call = new Invocation.Call(id, parser.method(), parser.target(), passedOn, parser.takeBody());
         Subject subject = Subject.of(h, host.tenants());
         invocation = host.invoke(call, subject, requestClass, budget(h), "1".equals(h.get("X-Second-Try")), this);
--- a/sidecar/src/main/java/dewplank/sidecar/Host.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Host.java
@@ -29,7 +29,7 @@
 public final class Host {
     static final String EXPIRES = "X-Expires-In-Ms";
     private static final System.Logger LOG = System.getLogger(Host.class.getName());
-    /** What of a consumer's time is kept back: for the tick's rounding, and the answer's way to the consumer. */
+    /** What of a client's time is kept back: for the tick's rounding, and the answer's way to the client. */
     private static final double ANSWER_MARGIN_MS = 10;
     private static final double LAST_RESORT_MS = 10;
     private static final double PROBE_TIMEOUT_MS = 250;
@@ -71,11 +71,11 @@
     }
 
     static int mostServerConnections(SidecarConfig config) {
-        return config.sockets() - mostConsumers(config) - SPARE;
+        return config.sockets() - mostClients(config) - SPARE;
     }
 
-    /** Of the descriptors, consumers may hold half; the rest is for servers. */
-    static int mostConsumers(SidecarConfig config) {
+    /** Of the descriptors, clients may hold half; the rest is for servers. */
+    static int mostClients(SidecarConfig config) {
         return config.sockets() / 2;
     }
 
@@ -97,7 +97,7 @@
         return effects.get(requestClass);
     }
 
-    /** Whether a consumer's request with this id has no final answer yet. */
+    /** Whether a client's request with this id has no final answer yet. */
     boolean isOpen(String id) {
         return openIds.contains(id);
     }
@@ -217,14 +217,14 @@
         }
     }
 
-    /** Takes a consumer's request. */
+    /** Takes a client's request. */
     Invocation invoke(Invocation.Call call, Subject subject, String requestClass, double budgetMs, boolean repeat,
                       Invocation.Answerer answerer) {
         double budget = Math.max(1, Math.min(budgetMs, answerBy - loop.now()) - ANSWER_MARGIN_MS);
         Invocation invocation = new Invocation(nextInvocation++, call, loop.now() + budget, answerer);
         invocations.put(invocation.id, invocation);
         openIds.add(call.id());
-        // A guard: should the module ever leave a request unanswered, the consumer is told in time all the same.
+        // A guard: should the module ever leave a request unanswered, the client is told in time all the same.
         invocation.lastResort = loop.after(budget + LAST_RESORT_MS, () -> {
             LOG.log(System.Logger.Level.WARNING, "an invocation had no answer at its deadline");
             abandon(invocation);
@@ -234,7 +234,7 @@
         return invocation;
     }
 
-    /** The consumer has left, or can no longer be answered by the module. */
+    /** The client has left, or can no longer be answered by the module. */
     void abandon(Invocation invocation) {
         if (!invocation.over) {
             finish(invocation);
@@ -313,10 +313,10 @@
         invocation.out++;
         if (!roomForCall()) {   // a lack of this sidecar's own, which the module must not hold against the server
             invocation.calls.add(null);
-            ended(invocation, attempt, a.server(), new InvokerCall.End(Outcome.NEVER_SENT, 0, null, null, null));
+            ended(invocation, attempt, a.server(), new Attempt.End(Outcome.NEVER_SENT, 0, null, null, null));
             return;
         }
-        InvokerCall call = new InvokerCall(loop, to, pool(a.server()), request(invocation.call, to, timeout),
+        Attempt call = new Attempt(loop, to, pool(a.server()), request(invocation.call, to, timeout),
             (c, end) -> {
                 callsOut--;
                 ended(invocation, attempt, a.server(), end);
@@ -350,7 +350,7 @@
         return to.getAddress().getHostAddress() + ":" + to.getPort();
     }
 
-    private void ended(Invocation invocation, int attempt, String server, InvokerCall.End end) {
+    private void ended(Invocation invocation, int attempt, String server, Attempt.End end) {
         invocation.out--;
         boolean first = end.outcome() == Outcome.SERVED && !invocation.over;
         if (first) {
@@ -371,7 +371,7 @@
         callsOut++;
         boolean load = settings.reportsByProbe();
         ByteBuffer request = MessageWriter.request("GET", load ? "/_load" : "/ping", host(to)).noBody();
-        new InvokerCall(loop, to, pool(server), request, (c, end) -> {
+        new Attempt(loop, to, pool(server), request, (c, end) -> {
             callsOut--;
             boolean inBody = load && end.loadReport() == null && end.body() != null;
             String report = inBody ? new String(end.body(), StandardCharsets.US_ASCII) : end.loadReport();
--- a/sidecar/src/main/java/dewplank/sidecar/Invocation.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Invocation.java
@@ -5,11 +5,11 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** One request of a consumer, from its last byte to its final answer and the end of its last invoker call. */
+/** One request of a client, from its last byte to its final answer and the end of its last attempt. */
 final class Invocation {
-    /** The consumer's side, which sends the final answer in its own protocol. Called once. */
+    /** The client's side, which sends the final answer in its own protocol. Called once. */
     interface Answerer {
-        /** {@code headers}: those of the server's answer that are meant for the consumer. */
+        /** {@code headers}: those of the server's answer that are meant for the client. */
         void served(byte[] body, List<Headers.Field> headers);
 
         void refused(double retryInMs);
@@ -17,14 +17,14 @@
         void failed();
     }
 
-    /** What is passed on to a server, unchanged on every invoker call; {@code id} is the consumer's, among the headers. */
+    /** What is passed on to a server, unchanged on every attempt; {@code id} is the client's, among the headers. */
     record Call(String id, String method, String target, List<Headers.Field> headers, byte[] body) { }
 
     final long id;
     final Call call;
     final double deadline;
     final Answerer answerer;
-    final List<InvokerCall> calls = new ArrayList<>();
+    final List<Attempt> calls = new ArrayList<>();
     int out;
     boolean over;
     Wheel.Timer lastResort;
--- a/sidecar/src/main/java/dewplank/sidecar/Rehearsal.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Rehearsal.java
@@ -13,7 +13,7 @@
 import saltfield.Choice;
 
 /**
- * Runs the code of the common path before consumers come. Guards against the first seconds after a start, in which
+ * Runs the code of the common path before clients come. Guards against the first seconds after a start, in which
  * classes are loaded and compiled on part of a core while requests run out of time. It asks the sidecar's own
  * {@code /_health}, and drives a module that is thrown away; nobody else is sent anything.
  */
@@ -58,7 +58,7 @@
         decide();
         MessageWriter request = MessageWriter.request("POST", "/_health", "rehearsal").header("X-Trace-Id", "0")
             .header("X-Qos", "rehearsal").header(Host.EXPIRES, "1000");
-        new InvokerCall(loop, self, pool, request.body(new byte[] {'0'}), (call, end) -> next())
+        new Attempt(loop, self, pool, request.body(new byte[] {'0'}), (call, end) -> next())
             .start(MOST_MS, MOST_MS);
     }
 
--- a/sidecar/src/main/java/dewplank/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Sidecar.java
@@ -17,7 +17,7 @@
 import saltfield.Balancer;
 import saltfield.Choice;
 
-/** One real sidecar: its listener, its consumers and its host, from start to planned end. */
+/** One real sidecar: its listener, its clients and its host, from start to planned end. */
 public final class Sidecar {
     private static final System.Logger LOG = System.getLogger(Sidecar.class.getName());
     /** New connections keep coming for 0.4 s after SIGTERM. */
@@ -33,7 +33,7 @@
     private static final double SWEEP_MS = 50;
     /** How long a connection may wait for a whole request. */
     private static final double WHOLE_MS = 2_000;
-    /** There is room while consumers hold no more than this part of what they may. */
+    /** There is room while clients hold no more than this part of what they may. */
     static final int ROOMY_PART = 3;
     /** How long it may wait between requests while there is room. */
     private static final double ROOMY_IDLE_MS = 60_000;
@@ -45,8 +45,8 @@
     private final EventLoop loop;
     private final Host host;
     private final Listener listener;
-    private final int mostConsumers;
-    private final Set<HttpConsumer> consumers = new HashSet<>();
+    private final int mostClients;
+    private final Set<ClientConnection> clients = new HashSet<>();
     private final CountDownLatch drained = new CountDownLatch(1);
     private final CountDownLatch drainBegun = new CountDownLatch(1);
     private boolean draining;
@@ -61,13 +61,13 @@
         this.config = config;
         loop = new EventLoop();
         host = new Host(loop, config, balancer);
-        mostConsumers = Host.mostConsumers(config);
+        mostClients = Host.mostClients(config);
         listener = listen(config);
     }
 
     private Listener listen(SidecarConfig config) throws IOException {
         try {
-            return new Listener(loop, config.listen(), mostConsumers, () -> new HttpConsumer(host, this));
+            return new Listener(loop, config.listen(), mostClients, () -> new ClientConnection(host, this));
         } catch (IOException e) {
             loop.stop();
             throw new BadInput("configuration key listen: cannot listen on " + config.listen() + ": " + e.getMessage());
@@ -82,7 +82,7 @@
         });
     }
 
-    /** Runs the common path first; until that has ended, {@code /_health} says that no consumer should come yet. */
+    /** Runs the common path first; until that has ended, {@code /_health} says that no client should come yet. */
     public CompletableFuture<Void> rehearse() throws IOException {
         CompletableFuture<Void> done = new CompletableFuture<>();
         InetSocketAddress self = (InetSocketAddress) listener.address();
@@ -96,7 +96,7 @@
         return done;
     }
 
-    /** Whether consumers may come. */
+    /** Whether clients may come. */
     boolean ready() {
         return !rehearsing && host.canServe();
     }
@@ -120,7 +120,7 @@
 
     /**
      * Serves on as long as the platform surely lets it, then ends idle connections and waits for the rest. Guards
-     * against consumers that have nobody to ask: one that ended a second after SIGTERM was started again 2.3 s later.
+     * against clients that have nobody to ask: one that ended a second after SIGTERM was started again 2.3 s later.
      */
     public void drain() throws InterruptedException {
         Drain d = Drain.of(host.longestDeadlineMs(), host.shortestAimMs());
@@ -157,7 +157,7 @@
 
     /** Until then, or until there is nobody left to serve; nobody new comes any more. */
     private void serveOn(double until, double readOnMs) {
-        if (loop.now() < until && !consumers.isEmpty()) {
+        if (loop.now() < until && !clients.isEmpty()) {
             loop.after(LOOK_MS, () -> serveOn(until, readOnMs));
             return;
         }
@@ -174,8 +174,8 @@
 
     private void endWhenIdle(double readUntil) {
         boolean unread = loop.now() >= readUntil;
-        new ArrayList<>(consumers).forEach(c -> c.endIfIdle(unread));
-        if (consumers.isEmpty() && host.invocationsOpen() == 0) {
+        new ArrayList<>(clients).forEach(c -> c.endIfIdle(unread));
+        if (clients.isEmpty() && host.invocationsOpen() == 0) {
             host.close();
             LOG.log(System.Logger.Level.INFO, "drained");
             loop.after(LOOK_MS, drained::countDown);   // the last answers are on their way out
@@ -194,22 +194,22 @@
     }
 
     /**
-     * Whether another connection may be kept idle. Where not, each answer is the last on its connection: consumers
+     * Whether another connection may be kept idle. Where not, each answer is the last on its connection: clients
      * that ask once and keep theirs have a bound of their own, and reach it before the idle ones are old enough to end.
-     * A draining sidecar ends none: no new ones come, and the consumer leaves it once all that it has are busy.
+     * A draining sidecar ends none: no new ones come, and the client leaves it once all that it has are busy.
      */
     boolean roomy() {
-        return draining || consumers.size() <= mostConsumers / ROOMY_PART;
+        return draining || clients.size() <= mostClients / ROOMY_PART;
     }
 
     /**
-     * Consumers that forget their connections, say nothing or stop halfway through a request would use up the
+     * Clients that forget their connections, say nothing or stop halfway through a request would use up the
      * bound, and shut out those that have a request. Idle ones are let be while there is room.
      */
     void endWaiting(double now) {
         boolean full = listener.full();
         boolean roomy = roomy();
-        for (HttpConsumer c : new ArrayList<>(consumers)) {
+        for (ClientConnection c : new ArrayList<>(clients)) {
             double most = c.idle() && roomy ? ROOMY_IDLE_MS : c.silent() && full ? SILENT_MS : WHOLE_MS;
             if (!c.busy() && now - c.waitsSince() >= most) {
                 c.giveUp();
@@ -226,11 +226,11 @@
         return closing;
     }
 
-    void joined(HttpConsumer consumer) {
-        consumers.add(consumer);
+    void joined(ClientConnection client) {
+        clients.add(client);
     }
 
-    void left(HttpConsumer consumer) {
-        consumers.remove(consumer);
+    void left(ClientConnection client) {
+        clients.remove(client);
     }
 }
--- a/sidecar/src/test/java/dewplank/sidecar/SidecarTest.java
+++ b/sidecar/src/test/java/dewplank/sidecar/SidecarTest.java
@@ -114,9 +114,9 @@
         }
     }
 
-    /** A read stays pending on the consumer's side, and a cancelled call's connection is closed, not pooled. */
+    /** A read stays pending on the client's side, and a cancelled call's connection is closed, not pooled. */
     @Test
-    public void aConsumerThatLeavesEndsItsCall() throws Exception {
+    public void aClientThatLeavesEndsItsCall() throws Exception {
         try (Loopback net = new Loopback(1)) {
             Client client = net.client();
             client.ask("menu-read");
@@ -225,14 +225,14 @@
     }
 
     /**
-     * Found on the day of churn: consumers that asked once and kept their connections held all that may be open,
+     * Found on the day of churn: clients that asked once and kept their connections held all that may be open,
      * and no others were accepted. On the day of bad clients, silent ones and half requests did the same.
      */
     @Test
     public void connectionsThatAskNothingMakeRoom() throws Exception {
         try (Loopback net = new Loopback(1)) {
             List<Client> idle = new ArrayList<>();
-            for (int i = 0; i <= Host.mostConsumers(net.config) / Sidecar.ROOMY_PART; i++) {
+            for (int i = 0; i <= Host.mostClients(net.config) / Sidecar.ROOMY_PART; i++) {
                 idle.add(net.client());
                 idle.get(i).send("GET /_health HTTP/1.1\r\n\r\n");
                 assertStatus("200", idle.get(i).read());
@@ -254,7 +254,7 @@
         }
     }
 
-    /** Found on an incident: 128 consumers asked once and kept their connections, and could open no more. */
+    /** Found on an incident: 128 clients asked once and kept their connections, and could open no more. */
     @Test
     public void whereManyKeepConnectionsAnAnswerIsTheLastOnItsOwn() throws Exception {
         try (Loopback net = new Loopback(1)) {
@@ -267,7 +267,7 @@
         }
     }
 
-    /** Found at Sado: no new connections come then, and a consumer whose kept ones are all busy has nobody to ask. */
+    /** Found at Sado: no new connections come then, and a client whose kept ones are all busy has nobody to ask. */
     @Test
     public void aDrainingSidecarEndsNoConnectionForWantOfRoom() throws Exception {
         try (Loopback net = new Loopback(1)) {
@@ -289,7 +289,7 @@
 
     private static List<Client> asManyAsThereIsRoomFor(Loopback net) throws IOException {
         List<Client> kept = new ArrayList<>();
-        for (int i = 0; i < Host.mostConsumers(net.config) / Sidecar.ROOMY_PART; i++) {
+        for (int i = 0; i < Host.mostClients(net.config) / Sidecar.ROOMY_PART; i++) {
             Client one = net.client();
             one.send("GET /_health HTTP/1.1\r\n\r\n");
             String answer = one.read();
@@ -300,9 +300,9 @@
         return kept;
     }
 
-    /** Idle connections save their consumers the opening of new ones: they stay as long as there is room. */
+    /** Idle connections save their clients the opening of new ones: they stay as long as there is room. */
     @Test
-    public void anIdleConsumerStaysWhileThereIsRoom() throws Exception {
+    public void anIdleClientStaysWhileThereIsRoom() throws Exception {
         try (Loopback net = new Loopback(1)) {
             Client client = net.client();
             for (int i = 0; i < 2; i++) {
@@ -324,7 +324,7 @@
     public void silentConnectionsAtTheBoundMakeRoomSoon() throws Exception {
         try (Loopback net = new Loopback(1)) {
             List<Client> silent = new ArrayList<>();
-            for (int i = 0; i < Host.mostConsumers(net.config); i++) {
+            for (int i = 0; i < Host.mostClients(net.config); i++) {
                 silent.add(net.client());
             }
             Client late = net.client();
@@ -409,7 +409,7 @@
         }
     }
 
-    /** Consumers come once the sidecar is well: not before its code is warm. */
+    /** Clients come once the sidecar is well: not before its code is warm. */
     @Test
     public void untilItsRehearsalEndsTheSidecarIsNotReady() throws Exception {
         try (Loopback net = new Loopback(1)) {
@@ -430,7 +430,7 @@
         } while (!answer.startsWith("HTTP/1.1 " + status));
     }
 
-    /** At a planned restart consumers still come for a while. */
+    /** At a planned restart clients still come for a while. */
     @Test
     public void aDrainingSidecarServesThoseWhoStillCome() throws Exception {
         try (Loopback net = new Loopback(1)) {
