Write an attempt only while it may still be sent: window, drain, client, deadline

Send now carries how long the attempt may wait to be written; when its connection is up the host also asks whether the request is still open and its server not draining. So a client that left meanwhile is not sent on where cancelling is not allowed either, and a long connect does not outlive a drain's grace.

With it, what proves that nothing ran: the request's buffer once the connection is closed, not the write's completion, which waits in line after some twenty in one task and then comes after the break (the test shows a whole order taken for never sent). A time-out before the connection was up is now a refusal, not a failure, and an answer before the request's last byte is not taken for its answer.

--- a/decisions/src/main/java/saltfield/Balancer.java
+++ b/decisions/src/main/java/saltfield/Balancer.java
@@ -90,8 +90,16 @@
 
     sealed interface Action { }
 
-    /** {@code timeoutMs} 0: until the client gives up. A request's attempts count from 0 in order of sending. */
-    record Send(long request, String server, double timeoutMs) implements Action { }
+    /**
+     * {@code timeoutMs} 0: until the client gives up. A request's attempts count from 0 in order of sending.
+     * {@code writeWithinMs}: what is not written whole by then is not sent at all and ends as {@code CONNECT_FAILED}:
+     * the right to send again may end while a connection comes up. Infinite where nothing ends it.
+     */
+    record Send(long request, String server, double timeoutMs, double writeWithinMs) implements Action {
+        public Send(long request, String server, double timeoutMs) {
+            this(request, server, timeoutMs, Double.POSITIVE_INFINITY);
+        }
+    }
 
     record Cancel(long request, int attempt) implements Action { }
 
--- a/decisions/src/main/java/saltfield/Choice.java
+++ b/decisions/src/main/java/saltfield/Choice.java
@@ -9,15 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
-import saltfield.Memory.Account;
-import saltfield.Memory.Attempt;
-import saltfield.Memory.Kind;
-import saltfield.Memory.Rate;
-import saltfield.Memory.Request;
-import saltfield.Memory.Server;
-import saltfield.Memory.State;
-import saltfield.Memory.Window;
-import saltfield.Memory.Zone;
+import saltfield.Memory.*;
 
 /**
  * All decisions of one sidecar; the types, events and actions are those of {@link Balancer}.
@@ -542,6 +534,17 @@
         return sameGroup && now - a.sentAt <= c.memoryMs() - cfg.tickMs();
     }
 
+    /**
+     * How long an attempt may wait for its connection: servers drop a repeat only for so long after the first
+     * that may have run. Each keyed attempt is bound, since a copy sent later may be written before it.
+     */
+    private double writeWithin(Request r) {
+        RequestClass c = r.kind.rules;
+        double memory = c.effect() == Effect.KEYED ? c.memoryMs() - cfg.tickMs() : 0;
+        return r.attempts.stream().filter(a -> memory > 0 && a.state != State.NEVER_RAN)
+            .mapToDouble(a -> a.sentAt + memory - now).min().orElse(Double.POSITIVE_INFINITY);
+    }
+
     /** The one test before every refusal: a refusal promises that trying again is harmless. */
     private boolean mayRefuse(Request r) {
         RequestClass c = r.kind.rules;
@@ -561,7 +564,7 @@
         double overdueIn = overdueAfter(r, s);
         boolean timed = !cfg.limits().mayCancel() && !cfg.limits().secondCopies()
             && r.kind.rules.effect() != Effect.UNSAFE;
-        out.accept(new Send(r.id, s.id, timed ? overdueIn : 0));
+        out.accept(new Send(r.id, s.id, timed ? overdueIn : 0, writeWithin(r)));
         if (overdueIn < r.giveUp - now) {
             after(overdueIn, () -> onOverdue(a));
         }
--- a/decisions/src/test/java/saltfield/EffectTest.java
+++ b/decisions/src/test/java/saltfield/EffectTest.java
@@ -6,6 +6,7 @@
 import static saltfield.Host.sent;
 
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import saltfield.Balancer.*;
@@ -86,4 +87,17 @@
         }
         return of(actions, Fail.class).isEmpty() ? "nothing" : "fail";
     }
+
+    /** Its connection may take long to come up, and servers drop a repeat only for so long. */
+    @Test
+    void aKeyedRepeatIsWrittenWithinTheWindowOfTheFirst() {
+        Host.Setup setup = new Host.Setup();
+        setup.effect = Effect.KEYED;
+        Host h = Host.with(setup, 2);
+        Send first = sent(h.arrive("act"));
+        assertEquals(399, first.writeWithinMs());
+        h.now += 100;
+        assertEquals(299, sent(h.end(first, 0, Outcome.ERROR, 100, false)).writeWithinMs());
+        assertEquals(Double.POSITIVE_INFINITY, sent(h.arrive("read")).writeWithinMs());
+    }
 }
--- a/sidecar/src/main/java/dewplank/directory/Directory.java
+++ b/sidecar/src/main/java/dewplank/directory/Directory.java
@@ -28,6 +28,7 @@
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private long version;
     private final Set<String> up = new HashSet<>();
+    private final Set<String> draining = new HashSet<>();
     private Watch watch;
     private boolean watching;
 
@@ -70,6 +71,11 @@
         return addresses.get(server);
     }
 
+    /** Whether what was listed of the server lets it have new requests; a draining one wants none. */
+    public boolean takesRequests(String server) {
+        return addresses.containsKey(server) && !draining.contains(server);
+    }
+
     /** Whether the list names a server to send to. */
     public boolean anyUp() {
         return !up.isEmpty();
@@ -90,20 +96,26 @@
             up.clear();
             if (!usesGone) {
                 addresses.clear();
+                draining.clear();
             }
         }
         for (Listing.Member m : listing.members()) {
             String server = m.entry().server();
             if (m.entry().availability() == Availability.REMOVED && !usesGone) {
                 addresses.remove(server);   // servers come and go with ever new ids: they must not add up
+                draining.remove(server);
             } else {
                 addresses.put(server, m.address());
             }
             if (m.entry().availability() == Availability.UP) {
                 up.add(server);
+                draining.remove(server);
             } else {
                 up.remove(server);
             }
+            if (m.entry().availability() == Availability.DRAINING) {
+                draining.add(server);
+            }
         }
         news.accept(new ListNews(form, listing.entries()));
     }
--- a/sidecar/src/main/java/dewplank/sidecar/Attempt.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Attempt.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import saltfield.Balancer.Outcome;
 
 /** One exchange with a server: a connection, a request, an answer. It ends exactly once, with an outcome. */
@@ -27,6 +28,7 @@
     private final InetSocketAddress to;
     private final ServerPool pool;
     private final ByteBuffer request;
+    private final BooleanSupplier wanted;
     private final Ended whenEnded;
     private final ResponseParser parser = new ResponseParser(MessageParser.MAX_BODY);
     private final double started;
@@ -34,20 +36,29 @@
     private Connection.Connecting connecting;
     private Wheel.Timer timeout;
     private Wheel.Timer connectTimeout;
-    private boolean written;
+    private Wheel.Timer writeTimeout;
+    private double writeBy;
     private boolean over;
 
-    Attempt(EventLoop loop, InetSocketAddress to, ServerPool pool, ByteBuffer request, Ended whenEnded) {
+    /** {@code wanted} is asked when the connection has come up: whether the request may still be written to it. */
+    Attempt(EventLoop loop, InetSocketAddress to, ServerPool pool, ByteBuffer request, BooleanSupplier wanted,
+            Ended whenEnded) {
         this.loop = loop;
         this.to = to;
         this.pool = pool;
         this.request = request;
+        this.wanted = wanted;
         this.whenEnded = whenEnded;
         this.started = loop.now();
     }
 
-    void start(double timeoutMs, double connectTimeoutMs) {
+    /** What is not written whole {@code by} then is never sent; infinite: only the time-outs end it. */
+    void start(double timeoutMs, double connectTimeoutMs, double by) {
+        writeBy = by;
         timeout = loop.after(timeoutMs, () -> end(Outcome.TIMED_OUT));
+        if (by < started + timeoutMs) {
+            writeTimeout = loop.after(by - started, this::endUnlessWritten);
+        }
         Connection idle = pool.take(to);
         if (idle != null) {
             idle.setHandler(this);
@@ -66,7 +77,17 @@
         if (connectTimeout != null) {
             connectTimeout.cancel();
         }
-        up.write(request, () -> written = true);
+        if (loop.now() > writeBy || !wanted.getAsBoolean()) {   // the wait has outlived the right to send
+            end(Outcome.CONNECT_FAILED);
+            return;
+        }
+        up.write(request, () -> { });
+    }
+
+    private void endUnlessWritten() {
+        if (request.hasRemaining()) {
+            end(Outcome.RESET);
+        }
     }
 
     @Override
@@ -80,13 +101,12 @@
         }
     }
 
-    /** A break before the request's last byte was written proves that it never ran; after it, nothing is proven. */
     @Override
     public void closed(IOException why) {
         if (why == null && parser.endOfInput()) {
             answered(false);
         } else {
-            end(written ? Outcome.RESET : Outcome.CONNECT_FAILED);
+            end(Outcome.RESET);
         }
     }
 
@@ -96,7 +116,7 @@
             case 503, 504 -> "1".equals(parser.headers().get("X-Never-Ran")) ? Outcome.FULL : Outcome.ERROR;
             default -> Outcome.ERROR;
         };
-        if (reusable && written && !over) {
+        if (reusable && !request.hasRemaining() && !over) {
             pool.put(connection, to);
             connection = null;
         }
@@ -121,13 +141,27 @@
         if (connectTimeout != null) {
             connectTimeout.cancel();
         }
+        if (writeTimeout != null) {
+            writeTimeout.cancel();
+        }
         if (connection != null) {
             connection.close();
         } else if (connecting != null) {
             connecting.cancel();
         }
-        boolean served = outcome == Outcome.SERVED;
-        whenEnded.ended(this, new End(outcome, loop.now() - started, served ? parser.takeBody() : null,
+        Outcome proven = proven(outcome);
+        boolean served = proven == Outcome.SERVED;
+        whenEnded.ended(this, new End(proven, loop.now() - started, served ? parser.takeBody() : null,
             served ? parser.headers().endToEnd() : null, parser.headers().get("Endpoint-Load-Metrics")));
     }
+
+    /**
+     * A request whose last byte was never handed to the system has not run, whatever came meanwhile; with it handed
+     * over, nothing is proven. The buffer tells, not the write's completion, which may come after the break's. Its
+     * position is final, and visible here, once the connection is closed: closing waits for a write in progress.
+     */
+    private Outcome proven(Outcome outcome) {
+        boolean unproven = outcome != Outcome.FULL && outcome != Outcome.CANCELLED;
+        return unproven && request.hasRemaining() ? Outcome.CONNECT_FAILED : outcome;
+    }
 }
--- a/sidecar/src/main/java/dewplank/sidecar/Host.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Host.java
@@ -53,8 +53,9 @@
     private final Deque<Event> events = new ArrayDeque<>();
     private boolean telling;
     private long nextInvocation = 1;
-    private int callsOut;
+    private int attemptsOut;
     private double boundLogged;
+    private double handledAt;
     private double answerBy = Double.POSITIVE_INFINITY;
 
     Host(EventLoop loop, SidecarConfig config, Balancer balancer) {
@@ -194,7 +195,8 @@
     private void handle(Event event) {
         List<Action> actions = new ArrayList<>();
         try {
-            balancer.handle(loop.now(), event, actions::add);
+            handledAt = loop.now();
+            balancer.handle(handledAt, event, actions::add);
         } catch (RuntimeException e) {
             LOG.log(System.Logger.Level.ERROR, "the module failed on " + event.getClass().getSimpleName(), e);
             failInvocationOf(event);
@@ -262,9 +264,9 @@
             send(a);
         } else if (action instanceof Cancel a) {
             Invocation invocation = invocations.get(a.request());
-            if (invocation != null && a.attempt() < invocation.calls.size()
-                    && invocation.calls.get(a.attempt()) != null) {
-                invocation.calls.get(a.attempt()).cancel();
+            if (invocation != null && a.attempt() < invocation.attempts.size()
+                    && invocation.attempts.get(a.attempt()) != null) {
+                invocation.attempts.get(a.attempt()).cancel();
             }
         } else if (action instanceof Refuse a) {
             Invocation invocation = invocations.get(a.request());
@@ -301,35 +303,35 @@
             tell(new Ended(a.request(), 0, a.server(), Outcome.NEVER_SENT, 0, true, null));
             return;
         }
-        int attempt = invocation.calls.size();
+        int attempt = invocation.attempts.size();
         InetSocketAddress to = directory.address(a.server());
         double left = invocation.deadline - loop.now();
         if (invocation.over || to == null || left <= 0 || a.timeoutMs() < 0) {
-            invocation.calls.add(null);
+            invocation.attempts.add(null);
             tell(new Ended(a.request(), attempt, a.server(), Outcome.NEVER_SENT, 0, invocation.over, null));
             return;
         }
         double timeout = a.timeoutMs() == 0 ? left : Math.min(a.timeoutMs(), left);
         invocation.out++;
-        if (!roomForCall()) {   // a lack of this sidecar's own, which the module must not hold against the server
-            invocation.calls.add(null);
+        if (!roomForAttempt()) {   // a lack of this sidecar's own, which the module must not hold against the server
+            invocation.attempts.add(null);
             ended(invocation, attempt, a.server(), new Attempt.End(Outcome.NEVER_SENT, 0, null, null, null));
             return;
         }
-        Attempt call = new Attempt(loop, to, pool(a.server()), request(invocation.call, to, timeout),
-            (c, end) -> {
-                callsOut--;
+        Attempt sent = new Attempt(loop, to, pool(a.server()), request(invocation.call, to, timeout),
+            () -> !invocation.over && directory.takesRequests(a.server()), (x, end) -> {
+                attemptsOut--;
                 ended(invocation, attempt, a.server(), end);
             });
-        invocation.calls.add(call);
-        callsOut++;
-        call.start(timeout, settings.limits().connectTimeoutMs());
+        invocation.attempts.add(sent);
+        attemptsOut++;
+        sent.start(timeout, settings.limits().connectTimeoutMs(), handledAt + a.writeWithinMs());
     }
 
     /** Connections are bounded, lest descriptors run out: the longest idle make room. */
-    private boolean roomForCall() {
+    private boolean roomForAttempt() {
         int idle = pools.values().stream().mapToInt(ServerPool::size).sum();
-        if (callsOut + idle < mostServerConnections) {
+        if (attemptsOut + idle < mostServerConnections) {
             return true;
         }
         if (loop.now() - boundLogged > BOUND_LOG_MS) {   // a line per call would only add to the trouble
@@ -364,20 +366,20 @@
 
     private void probe(String server) {
         InetSocketAddress to = directory.address(server);
-        if (to == null || !roomForCall()) {
+        if (to == null || !roomForAttempt()) {
             tell(new Probed(server, false, 0, null));
             return;
         }
-        callsOut++;
+        attemptsOut++;
         boolean load = settings.reportsByProbe();
         ByteBuffer request = MessageWriter.request("GET", load ? "/_load" : "/ping", host(to)).noBody();
-        new Attempt(loop, to, pool(server), request, (c, end) -> {
-            callsOut--;
+        new Attempt(loop, to, pool(server), request, () -> true, (x, end) -> {
+            attemptsOut--;
             boolean inBody = load && end.loadReport() == null && end.body() != null;
             String report = inBody ? new String(end.body(), StandardCharsets.US_ASCII) : end.loadReport();
             tell(new Probed(server, end.outcome() == Outcome.SERVED, end.tookMs(),
                 LoadReport.parse(report, settings.reportFields())));
-        }).start(PROBE_TIMEOUT_MS, settings.limits().connectTimeoutMs());
+        }).start(PROBE_TIMEOUT_MS, settings.limits().connectTimeoutMs(), Double.POSITIVE_INFINITY);
     }
 
     /** Idle connections go before the server closes them: a request that crossed that close would be reset. */
--- a/sidecar/src/main/java/dewplank/sidecar/Invocation.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Invocation.java
@@ -24,7 +24,7 @@
     final Call call;
     final double deadline;
     final Answerer answerer;
-    final List<Attempt> calls = new ArrayList<>();
+    final List<Attempt> attempts = new ArrayList<>();
     int out;
     boolean over;
     Wheel.Timer lastResort;
--- a/sidecar/src/main/java/dewplank/sidecar/Rehearsal.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Rehearsal.java
@@ -58,8 +58,8 @@
         decide();
         MessageWriter request = MessageWriter.request("POST", "/_health", "rehearsal").header("X-Trace-Id", "0")
             .header("X-Qos", "rehearsal").header(Host.EXPIRES, "1000");
-        new Attempt(loop, self, pool, request.body(new byte[] {'0'}), (call, end) -> next())
-            .start(MOST_MS, MOST_MS);
+        new Attempt(loop, self, pool, request.body(new byte[] {'0'}), () -> true, (attempt, end) -> next())
+            .start(MOST_MS, MOST_MS, Double.POSITIVE_INFINITY);
     }
 
     /** One request of each class, served at once. */
--- a/sidecar/src/main/java/dewplank/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Sidecar.java
@@ -221,6 +221,10 @@
         return loop;
     }
 
+    int invocationsOpen() {
+        return host.invocationsOpen();
+    }
+
     /** Whether each answer is the last on its connection, as the sidecar is about to end. */
     boolean closing() {
         return closing;
--- /dev/null
+++ b/sidecar/src/test/java/dewplank/sidecar/Gate.java
@@ -0,0 +1,59 @@
+package dewplank.sidecar;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
+import saltfield.Balancer;
+import saltfield.Balancer.Event;
+
+/** Round the module: a test passes it once the module has handled an event of some kind. */
+final class Gate implements UnaryOperator<Balancer> {
+    private static final int PATIENCE_S = 20;
+
+    private final Predicate<Event> kind;
+    private final CountDownLatch handled = new CountDownLatch(1);
+
+    Gate(Predicate<Event> kind) {
+        this.kind = kind;
+    }
+
+    @Override
+    public Balancer apply(Balancer module) {
+        return (now, event, out) -> {
+            module.handle(now, event, out);
+            if (kind.test(event)) {
+                handled.countDown();
+            }
+        };
+    }
+
+    void await() throws InterruptedException {
+        if (!handled.await(PATIENCE_S, TimeUnit.SECONDS)) {
+            throw new AssertionError("the event never came");
+        }
+    }
+
+    /** Until the sidecar has taken a request. */
+    static void awaitTaken(Loopback net) throws Exception {
+        while (onLoop(net, () -> net.sidecar.invocationsOpen()) == 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    static <T> T onLoop(Loopback net, java.util.concurrent.Callable<T> task) throws Exception {
+        FutureTask<T> done = new FutureTask<>(task);
+        net.sidecar.loop().execute(done);
+        return done.get();
+    }
+
+    static void awaitHealth(Loopback.Client client, String status) throws IOException {
+        String answer;
+        do {
+            client.send("GET /_health HTTP/1.1\r\n\r\n");
+            answer = client.read();
+        } while (!answer.startsWith("HTTP/1.1 " + status));
+    }
+}
--- a/sidecar/src/test/java/dewplank/sidecar/Loopback.java
+++ b/sidecar/src/test/java/dewplank/sidecar/Loopback.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -182,13 +183,21 @@
 
     /** A scripted server or directory: takes connections and requests; the test answers them. */
     static final class Peer implements Closeable {
-        private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final ServerSocket listener;
         private final BlockingQueue<Exchange> requests = new LinkedBlockingQueue<>();
-
+        private final CountDownLatch open = new CountDownLatch(1);
+        private final List<Socket> crowd = new ArrayList<>();
         private final Thread accepting;
 
         Peer() throws IOException {
+            this(50);
+            open.countDown();
+        }
+
+        private Peer(int backlog) throws IOException {
+            listener = new ServerSocket(0, backlog, InetAddress.getLoopbackAddress());
             accepting = background(() -> {
+                open.await();
                 while (true) {
                     End end = new End(listener.accept());
                     background(() -> {
@@ -202,6 +211,22 @@
             });
         }
 
+        /** Connections to it come up late: not before {@link #letIn}, and then at the system's next try. */
+        static Peer late() throws IOException {
+            Peer late = new Peer(1);
+            for (int i = 0; i < 2; i++) {   // the system's queue, which holds one more than asked for
+                late.crowd.add(new Socket(InetAddress.getLoopbackAddress(), late.listener.getLocalPort()));
+            }
+            return late;
+        }
+
+        void letIn() throws IOException {
+            for (Socket s : crowd) {
+                s.close();
+            }
+            open.countDown();
+        }
+
         InetSocketAddress address() {
             return (InetSocketAddress) listener.getLocalSocketAddress();
         }
@@ -212,6 +237,15 @@
                 + "\",\"weight\":1.0,\"started_ms\":0}";
         }
 
+        /** The next request, past the ends of connections that brought none. */
+        Exchange nextRequest() throws InterruptedException {
+            Exchange exchange = next();
+            while (exchange.message() == null) {
+                exchange = next();
+            }
+            return exchange;
+        }
+
         Exchange next() throws InterruptedException {
             Exchange exchange = requests.poll(PATIENCE_S, TimeUnit.SECONDS);
             assertNotNull("no request came", exchange);
@@ -222,6 +256,7 @@
         @Override
         public void close() throws IOException {
             listener.close();
+            open.countDown();
             try {
                 accepting.join();
             } catch (InterruptedException e) {
--- /dev/null
+++ b/sidecar/src/test/java/dewplank/sidecar/SendingTest.java
@@ -0,0 +1,194 @@
+package dewplank.sidecar;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertTrue;
+
+import dewplank.net.Connection;
+import dewplank.net.EventLoop;
+import dewplank.sidecar.Loopback.Client;
+import dewplank.sidecar.Loopback.Exchange;
+import dewplank.sidecar.Loopback.Peer;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.UnaryOperator;
+import org.junit.Test;
+import saltfield.Balancer.Abandoned;
+import saltfield.Balancer.Ended;
+import saltfield.Balancer.ListNews;
+import saltfield.Balancer.Outcome;
+
+/** What may change between the decision to send and the writing: each crossing in the order that does harm. */
+public class SendingTest {
+    private static final UnaryOperator<String> NO_CONNECT_TIMEOUT =
+        s -> s.replace("\"ConnectTimeout\":2000", "\"ConnectTimeout\":0");
+
+    /** Found on a zone day: a connection took long to come up, and the repeat was written past the window. */
+    @Test
+    public void aRepeatIsNotWrittenOnceItsWindowIsOver() throws Exception {
+        Gate listed = new Gate(e -> e instanceof ListNews news && !news.entries().isEmpty()
+            && news.entries().get(0).server().equals("late"));
+        UnaryOperator<String> keyed = s -> NO_CONNECT_TIMEOUT.apply(s).replace("\"Idempotency\":\"non_idempotent\"",
+            "\"Idempotency\":\"idempotency_key\",\"KeyScope\":\"all\",\"KeyTtl\":300");
+        Gate reset = new Gate(e -> e instanceof Ended);
+        try (Loopback net = new Loopback(1, keyed, m -> reset.apply(listed.apply(m))); Peer late = Peer.late()) {
+            Exchange watch = net.directory.next();
+            watch.beginWatch();
+            Client client = net.client();
+            client.send(Client.request("order-place", "Idempotency-Key: k\r\n"));
+            Exchange first = net.servers.get(0).next();
+            watch.line(Loopback.list(8, false, List.of(late.entry("late", "active"))));
+            listed.await();
+            first.reset();   // it may have run: the repeat goes to the other server, whose connection is not up yet
+            reset.await();
+            Gate.onLoop(net, () -> null);   // by now it is asked for
+            late.letIn();
+            assertStatus("503", client.read());
+            assertNothingCame(late);
+        }
+    }
+
+    /** The time that it may take to come up can be longer than the grace after a drain was told. */
+    @Test
+    public void aServerThatDrainsWhileItsConnectionComesUpGetsNothing() throws Exception {
+        try (Loopback net = new Loopback(0, NO_CONNECT_TIMEOUT, m -> m); Peer late = Peer.late()) {
+            Exchange watch = listOf(net, late);
+            Client client = net.client();
+            Gate.awaitHealth(client, "200");
+            Client order = net.client();
+            order.ask("order-place");
+            Gate.awaitTaken(net);
+            watch.line(Loopback.list(9, false, List.of(late.entry("late", "leaving"))));
+            Gate.awaitHealth(client, "503");
+            late.letIn();
+            assertStatus("503", order.read());
+            assertItsConnectionEndsUnused(late);
+        }
+    }
+
+    /** Where nothing may be cancelled as well: what was never written is not an attempt yet. */
+    @Test
+    public void aClientThatLeavesWhileTheConnectionComesUpIsNotSentOn() throws Exception {
+        Gate abandoned = new Gate(e -> e instanceof Abandoned);
+        UnaryOperator<String> fixed = s -> NO_CONNECT_TIMEOUT.apply(s)
+            .replace("\"Cancelling\":true", "\"Cancelling\":false");
+        try (Loopback net = new Loopback(0, fixed, abandoned); Peer late = Peer.late()) {
+            listOf(net, late);
+            Gate.awaitHealth(net.client(), "200");
+            Client client = net.client();
+            client.ask("order-place");
+            Gate.awaitTaken(net);
+            client.socket.close();
+            abandoned.await();
+            late.letIn();
+            assertItsConnectionEndsUnused(late);
+        }
+    }
+
+    /** Nothing was written, so nothing ran: the client may try again, and an order too. */
+    @Test
+    public void aTimeOutBeforeTheConnectionIsUpIsARefusal() throws Exception {
+        try (Loopback net = new Loopback(0, NO_CONNECT_TIMEOUT, m -> m); Peer late = Peer.late()) {
+            listOf(net, late);
+            Gate.awaitHealth(net.client(), "200");
+            Client client = net.client();
+            client.send(Client.request("order-place", "").replace("5000", "300"));
+            assertStatus("503", client.read());
+        }
+    }
+
+    /**
+     * The system has the whole request when the break is told, and only the write's completion is still to come: so it
+     * is after some twenty completions in one task, from where on they wait in line.
+     */
+    @Test
+    public void aBreakToldBeforeTheWritesCompletionProvesNothing() throws Exception {
+        BlockingQueue<Outcome> ends = new LinkedBlockingQueue<>();
+        EventLoop loop = new EventLoop();
+        try (Peer server = new Peer()) {
+            ServerPool pool = new ServerPool(loop);
+            CompletableFuture<Connection> other = new CompletableFuture<>();
+            loop.execute(() -> Connection.open(loop, server.address(), new Ignored(), other::complete, e -> { }));
+            Connection many = other.get();
+            loop.execute(() -> Connection.open(loop, server.address(), new Ignored(), up -> {
+                for (int i = 0; i < 20; i++) {
+                    many.write(ByteBuffer.wrap(new byte[] {'x'}), () -> { });
+                }
+                pool.put(up, server.address());
+                Attempt attempt = attempt(loop, server, pool, "GET /x HTTP/1.1\r\n\r\n", ends);
+                attempt.start(5_000, 0, Double.POSITIVE_INFINITY);
+                up.close();
+                attempt.closed(null);
+            }, e -> { }));
+            assertEquals(Outcome.RESET, ends.take());
+            assertTrue(server.next().message().startsWith("GET /x "));
+        } finally {
+            loop.stop();
+        }
+    }
+
+    /** A server begins a request with its last byte: what it says before that answers something else. */
+    @Test
+    public void anAnswerBeforeTheRequestIsWholeIsNotItsAnswer() throws Exception {
+        BlockingQueue<Outcome> ends = new LinkedBlockingQueue<>();
+        EventLoop loop = new EventLoop();
+        try (Peer server = new Peer()) {
+            String more = "x".repeat(32 << 20);   // beyond all that the system holds for a peer that does not read
+            loop.execute(() -> attempt(loop, server, new ServerPool(loop), "GET /x HTTP/1.1\r\n\r\n" + more, ends)
+                .start(5_000, 0, Double.POSITIVE_INFINITY));
+            server.next().answer("200 OK", "another's");
+            assertEquals(Outcome.CONNECT_FAILED, ends.take());
+        } finally {
+            loop.stop();
+        }
+    }
+
+    private static Attempt attempt(EventLoop loop, Peer server, ServerPool pool, String request,
+                                   BlockingQueue<Outcome> ends) {
+        return new Attempt(loop, server.address(), pool, ByteBuffer.wrap(request.getBytes(StandardCharsets.US_ASCII)),
+            () -> true, (a, end) -> ends.add(end.outcome()));
+    }
+
+    private static Exchange listOf(Loopback net, Peer late) throws Exception {
+        Exchange watch = net.directory.next();
+        watch.beginWatch();
+        watch.line(Loopback.list(8, false, List.of(late.entry("late", "active"))));
+        return watch;
+    }
+
+    /** The crowd's two connections end, and the sidecar's: none brings a request. */
+    private static void assertItsConnectionEndsUnused(Peer late) throws Exception {
+        for (int i = 0; i < 3; i++) {
+            assertNull(late.next().message());
+        }
+    }
+
+    /** The connection was given up before it came up: a mark set now would come after a request on it. */
+    private static void assertNothingCame(Peer late) throws Exception {
+        try (Socket mark = new Socket(late.address().getAddress(), late.address().getPort())) {
+            mark.getOutputStream().write("GET /mark HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            String first = late.nextRequest().message();
+            assertTrue(first, first.startsWith("GET /mark "));
+        }
+    }
+
+    private static void assertStatus(String status, String answer) {
+        assertEquals(answer, "HTTP/1.1 " + status, answer.substring(0, Math.min(12, answer.length())));
+    }
+
+    private static final class Ignored implements Connection.Handler {
+        @Override
+        public void received(ByteBuffer bytes) {
+            bytes.position(bytes.limit());
+        }
+
+        @Override
+        public void closed(IOException why) { }
+    }
+}
