Let a server connection rest 10 ms between requests, and use none that its server may close

Two stories, seen to fail without either line. aServerConnectionCarriesOneRequestAfterAnother now waits for the rest before it asks again, and demands the same connection as before.

--- a/sidecar/src/main/java/dewplank/sidecar/Host.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Host.java
@@ -295,7 +295,9 @@
     }
 
     private ServerPool pool(String server) {
-        return pools.computeIfAbsent(server, id -> new ServerPool(loop));
+        double limit = settings.limits().idleCloseMs();
+        double most = limit > 0 ? IDLE_SHARE * limit : Double.POSITIVE_INFINITY;
+        return pools.computeIfAbsent(server, id -> new ServerPool(loop, ServerPool.REST_MS, most));
     }
 
     private void send(Send a) {
@@ -385,10 +387,7 @@
 
     /** Idle connections go before the server closes them: a request that crossed that close would be reset. */
     private void sweep() {
-        if (settings.limits().idleCloseMs() > 0) {
-            double before = loop.now() - IDLE_SHARE * settings.limits().idleCloseMs();
-            pools.values().forEach(p -> p.closeIdleBefore(before));
-        }
+        pools.values().forEach(ServerPool::closeOld);
         loop.after(SWEEP_MS, this::sweep);
     }
 }
--- a/sidecar/src/main/java/dewplank/sidecar/Rehearsal.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Rehearsal.java
@@ -37,7 +37,7 @@
         this.self = self;
         this.settings = settings;
         this.whenDone = whenDone;
-        this.pool = new ServerPool(loop);
+        this.pool = new ServerPool(loop, 0, Double.POSITIVE_INFINITY);
         this.until = loop.now() + MOST_MS;
         this.module = new Choice(settings, new SplittableRandom(1));
     }
--- a/sidecar/src/main/java/dewplank/sidecar/ServerPool.java
+++ b/sidecar/src/main/java/dewplank/sidecar/ServerPool.java
@@ -11,28 +11,49 @@
 
 /** The idle connections to one server, the last used on top. */
 final class ServerPool {
+    /**
+     * A connection rests so long before its next request: a second answer to the last one, which some servers send,
+     * would else be taken for the next one's. Seen 1 to 8 ms after the first.
+     */
+    static final double REST_MS = 10;
+
     private record Idle(Connection connection, InetSocketAddress to, double since) { }
 
     private final EventLoop loop;
+    private final double restMs;
+    private final double mostIdleMs;
     private final Deque<Idle> idle = new ArrayDeque<>();
     private boolean closed;
 
-    ServerPool(EventLoop loop) {
+    /** A connection is used again that has been idle for so long at the least and at the most. */
+    ServerPool(EventLoop loop, double restMs, double mostIdleMs) {
         this.loop = loop;
+        this.restMs = restMs;
+        this.mostIdleMs = mostIdleMs;
     }
 
     /** An idle connection to that address, or null. Those to an address that the server has left are closed. */
     Connection take(InetSocketAddress to) {
-        while (!idle.isEmpty()) {
-            Idle top = idle.removeLast();
-            if (!top.connection().isClosed() && top.to().equals(to)) {
-                return top.connection();
+        closeOld();
+        double restedSince = loop.now() - restMs;
+        for (Iterator<Idle> i = idle.descendingIterator(); i.hasNext();) {
+            Idle entry = i.next();
+            if (entry.connection().isClosed() || !entry.to().equals(to)) {
+                i.remove();
+                entry.connection().close();
+            } else if (entry.since() <= restedSince) {
+                i.remove();
+                return entry.connection();
             }
-            top.connection().close();
         }
         return null;
     }
 
+    /** Guards against a request that crosses the server's own close, and ends as a reset. */
+    void closeOld() {
+        closeIdleBefore(loop.now() - mostIdleMs);
+    }
+
     /** The server has left: what is idle ends, and so does a connection whose last call ends later. */
     void close() {
         closed = true;
@@ -66,12 +87,8 @@
     }
 
     void closeIdleBefore(double time) {
-        for (Iterator<Idle> i = idle.iterator(); i.hasNext();) {
-            Idle entry = i.next();
-            if (entry.since() <= time) {
-                i.remove();
-                entry.connection().close();
-            }
+        while (!idle.isEmpty() && idle.peekFirst().since() <= time) {
+            closeOldest();
         }
     }
 
--- a/sidecar/src/test/java/dewplank/sidecar/Gate.java
+++ b/sidecar/src/test/java/dewplank/sidecar/Gate.java
@@ -61,4 +61,11 @@
             answer = client.read();
         } while (!answer.startsWith("HTTP/1.1 " + status));
     }
+
+    /** Until the connections to servers that are idle now may be used again. */
+    static void awaitRest(Loopback net) throws Exception {
+        CountDownLatch rested = new CountDownLatch(1);
+        onLoop(net, () -> net.sidecar.loop().after(ServerPool.REST_MS, rested::countDown));
+        rested.await();
+    }
 }
--- a/sidecar/src/test/java/dewplank/sidecar/SendingTest.java
+++ b/sidecar/src/test/java/dewplank/sidecar/SendingTest.java
@@ -1,7 +1,9 @@
 package dewplank.sidecar;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNotSame;
 import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertSame;
 import static org.junit.Assert.assertTrue;
 
 import dewplank.net.Connection;
@@ -16,7 +18,9 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import org.junit.Test;
 import saltfield.Balancer.Abandoned;
@@ -112,7 +116,7 @@
         BlockingQueue<Outcome> ends = new LinkedBlockingQueue<>();
         EventLoop loop = new EventLoop();
         try (Peer server = new Peer()) {
-            ServerPool pool = new ServerPool(loop);
+            ServerPool pool = new ServerPool(loop, 0, Double.POSITIVE_INFINITY);
             CompletableFuture<Connection> other = new CompletableFuture<>();
             loop.execute(() -> Connection.open(loop, server.address(), new Ignored(), other::complete, e -> { }));
             Connection many = other.get();
@@ -140,7 +144,7 @@
         EventLoop loop = new EventLoop();
         try (Peer server = new Peer()) {
             String more = "x".repeat(32 << 20);   // beyond all that the system holds for a peer that does not read
-            loop.execute(() -> attempt(loop, server, new ServerPool(loop), "GET /x HTTP/1.1\r\n\r\n" + more, ends)
+            loop.execute(() -> attempt(loop, server, new ServerPool(loop, 0, Double.POSITIVE_INFINITY), "GET /x HTTP/1.1\r\n\r\n" + more, ends)
                 .start(5_000, 0, Double.POSITIVE_INFINITY));
             server.next().answer("200 OK", "another's");
             assertEquals(Outcome.CONNECT_FAILED, ends.take());
@@ -149,6 +153,55 @@
         }
     }
 
+    /** Between two sweeps a connection may get older than the server lets it: it is not used again. */
+    @Test
+    public void aConnectionThatTheServerIsAboutToCloseIsNotUsed() throws Exception {
+        try (Loopback net = new Loopback(1, s -> s.replace("\"IdleClose\":60000", "\"IdleClose\":50"), m -> m)) {
+            Client client = net.client();
+            client.ask("menu-read");
+            Exchange first = net.servers.get(0).next();
+            first.answer("200 OK", "");
+            assertTrue(client.read().startsWith("HTTP/1.1 200"));
+            CountDownLatch old = new CountDownLatch(1);
+            Gate.onLoop(net, () -> net.sidecar.loop().after(50, old::countDown));
+            old.await();
+            client.ask("menu-read");
+            Exchange second = net.servers.get(0).nextRequest();
+            assertNotSame(first.connection(), second.connection());
+            second.answer("200 OK", "");
+            assertTrue(client.read().startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    /** Seen on a join day: some servers answer twice, the second time some milliseconds later. */
+    @Test
+    public void aConnectionRestsUntilASecondAnswerWouldHaveCome() throws Exception {
+        EventLoop loop = new EventLoop();
+        try (Peer server = new Peer()) {
+            CompletableFuture<Connection> up = new CompletableFuture<>();
+            loop.execute(() -> Connection.open(loop, server.address(), new Ignored(), up::complete, e -> { }));
+            Connection connection = up.get();
+            ServerPool resting = new ServerPool(loop, 60_000, Double.POSITIVE_INFINITY);
+            ServerPool rested = new ServerPool(loop, 0, Double.POSITIVE_INFINITY);
+            CompletableFuture<Void> done = new CompletableFuture<>();
+            loop.execute(() -> {
+                try {
+                    resting.put(connection, server.address());
+                    assertNull(resting.take(server.address()));
+                    assertEquals(1, resting.size());
+                    rested.put(connection, server.address());
+                    assertSame(connection, rested.take(server.address()));
+                    done.complete(null);
+                } catch (AssertionError e) {
+                    done.completeExceptionally(e);
+                }
+            });
+            done.get(20, TimeUnit.SECONDS);
+        } finally {
+            loop.stop();
+        }
+    }
+
     private static Attempt attempt(EventLoop loop, Peer server, ServerPool pool, String request,
                                    BlockingQueue<Outcome> ends) {
         return new Attempt(loop, server.address(), pool, ByteBuffer.wrap(request.getBytes(StandardCharsets.US_ASCII)),
--- a/sidecar/src/test/java/dewplank/sidecar/SidecarTest.java
+++ b/sidecar/src/test/java/dewplank/sidecar/SidecarTest.java
@@ -40,6 +40,7 @@
             assertTrue(first.message(), first.message().endsWith("\r\n\r\nhi"));
             first.answer("200 OK", "one");
             assertTrue(client.read().endsWith("\r\n\r\none"));
+            Gate.awaitRest(net);
             client.ask("menu-read");
             Exchange second = net.servers.get(0).next();
             assertSame(first.connection(), second.connection());
