End a draining sidecar after its clients' connections, and take SIGHUP from the first moment

Seen by reading: (1) the program ended 10 ms after the last answer was handed over, while connections that finish still waited for their clients' end: bytes that came there meanwhile made the system reset them. Now it waits for all that were accepted, a second at the most by their own bound. (2) SIGHUP was only taken once the listener stood; until then it ended the JVM with 129, which is a crash of a sidecar that is starting while a new configuration goes out. It is now taken before the configuration is read, and read again after the start.

--- a/cli/src/main/java/dewplank/Commands.java
+++ b/cli/src/main/java/dewplank/Commands.java
@@ -28,6 +28,8 @@
 
         @Override
         public void run() throws IOException, InterruptedException {
+            Semaphore hangups = new Semaphore(0);
+            Signal.handle(new Signal("HUP"), signal -> hangups.release());   // left alone, it ends a JVM; so before all else
             SidecarConfig config = SidecarConfig.fromEnvironment(System.getenv());
             Sidecar sidecar = new Sidecar(config);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -38,8 +40,6 @@
                 }
                 Logs.end();
             }, "drain"));
-            Semaphore hangups = new Semaphore(0);
-            Signal.handle(new Signal("HUP"), signal -> hangups.release());   // left alone, it ends a JVM
             sidecar.rehearse();
             sidecar.start();
             LOG.log(System.Logger.Level.INFO, "{0} serves on {1}", config.name(), sidecar.address());
--- a/cli/src/test/java/dewplank/sidecar/ReloadTest.java
+++ b/cli/src/test/java/dewplank/sidecar/ReloadTest.java
@@ -5,6 +5,8 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -20,11 +22,7 @@
         try (Loopback.Peer first = new Loopback.Peer(); Loopback.Peer second = new Loopback.Peer();
              Loopback.Peer third = new Loopback.Peer()) {
             write(file, first);
-            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "dewplank.Main", "serve").redirectErrorStream(true);
-            builder.environment().put("GW_CONFIG", file.toString());
-            builder.environment().put("GW_DISCOVERY", "127.0.0.1:" + first.address().getPort());
-            Process program = builder.start();
+            Process program = serve(file, first);
             try (BufferedReader log = program.inputReader()) {
                 first.next();
                 write(file, second);
@@ -46,10 +44,48 @@
         Files.delete(file);
     }
 
+    /** The configuration is a pipe that holds the start up: a hangup meanwhile must not end the program. */
+    @Test
+    public void aHangupDuringTheStartReloadsAfterIt() throws Exception {
+        Path pipe = Files.createTempDirectory("config").resolve("pipe");
+        assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+        try (Loopback.Peer first = new Loopback.Peer(); Loopback.Peer second = new Loopback.Peer()) {
+            Process program = serve(pipe, first);
+            try {
+                try (OutputStream config = Files.newOutputStream(pipe)) {   // waits for the reader
+                    signal(program, "HUP");
+                    config.write(configuration(first).getBytes(StandardCharsets.UTF_8));
+                }
+                first.next();
+                Files.writeString(pipe, configuration(second));
+                second.next();
+                signal(program, "TERM");
+                signal(program, "TERM");   // a second one changes nothing
+                assertEquals(143, program.waitFor());
+            } finally {
+                program.destroyForcibly();
+            }
+        }
+        Files.delete(pipe);
+        Files.delete(pipe.getParent());
+    }
+
+    private static Process serve(Path file, Loopback.Peer directory) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-cp", System.getProperty("java.class.path"), "dewplank.Main", "serve").redirectErrorStream(true);
+        builder.environment().put("GW_CONFIG", file.toString());
+        builder.environment().put("GW_DISCOVERY", "127.0.0.1:" + directory.address().getPort());
+        return builder.start();
+    }
+
     private static void write(Path file, Loopback.Peer directory) throws IOException {
-        Files.writeString(file, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + Loopback.freePort() + "\",\"discovery\":\"127.0.0.1:"
+        Files.writeString(file, configuration(directory));
+    }
+
+    private static String configuration(Loopback.Peer directory) throws IOException {
+        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + Loopback.freePort() + "\",\"discovery\":\"127.0.0.1:"
             + directory.address().getPort() + "\",\"seed\":\"5\",\"known\":" + Loopback.list(7, true, List.of())
-            + ",\"settings\":" + Loopback.SETTINGS + "}");
+            + ",\"settings\":" + Loopback.SETTINGS + "}";
     }
 
     private static void signal(Process program, String name) throws Exception {
--- a/sidecar/src/main/java/dewplank/net/Listener.java
+++ b/sidecar/src/main/java/dewplank/net/Listener.java
@@ -43,6 +43,11 @@
         return channel.getLocalAddress();
     }
 
+    /** Whether a connection that was accepted has not closed yet: one that is finishing counts. */
+    public boolean anyOpen() {
+        return open > 0;
+    }
+
     /** Whether no further connection is taken until one closes. */
     public boolean full() {
         return open >= most;
--- a/sidecar/src/main/java/dewplank/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Sidecar.java
@@ -39,7 +39,7 @@
     private static final double ROOMY_IDLE_MS = 60_000;
     /** And how long, in want of room, it may say nothing at all: who has a request sends it at once. */
     private static final double SILENT_MS = 100;
-    private static final double DRAIN_SPARE_MS = 1_000;
+    private static final double DRAIN_SPARE_MS = 1_500;   // a connection that finishes takes a second at the most
 
     private final SidecarConfig config;
     private final EventLoop loop;
@@ -175,7 +175,8 @@
     private void endWhenIdle(double readUntil) {
         boolean unread = loop.now() >= readUntil;
         new ArrayList<>(clients).forEach(c -> c.endIfIdle(unread));
-        if (clients.isEmpty() && host.invocationsOpen() == 0) {
+        // What is finishing counts too: the program's end would reset a connection on which bytes have come meanwhile.
+        if (clients.isEmpty() && host.invocationsOpen() == 0 && !listener.anyOpen()) {
             host.close();
             LOG.log(System.Logger.Level.INFO, "drained");
             loop.after(LOOK_MS, drained::countDown);   // the last answers are on their way out
