Send on no request whose client has left, be its end unread or behind bytes sent ahead

Seen by reading, then forced: (1) a request and its client's end that wait together, on a connection not yet accepted or read, were taken one after the other, and the request was written to an open connection before the end was read. A whole request now passes to the module two tasks later: what the next read finds at once stands in line by then. (2) Once 8 KiB lay unread behind an open request nothing more was read, so the client's end stayed unseen: a request that waited for a connection was sent on when that came up. Up to 80 KiB are now read ahead, one message of the longest kind, by at most 50 connections; beyond it the request is given up, answered 400, and the connection ended. (3) resume() turned the buffer that a pending read was filling on the poller's thread: bytes fell among those being looked at. A read now has its own slice.

With it: an address that cannot be connected to fails its attempt instead of leaving it out for good.

Stories on sockets with each crossing forced (the loop held, a pending read awaited, gates on events); all seen to fail without their mend but the half-closed one, which says what already was.

--- a/sidecar/src/main/java/dewplank/net/Connection.java
+++ b/sidecar/src/main/java/dewplank/net/Connection.java
@@ -18,6 +18,8 @@
 public final class Connection {
     private static final System.Logger LOG = System.getLogger(Connection.class.getName());
     private static final int BUFFER = 8 * 1024;
+    /** What a peer may send ahead of its answers: one more message of the longest kind, HTTP's 16 and 64 KiB. */
+    static final int MOST_AHEAD = 80 * 1024;
     private static final double LINGER_MS = 1_000;
 
     /** Whoever uses the connection now. */
@@ -27,13 +29,19 @@
 
         /** The peer has ended ({@code null}) or broken the connection. Told once, and not after {@link #close}. */
         void closed(IOException why);
+
+        /** More lies unread than a peer may send ahead: until it is taken nothing is read, the peer's end neither. */
+        default void sentTooMuchAhead() { }
     }
 
     private record Write(ByteBuffer bytes, Runnable whenWritten) { }
 
     private final EventLoop loop;
     private final AsynchronousSocketChannel channel;
-    private final ByteBuffer in = ByteBuffer.allocate(BUFFER);
+    private ByteBuffer in = ByteBuffer.allocate(BUFFER);
+    private int taken;    // the handler has had the bytes up to here
+    private int filled;   // what lies beyond is a pending read's, and another thread may be filling it
+    private boolean lent;
     private final Deque<Write> writes = new ArrayDeque<>();
     private Handler handler;
     private boolean reading;
@@ -81,7 +89,7 @@
             });
             return () -> cancelled[0] = true;
         }
-        channel.connect(to, null, new CompletionHandler<Void, Void>() {
+        CompletionHandler<Void, Void> connected = new CompletionHandler<>() {
             @Override
             public void completed(Void nothing, Void attachment) {
                 loop.execute(() -> {
@@ -108,7 +116,12 @@
                     }
                 });
             }
-        });
+        };
+        try {
+            channel.connect(to, null, connected);
+        } catch (RuntimeException e) {   // an address of a kind that this machine has none of
+            connected.failed(e, null);
+        }
         return () -> {
             cancelled[0] = true;
             closeQuietly(channel);
@@ -167,11 +180,49 @@
     }
 
     void read() {
-        if (closed || reading || !finishing && !in.hasRemaining()) {
-            return;   // a full buffer is a peer that sends ahead of its answers; it has to wait
+        if (closed || reading) {
+            return;
+        }
+        if (!finishing) {
+            makeRoom();
+            if (filled == in.capacity()) {
+                handler.sentTooMuchAhead();
+                return;
+            }
         }
         reading = true;
-        channel.read(finishing ? loop.waste() : in, null, readDone);
+        channel.read(finishing ? loop.waste() : in.slice(filled, in.capacity() - filled), null, readDone);
+    }
+
+    /**
+     * No read is pending. What lies unread does not keep the next bytes from being read, up to a bound: a client's
+     * leaving would stay unseen behind them, and its request be sent on.
+     */
+    private void makeRoom() {
+        int unread = filled - taken;
+        if (!lent && unread == BUFFER && loop.lendAhead()) {
+            lent = true;
+            moveTo(ByteBuffer.allocate(MOST_AHEAD));
+        } else if (lent && unread < BUFFER) {
+            giveBack();
+            moveTo(ByteBuffer.allocate(BUFFER));
+        } else if (taken > 0) {
+            moveTo(in);
+        }
+    }
+
+    private void moveTo(ByteBuffer to) {
+        to.put(0, in, taken, filled - taken);
+        filled -= taken;
+        taken = 0;
+        in = to;
+    }
+
+    private void giveBack() {
+        if (lent) {
+            lent = false;
+            loop.takeBackAhead();
+        }
     }
 
     private void readDone(int n, Throwable failure) {
@@ -184,29 +235,22 @@
         } else if (n < 0) {
             broken(null);
         } else {
+            filled += finishing ? 0 : n;
             deliver();
             read();
         }
     }
 
     private void deliver() {
-        if (closed || in.position() == 0) {
-            return;
-        }
-        if (finishing) {
-            in.clear();   // lingering: what still comes is not looked at
+        if (closed || finishing || taken == filled) {   // finishing: what still comes is not looked at
             return;
         }
         delivering = true;
-        in.flip();
+        ByteBuffer bytes = in.duplicate().limit(filled).position(taken);
         try {
-            handler.received(in);
+            handler.received(bytes);
         } finally {
-            if (finishing) {
-                in.clear();   // compacting a buffer that finish() has cleared would fill it, and end the reading
-            } else {
-                in.compact();
-            }
+            taken = bytes.position();
             delivering = false;
         }
     }
@@ -254,7 +298,6 @@
         finishing = true;
         loop.after(LINGER_MS, this::close);
         if (!delivering) {
-            in.clear();
             read();
         }
         endOutput();
@@ -282,6 +325,7 @@
         if (!closed) {
             closed = true;
             closeQuietly(channel);
+            giveBack();
             whenClosed.run();
         }
     }
--- a/sidecar/src/main/java/dewplank/net/EventLoop.java
+++ b/sidecar/src/main/java/dewplank/net/EventLoop.java
@@ -15,6 +15,7 @@
     private static final long TICK_MS = 5;
     private static final long STOP_MS = 1_000;
     private static final int WASTE = 256 * 1024;
+    private static final int MOST_LENT = 50;   // buffers for bytes sent ahead: 4 MiB, a sixteenth of the heap
 
     private final ScheduledThreadPoolExecutor executor;
     private final AsynchronousChannelGroup group;
@@ -24,6 +25,7 @@
     private final ByteBuffer waste = ByteBuffer.allocateDirect(WASTE);
     private volatile Thread thread;
     private volatile boolean stopping;
+    private int lent;
 
     public EventLoop() throws IOException {
         executor = new ScheduledThreadPoolExecutor(1, task -> {
@@ -80,6 +82,19 @@
         return waste.duplicate();
     }
 
+    /** Whether one more connection may have a buffer for what its peer sends ahead; on this thread only. */
+    boolean lendAhead() {
+        if (lent == MOST_LENT) {
+            return false;
+        }
+        lent++;
+        return true;
+    }
+
+    void takeBackAhead() {
+        lent--;
+    }
+
     AsynchronousChannelGroup group() {
         return group;
     }
--- a/sidecar/src/main/java/dewplank/sidecar/ClientConnection.java
+++ b/sidecar/src/main/java/dewplank/sidecar/ClientConnection.java
@@ -26,6 +26,7 @@
     private final Sidecar sidecar;
     private final RequestParser parser = new RequestParser();
     private Connection connection;
+    private Invocation.Call whole;
     private Invocation invocation;
     private boolean busy;
     private boolean keepAlive;
@@ -62,15 +63,23 @@
             }
         } catch (BadMessageException e) {
             reject(e);
-        } catch (RuntimeException e) {   // whatever went wrong, the client gets its one answer
-            LOG.log(System.Logger.Level.ERROR, "a request failed", e);
-            if (invocation != null) {
-                host.abandon(invocation);
-            }
-            reject(new BadMessageException(500, "internal error"));
+        } catch (RuntimeException e) {
+            failed(e);
         }
     }
 
+    /** Whatever went wrong, the client gets its one answer. */
+    private void failed(RuntimeException e) {
+        LOG.log(System.Logger.Level.ERROR, "a request failed", e);
+        reject(new BadMessageException(500, "internal error"));
+    }
+
+    /** Whether it is still there could not be seen any more, and its request must not be sent on without it. */
+    @Override
+    public void sentTooMuchAhead() {
+        reject(new BadMessageException(400, "too much was sent ahead of an answer"));
+    }
+
     private void request() throws BadMessageException {
         if (parser.target().equals("/_health")) {
             boolean ready = sidecar.ready();
@@ -88,9 +97,6 @@
         if (id == null || !ID.matcher(id).matches()) {   // two such fields come as one with a comma, which is none
             throw new BadMessageException(400, "X-Trace-Id is missing or malformed");
         }
-        if (host.isOpen(id)) {   // sent on, it could not be told from the other one's repeat
-            throw new BadMessageException(409, "X-Trace-Id is that of an open request");
-        }
         if (effect == Effect.KEYED && h.get("Idempotency-Key") == null) {   // no server could drop its repeat
             throw new BadMessageException(400, "Idempotency-Key is missing");
         }
@@ -98,7 +104,29 @@
             .filter(f -> !f.name().equalsIgnoreCase(Host.EXPIRES)).toList();   // each attempt has its own
         Invocation.Call call = new Invocation.Call(id, parser.method(), parser.target(), passedOn, parser.takeBody());
         Subject subject = Subject.of(h, host.tenants());
-        invocation = host.invoke(call, subject, requestClass, budget(h), "1".equals(h.get("X-Second-Try")), this);
+        double budget = budget(h);
+        boolean repeat = "1".equals(h.get("X-Second-Try"));
+        whole = call;
+        // The client's end may lie right behind its request. The next read comes after this, and what it finds at once
+        // stands in line by the time the first of these tasks runs: so the second one is behind it.
+        sidecar.loop().execute(() -> sidecar.loop().execute(() -> pass(call, subject, requestClass, budget, repeat)));
+    }
+
+    /** Passes on a whole request, unless its client has left meanwhile. */
+    private void pass(Invocation.Call call, Subject subject, String requestClass, double budget, boolean repeat) {
+        if (whole != call) {
+            return;
+        }
+        whole = null;
+        if (host.isOpen(call.id())) {   // sent on, it could not be told from the other one's repeat
+            reject(new BadMessageException(409, "X-Trace-Id is that of an open request"));
+            return;
+        }
+        try {
+            invocation = host.invoke(call, subject, requestClass, budget, repeat, this);
+        } catch (RuntimeException e) {
+            failed(e);
+        }
     }
 
     private static double budget(Headers h) throws BadMessageException {
@@ -111,6 +139,7 @@
 
     /** What follows a malformed request can't be told apart from it, so the connection ends. */
     private void reject(BadMessageException e) {
+        giveUpRequest();
         busy = true;
         keepAlive = false;
         answer(MessageWriter.response(e.status()), (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8));
@@ -119,8 +148,14 @@
     @Override
     public void closed(IOException why) {
         sidecar.left(this);
+        giveUpRequest();
+    }
+
+    private void giveUpRequest() {
+        whole = null;
         if (invocation != null) {
             host.abandon(invocation);
+            invocation = null;
         }
     }
 
--- /dev/null
+++ b/sidecar/src/test/java/dewplank/net/ConnectionTest.java
@@ -0,0 +1,113 @@
+package dewplank.net;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.ReadPendingException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.Test;
+
+/** What another thread and the peer may do to a connection while the loop is busy with it. */
+public class ConnectionTest {
+    private static final int PATIENCE_S = 20;
+
+    /**
+     * The system's poller reads on a thread of its own. What it reads while a handler looks at bytes that were left
+     * unread must not fall among them: the handler waits here until that read is done.
+     */
+    @Test
+    public void bytesThatComeWhileEarlierOnesAreLookedAtDoNotFallAmongThem() throws Exception {
+        EventLoop loop = new EventLoop();
+        BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+        try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+             AsynchronousSocketChannel channel = AsynchronousSocketChannel.open(loop.group())) {
+            channel.connect(listener.getLocalSocketAddress()).get();
+            Socket peer = listener.accept();
+            Connection.Handler handler = new Connection.Handler() {
+                private int calls;
+
+                @Override
+                public void received(ByteBuffer bytes) {
+                    if (++calls == 1) {   // not now: they stay unread, and a read is pending behind them
+                        seen.add("left");
+                        return;
+                    }
+                    if (calls == 2) {
+                        send(peer, "second");
+                        awaitRead(channel);
+                    }
+                    byte[] taken = new byte[bytes.remaining()];
+                    bytes.get(taken);
+                    seen.add(new String(taken, StandardCharsets.US_ASCII));
+                }
+
+                @Override
+                public void closed(IOException why) { }
+            };
+            CompletableFuture<Connection> connection = new CompletableFuture<>();
+            loop.execute(() -> {
+                try {
+                    connection.complete(new Connection(loop, channel, handler));
+                    connection.join().read();
+                } catch (IOException e) {
+                    connection.completeExceptionally(e);
+                }
+            });
+            connection.get();
+            send(peer, "first");
+            assertEquals("left", seen.poll(PATIENCE_S, TimeUnit.SECONDS));
+            loop.execute(connection.join()::resume);
+            assertEquals("first", seen.poll(PATIENCE_S, TimeUnit.SECONDS));
+            assertEquals("second", seen.poll(PATIENCE_S, TimeUnit.SECONDS));
+            peer.close();
+        } finally {
+            loop.stop();
+        }
+    }
+
+    /** Whoever asked is owed an end: an exception would leave its attempt out for good. */
+    @Test
+    public void anAddressThatCannotBeConnectedToFails() throws Exception {
+        EventLoop loop = new EventLoop();
+        try {
+            CompletableFuture<IOException> failure = new CompletableFuture<>();
+            loop.execute(() -> Connection.open(loop, InetSocketAddress.createUnresolved("nowhere.invalid", 1), null,
+                up -> { }, failure::complete));
+            assertTrue(failure.get(PATIENCE_S, TimeUnit.SECONDS).getMessage().contains("Unresolved"));
+        } finally {
+            loop.stop();
+        }
+    }
+
+    private static void send(Socket peer, String text) {
+        try {
+            peer.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** A second read is refused for as long as the first is pending. */
+    private static void awaitRead(AsynchronousSocketChannel channel) {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (System.nanoTime() < until) {
+            try {
+                channel.read(ByteBuffer.allocate(0));
+                return;
+            } catch (ReadPendingException e) {
+                Thread.onSpinWait();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/dewplank/sidecar/LeavingTest.java
@@ -0,0 +1,153 @@
+package dewplank.sidecar;
+
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertTrue;
+
+import dewplank.sidecar.Loopback.Client;
+import dewplank.sidecar.Loopback.Exchange;
+import dewplank.sidecar.Loopback.Peer;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.UnaryOperator;
+import org.junit.Test;
+import saltfield.Balancer;
+import saltfield.Balancer.Abandoned;
+import saltfield.Balancer.Ended;
+
+/** A client that leaves, and connections that end while something comes on them. */
+public class LeavingTest {
+    private static final UnaryOperator<String> NO_CONNECT_TIMEOUT =
+        s -> s.replace("\"ConnectTimeout\":2000", "\"ConnectTimeout\":0");
+
+    /** Its end waits right behind its request, and is read first: the loop is held while both come. */
+    @Test
+    public void aRequestWhoseClientHasLeftBeforeItWasReadIsNotSentOn() throws Exception {
+        try (Loopback net = new Loopback(1)) {
+            Client before = net.client();
+            before.ask("menu-read");
+            net.servers.get(0).next().answer("200 OK", "");
+            assertTrue(before.read().startsWith("HTTP/1.1 200"));
+            Gate.awaitRest(net);   // a connection is at hand: nothing but reading lies before the sending
+            Gate.onLoop(net, () -> {
+                Client left = net.client();
+                left.ask("menu-read");
+                left.socket.close();
+                return null;
+            });
+            Client stays = net.client();
+            stays.send(Client.request("menu-read", "Content-Length: 4\r\n") + "mark");
+            Exchange first = net.servers.get(0).next();
+            assertTrue(first.message(), first.message().endsWith("\r\n\r\nmark"));
+            first.answer("200 OK", "");
+            assertTrue(stays.read().startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    /** More than a buffer's fill was sent ahead: the end behind it is seen all the same. */
+    @Test
+    public void aClientThatLeavesBehindUnreadBytesIsNotSentOn() throws Exception {
+        Gate abandoned = new Gate(e -> e instanceof Abandoned);
+        try (Loopback net = new Loopback(0, NO_CONNECT_TIMEOUT, abandoned); Peer late = Peer.late()) {
+            Client client = waitingAt(net, late);
+            client.send("POST /ahead HTTP/1.1\r\nContent-Length: 40000\r\n\r\n" + "x".repeat(40_000));
+            client.socket.close();
+            abandoned.await();
+            late.letIn();
+            assertNoRequestCame(late);
+        }
+    }
+
+    /** Who sends without end can't be seen to leave: that one gets an error, and its request goes nowhere. */
+    @Test
+    public void aFloodAheadOfAnAnswerEndsItsRequest() throws Exception {
+        Gate abandoned = new Gate(e -> e instanceof Abandoned);
+        try (Loopback net = new Loopback(0, NO_CONNECT_TIMEOUT, abandoned); Peer late = Peer.late()) {
+            Client client = waitingAt(net, late);
+            client.send("x".repeat(400_000));
+            abandoned.await();
+            String answer = client.read();
+            assertTrue(answer, answer.startsWith("HTTP/1.1 400") && answer.contains("too much was sent ahead"));
+            assertNull(client.read());
+            late.letIn();
+            assertNoRequestCame(late);
+        }
+    }
+
+    /** One that only ends its sending can't be told from one that has closed, and counts as that. */
+    @Test
+    public void aHalfClosedClientHasLeft() throws Exception {
+        Gate abandoned = new Gate(e -> e instanceof Abandoned);
+        try (Loopback net = new Loopback(0, NO_CONNECT_TIMEOUT, abandoned); Peer late = Peer.late()) {
+            Client client = waitingAt(net, late);
+            client.socket.shutdownOutput();
+            abandoned.await();
+            late.letIn();
+            assertNoRequestCame(late);
+            assertNull(client.read());
+        }
+    }
+
+    /** The process's end would reset a connection on which bytes have come, and an answer on its way with it. */
+    @Test
+    public void aDrainingSidecarEndsNoSoonerThanItsClientsHaveClosed() throws Exception {
+        AtomicBoolean closed = new AtomicBoolean();
+        CompletableFuture<Client> clients = new CompletableFuture<>();
+        CompletableFuture<Loopback> nets = new CompletableFuture<>();
+        UnaryOperator<Balancer> round = module -> (now, event, out) -> {
+            module.handle(now, event, out);
+            if (event instanceof Ended) {   // its answer is written, and the sidecar's side shut; on the same wheel
+                nets.join().sidecar.loop().after(200, () -> {
+                    closed.set(true);
+                    try {
+                        clients.join().socket.close();
+                    } catch (IOException e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+            }
+        };
+        try (Loopback net = new Loopback(1, s -> s, round)) {
+            nets.complete(net);
+            Client client = net.client();
+            clients.complete(client);
+            client.ask("menu-read");
+            Exchange call = net.servers.get(0).next();
+            CompletableFuture<Boolean> ended = new CompletableFuture<>();
+            Loopback.background(() -> {
+                net.sidecar.drain(1, 5_000);
+                ended.complete(closed.get());
+            });
+            while (!Gate.onLoop(net, () -> net.sidecar.closing())) {
+                Thread.onSpinWait();
+            }
+            call.answer("200 OK", "");
+            String answer = client.read();
+            assertTrue(answer, answer.startsWith("HTTP/1.1 200") && answer.contains("Connection: close"));
+            assertNull(client.read());
+            assertTrue(ended.get(20, TimeUnit.SECONDS));
+        }
+    }
+
+    /** A client whose request has been taken, and waits for a connection to come up. */
+    private static Client waitingAt(Loopback net, Peer late) throws Exception {
+        Exchange watch = net.directory.next();
+        watch.beginWatch();
+        watch.line(Loopback.list(8, false, List.of(late.entry("late", "active"))));
+        Gate.awaitHealth(net.client(), "200");
+        Client client = net.client();
+        client.ask("order-place");
+        Gate.awaitTaken(net);
+        return client;
+    }
+
+    /** The crowd's two connections end, and the sidecar's where it came up: none brings a request before the mark. */
+    private static void assertNoRequestCame(Peer late) throws Exception {
+        Client mark = new Client(late.address().getPort());
+        mark.send("GET /mark HTTP/1.1\r\n\r\n");
+        String first = late.nextRequest().message();
+        assertTrue(first, first.startsWith("GET /mark "));
+    }
+}
