Force both orders of requests that meet their connection's end and attempts with two endings

No behaviour changes. Stories for what was read and found right: a request crossing the end of its resting or half-read connection, read before it, a time-out and an answer that meet in one held turn of the loop, an answer without length at an end and at a reset, an answer that never ends, and that nothing is kept on any way out. Sidecar has counters for them (holdsNothing, clientsHeard), and endIdle for what it did in line.

--- a/sidecar/src/main/java/dewplank/sidecar/Host.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Host.java
@@ -135,6 +135,10 @@
         return (int) invocations.values().stream().filter(i -> !i.over).count();
     }
 
+    boolean holdsNothing() {
+        return invocations.isEmpty() && openIds.isEmpty() && attemptsOut == 0;
+    }
+
     void close() {
         directory.close();
         closePeers();
--- a/sidecar/src/main/java/dewplank/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dewplank/sidecar/Sidecar.java
@@ -174,7 +174,7 @@
 
     private void endWhenIdle(double readUntil) {
         boolean unread = loop.now() >= readUntil;
-        new ArrayList<>(clients).forEach(c -> c.endIfIdle(unread));
+        endIdle(unread);
         // What is finishing counts too: the program's end would reset a connection on which bytes have come meanwhile.
         if (clients.isEmpty() && host.invocationsOpen() == 0 && !listener.anyOpen()) {
             host.close();
@@ -185,6 +185,11 @@
         }
     }
 
+    /** Ends each connection on which no request is open, nor half read, unless {@code unread} gives those up. */
+    void endIdle(boolean unread) {
+        new ArrayList<>(clients).forEach(c -> c.endIfIdle(unread));
+    }
+
     void awaitDraining() throws InterruptedException {
         drainBegun.await();
     }
@@ -226,6 +231,16 @@
         return host.invocationsOpen();
     }
 
+    /** Whether nothing is kept any more of any request, attempt or connection. */
+    boolean holdsNothing() {
+        return host.holdsNothing() && clients.isEmpty() && !listener.anyOpen();
+    }
+
+    /** Of how many open clients' connections anything has been read. */
+    long clientsHeard() {
+        return clients.stream().filter(c -> !c.silent()).count();
+    }
+
     /** Whether each answer is the last on its connection, as the sidecar is about to end. */
     boolean closing() {
         return closing;
--- /dev/null
+++ b/sidecar/src/test/java/dewplank/sidecar/EndingTest.java
@@ -0,0 +1,228 @@
+package dewplank.sidecar;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertThrows;
+import static org.junit.Assert.assertTrue;
+
+import dewplank.net.EventLoop;
+import dewplank.sidecar.Loopback.Client;
+import dewplank.sidecar.Loopback.Exchange;
+import dewplank.sidecar.Loopback.Peer;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.Test;
+import saltfield.Balancer.Outcome;
+
+/** Requests that meet their connection's end, and attempts on which two endings meet: each order is brought about. */
+public class EndingTest {
+    private static final int PATIENCE_S = 20;
+
+    /** The request lies unread when its resting connection is shut: no reset, and it is not sent on either. */
+    @Test
+    public void aRequestThatCrossesItsConnectionsEndIsLeftToItsClient() throws Exception {
+        try (Loopback net = new Loopback(1)) {
+            Client client = resting(net);
+            Gate.onLoop(net, () -> {
+                client.ask("menu-read");
+                net.sidecar.endIdle(true);
+                return null;
+            });
+            assertNull(client.read());
+            assertNextIs(net, "mark");
+        }
+    }
+
+    @Test
+    public void aRequestThatWasReadBeforeItsConnectionsEndIsAnswered() throws Exception {
+        try (Loopback net = new Loopback(1)) {
+            Client client = resting(net);
+            client.ask("menu-read");
+            Exchange call = net.servers.get(0).next();
+            Gate.onLoop(net, () -> {
+                net.sidecar.endIdle(true);
+                return null;
+            });
+            call.answer("200 OK", "whole");
+            assertTrue(client.read().endsWith("\r\n\r\nwhole"));
+        }
+    }
+
+    @Test
+    public void aRequestHalfReadIsWaitedForAndThenGivenUp() throws Exception {
+        try (Loopback net = new Loopback(1)) {
+            Client first = halfRead(net, 1);
+            Client second = halfRead(net, 2);
+            Gate.onLoop(net, () -> {
+                net.sidecar.endIdle(false);
+                return null;
+            });
+            first.send("cd");
+            Exchange call = net.servers.get(0).nextRequest();
+            assertTrue(call.message(), call.message().endsWith("\r\n\r\nabcd"));
+            call.answer("200 OK", "whole");
+            assertTrue(first.read().endsWith("\r\n\r\nwhole"));
+            Gate.onLoop(net, () -> {
+                second.send("cd");   // the rest crosses the end
+                net.sidecar.endIdle(true);
+                return null;
+            });
+            assertNull(second.read());
+            assertNextIs(net, "mark");
+        }
+    }
+
+    /** The loop is held until both have come about: whichever is looked at first, it is the only one. */
+    @Test
+    public void aTimeOutAndAnAnswerThatMeetAreOneOutcome() throws Exception {
+        BlockingQueue<Outcome> ends = new LinkedBlockingQueue<>();
+        EventLoop loop = new EventLoop();
+        try (Peer server = new Peer()) {
+            ServerPool pool = new ServerPool(loop, 0, Double.POSITIVE_INFINITY);
+            loop.execute(() -> new Attempt(loop, server.address(), pool, bytes("GET /x HTTP/1.1\r\n\r\n"), () -> true,
+                (a, end) -> ends.add(end.outcome())).start(50, 0, Double.POSITIVE_INFINITY));
+            Exchange call = server.next();
+            BlockingQueue<Integer> pooled = new LinkedBlockingQueue<>();
+            loop.execute(() -> {
+                double started = loop.now();
+                answer(call);
+                await(() -> loop.now() > started + 60);
+                loop.after(0, () -> loop.execute(() -> pooled.add(pool.size())));   // after both were looked at
+            });
+            Outcome outcome = ends.poll(PATIENCE_S, TimeUnit.SECONDS);
+            int left = pooled.poll(PATIENCE_S, TimeUnit.SECONDS);
+            assertTrue(outcome + " and " + left + " pooled", outcome == Outcome.SERVED && left == 1
+                || outcome == Outcome.TIMED_OUT && left == 0);
+            assertTrue(ends.isEmpty());
+        } finally {
+            loop.stop();
+        }
+    }
+
+    /** Without a length only the connection's end can end it, and a reset is none. */
+    @Test
+    public void anAnswerWithoutALengthIsWholeAtItsEndAndNotAtAReset() throws Exception {
+        try (Loopback net = new Loopback(1)) {
+            Client client = net.client();
+            client.ask("order-place");
+            Exchange ends = net.servers.get(0).nextRequest();
+            ends.connection().send("HTTP/1.1 200 OK\r\n\r\nwhole");
+            ends.connection().socket.close();
+            assertTrue(client.read().endsWith("\r\n\r\nwhole"));
+            client.ask("order-place");
+            Exchange reset = net.servers.get(0).nextRequest();
+            reset.connection().send("HTTP/1.1 200 OK\r\n\r\npart");
+            reset.reset();
+            assertTrue(client.read().startsWith("HTTP/1.1 502"));
+        }
+    }
+
+    @Test
+    public void anAnswerThatNeverEndsFailsItsAttemptAndItsConnection() throws Exception {
+        try (Loopback net = new Loopback(1)) {
+            Client client = net.client();
+            client.ask("order-place");
+            Exchange call = net.servers.get(0).nextRequest();
+            call.connection().send("HTTP/1.1 200 OK\r\n\r\n");
+            assertThrows(IOException.class, () -> {
+                for (int i = 0; i < 100_000; i++) {
+                    call.connection().send("x".repeat(1_000));
+                }
+            });
+            assertTrue(client.read().startsWith("HTTP/1.1 502"));
+        }
+    }
+
+    /** Whatever way out a request takes, nothing of it is kept: served, failed, turned away, left, malformed, too late. */
+    @Test
+    public void nothingIsKeptOnAnyWayOut() throws Exception {
+        try (Loopback net = new Loopback(1)) {
+            Peer server = net.servers.get(0);
+            Client served = net.client();
+            served.ask("menu-read");
+            server.nextRequest().answer("200 OK", "");
+            served.read();
+            Client failed = net.client();
+            failed.ask("order-place");
+            server.nextRequest().reset();
+            failed.read();
+            Client refused = net.client();
+            refused.ask("order-place");
+            server.nextRequest().answer("503 Busy\r\nX-Never-Ran: 1", "");
+            refused.read();
+            Client malformed = net.client();
+            malformed.send("what?\r\n\r\n");
+            malformed.read();
+            Client late = net.client();
+            late.send(Client.request("menu-read", "").replace("5000", "100"));
+            late.read();
+            Client left = net.client();
+            left.ask("order-place");
+            for (Client c : new Client[] {served, failed, refused, malformed, late, left}) {
+                c.socket.close();
+            }
+            await(() -> onLoop(net, net.sidecar::holdsNothing));
+        }
+    }
+
+    private static <T> T onLoop(Loopback net, Callable<T> task) {
+        try {
+            return Gate.onLoop(net, task);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void await(BooleanSupplier reached) {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (!reached.getAsBoolean()) {
+            if (System.nanoTime() > until) {
+                throw new AssertionError("never reached");
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    private static ByteBuffer bytes(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static void answer(Exchange call) {
+        try {
+            call.answer("200 OK", "");
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** A client whose connection has had an answer. */
+    private static Client resting(Loopback net) throws Exception {
+        Client client = net.client();
+        client.ask("menu-read");
+        net.servers.get(0).nextRequest().answer("200 OK", "");
+        assertTrue(client.read().startsWith("HTTP/1.1 200"));
+        return client;
+    }
+
+    private static Client halfRead(Loopback net, int heard) throws Exception {
+        Client client = net.client();
+        client.send(Client.request("menu-read", "Content-Length: 4\r\n") + "ab");
+        await(() -> onLoop(net, net.sidecar::clientsHeard) == heard);
+        return client;
+    }
+
+    private static void assertNextIs(Loopback net, String body) throws Exception {
+        Client client = net.client();
+        client.send(Client.request("menu-read", "Content-Length: " + body.length() + "\r\n") + body);
+        Exchange next = net.servers.get(0).nextRequest();
+        assertTrue(next.message(), next.message().endsWith("\r\n\r\n" + body));
+        next.answer("200 OK", "");
+        assertEquals("HTTP/1.1 200", client.read().substring(0, 12));
+    }
+}
