--- a/sidecar/src/test/java/dewplank/sidecar/LeavingTest.java
+++ b/sidecar/src/test/java/dewplank/sidecar/LeavingTest.java
@@ -46,6 +46,28 @@
         }
     }
 
+    /** Held for want of a server: the list that brings one comes after the client has left. */
+    @Test
+    public void aClientThatLeavesWhileItsRequestWaitsForAServerIsNotSentOn() throws Exception {
+        Gate abandoned = new Gate(e -> e instanceof Abandoned);
+        try (Loopback net = new Loopback(0, s -> s, abandoned); Peer server = new Peer()) {
+            Exchange watch = net.directory.next();
+            Client client = net.client();
+            client.ask("menu-read");
+            Gate.awaitTaken(net);
+            client.socket.close();
+            abandoned.await();
+            watch.beginWatch();
+            watch.line(Loopback.list(8, false, List.of(server.entry("s0", "active"))));
+            Client stays = net.client();
+            Gate.awaitHealth(stays, "200");
+            stays.send(Client.request("menu-read", "Content-Length: 4\r\n") + "mark");
+            Exchange first = server.nextRequest();
+            assertTrue(first.message(), first.message().endsWith("\r\n\r\nmark"));
+            assertTrue(server.isQuiet());
+        }
+    }
+
     /** More than a buffer's fill was sent ahead: the end behind it is seen all the same. */
     @Test
     public void aClientThatLeavesBehindUnreadBytesIsNotSentOn() throws Exception {
