Give an attempt up early only at a server in doubt, where nothing may be cancelled

Where neither cancelling nor copies are allowed each send to a safe or keyed class had the overdue time as its time-out (Choice.send): a request that is merely long was given up, the server went on with it, and it was just as long when tried again.

The test fails without the mend. No deployment that allows cancelling or copies decides otherwise than before.

--- a/decisions/src/main/java/saltfield/Choice.java
+++ b/decisions/src/main/java/saltfield/Choice.java
@@ -563,7 +563,7 @@
         countSend(s, work(r));
         double overdueIn = overdueAfter(r, s);
         boolean timed = !cfg.limits().mayCancel() && !cfg.limits().secondCopies()
-            && r.kind.rules.effect() != Effect.UNSAFE;
+            && r.kind.rules.effect() != Effect.UNSAFE && doubted(s);   // elsewhere it is long, not stuck
         out.accept(new Send(r.id, s.id, timed ? overdueIn : 0, writeWithin(r)));
         if (overdueIn < r.giveUp - now) {
             after(overdueIn, () -> onOverdue(a));
--- a/decisions/src/test/java/saltfield/AdmissionTest.java
+++ b/decisions/src/test/java/saltfield/AdmissionTest.java
@@ -244,4 +244,23 @@
         int[] after = load(h, 60, 20);
         assertEquals(0, after[0] + after[1]);
     }
+
+    /**
+     * Found on the calm day of a deployment that allows neither cancelling nor copies: of 3,760 requests 2,359 attempts
+     * were given up early, though servers went on with them, and long ones just as long when tried again.
+     */
+    @Test
+    void whereNothingMayBeCancelledOnlyAServerInDoubtIsGivenUpEarly() {
+        Host.Setup setup = new Host.Setup();
+        setup.cancel = false;
+        Host h = Host.with(setup, 1);
+        List<Action> first = h.arrive("read");
+        assertEquals(0, sent(first).timeoutMs());
+        assertTrue(of(h.fire(first), Send.class).isEmpty());   // overdue: there is nobody else to ask
+        Send second = sent(h.arrive("read"));
+        assertTrue(second.timeoutMs() > 0 && second.timeoutMs() < Host.DEADLINE, "" + second.timeoutMs());
+        h.now += 10;
+        h.end(second, 0, Outcome.SERVED, 10, true);
+        assertEquals(0, sent(h.arrive("read")).timeoutMs());
+    }
 }
