--- a/decisions/src/main/java/saltfield/Choice.java
+++ b/decisions/src/main/java/saltfield/Choice.java
@@ -578,6 +578,7 @@
         }
         a.overdue = true;
         a.overdueAt = now;
+        boolean doubt = doubted(a.server);
         suspect(a, true);
         a.server.zone.least += Math.max(0, now - a.sentAt - a.server.zone.least) * WAY_STEP;
         if (r.over || now >= r.aimAt() || !mayTryAgain(r)) {
@@ -588,7 +589,7 @@
             if (s != null && s != a.server && shed(r, s) <= 0) {   // into a crowd a copy only adds work
                 sendAgain(r, s);
             }
-        } else if (cfg.limits().mayCancel() && r.kind.rules.effect() != Effect.UNSAFE) {
+        } else if (doubt && cfg.limits().mayCancel() && r.kind.rules.effect() != Effect.UNSAFE) {
             out.accept(new Cancel(r.id, a.number));   // the outcome decides on the next attempt
         }
     }
