--- a/cli/src/main/java/dewplank/FleetCommands.java
+++ b/cli/src/main/java/dewplank/FleetCommands.java
@@ -7,9 +7,9 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.function.Consumer;
-import orchard.cellar.StoreException;
-import orchard.meadow.Meadow;
-import orchard.nursery.ControlPlane;
+import dewplank.store.StoreException;
+import dewplank.dataplane.DataPlane;
+import dewplank.controlplane.ControlPlane;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -23,25 +23,25 @@
     }
 
     /** The data plane: takes clients' requests. */
-    public static final class DataPlane implements Commands.Command {
+    public static final class RunDataPlane implements Commands.Command {
         @Override
         public void run() throws InterruptedException {
             SettingsReload reloads = reloads();
             FileWatch file = new FileWatch(NodeSettings.path(System.getenv()));
-            Meadow meadow;
+            DataPlane plane;
             try {
-                meadow = new Meadow(settings().ofDataPlane());
+                plane = new DataPlane(settings().ofDataPlane());
             } catch (IOException e) {
                 throw StartFault.of(e);
             }
-            onTermination(meadow::drain);
-            meadow.start();
-            reloads.run(file, () -> reload(meadow::reload));
+            onTermination(plane::drain);
+            plane.start();
+            reloads.run(file, () -> reload(plane::reload));
         }
     }
 
     /** The control plane: keeps the configuration, the members and the list of servers. */
-    public static final class Control implements Commands.Command {
+    public static final class RunControlPlane implements Commands.Command {
         @Override
         public void run() throws InterruptedException {
             SettingsReload reloads = reloads();
--- a/cli/src/main/java/dewplank/Main.java
+++ b/cli/src/main/java/dewplank/Main.java
@@ -13,7 +13,7 @@
 
 /** The command line. Ends with 2 on a wrong command line and with 1 on wrong configuration or input. */
 public final class Main {
-    private static final String USAGE = "usage: java -jar dewplank.jar serve | meadow | nursery | simhost"
+    private static final String USAGE = "usage: java -jar dewplank.jar serve | data-plane | control-plane | simhost"
         + " | check-config | rehearse | version\n"
         + "       for operators of the router fleet: fleet | check-settings\n"
         + "       for the laboratory: try | load | stand-in | lab\n"
@@ -26,8 +26,8 @@
     @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class)
     @SubCommands({
         @SubCommand(name = "serve", impl = Commands.Serve.class),
-        @SubCommand(name = "meadow", impl = FleetCommands.DataPlane.class),
-        @SubCommand(name = "nursery", impl = FleetCommands.Control.class),
+        @SubCommand(name = "data-plane", impl = FleetCommands.RunDataPlane.class),
+        @SubCommand(name = "control-plane", impl = FleetCommands.RunControlPlane.class),
         @SubCommand(name = "rehearse-fleet", impl = FleetCommands.Rehearse.class),
         @SubCommand(name = "simhost", impl = Commands.SimHost.class),
         @SubCommand(name = "check-config", impl = Commands.CheckConfig.class),
--- a/cli/src/main/java/dewplank/OperatorCommands.java
+++ b/cli/src/main/java/dewplank/OperatorCommands.java
@@ -21,19 +21,19 @@
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
-import orchard.almanac.Configuration;
-import orchard.gardener.Answer;
-import orchard.gardener.Change;
-import orchard.gardener.ConfigurationChanges;
-import orchard.gardener.ConfigurationDifference;
-import orchard.gardener.ConfigurationText;
-import orchard.gardener.ControlAddresses;
-import orchard.gardener.ControlCall;
-import orchard.gardener.ControlClient;
-import orchard.gardener.FleetText;
-import orchard.gardener.JsonValues;
-import orchard.gardener.RouteExplanation;
-import orchard.gardener.SettingsCheck;
+import dewplank.configuration.Configuration;
+import dewplank.client.Answer;
+import dewplank.client.Change;
+import dewplank.client.ConfigurationChanges;
+import dewplank.client.ConfigurationDifference;
+import dewplank.client.ConfigurationText;
+import dewplank.client.ControlAddresses;
+import dewplank.client.ControlCall;
+import dewplank.client.ControlClient;
+import dewplank.client.FleetText;
+import dewplank.client.JsonValues;
+import dewplank.client.RouteExplanation;
+import dewplank.client.SettingsCheck;
 
 /** The commands of the router fleet's operators. */
 final class OperatorCommands {
--- a/cli/src/main/java/dewplank/OperatorMain.java
+++ b/cli/src/main/java/dewplank/OperatorMain.java
@@ -9,7 +9,7 @@
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
-import orchard.gardener.NoAnswerException;
+import dewplank.client.NoAnswerException;
 
 /** The operators' command line. Apart from {@link Main}, so that the programs load nothing of it. */
 final class OperatorMain {
--- a/cli/src/main/java/dewplank/StartFault.java
+++ b/cli/src/main/java/dewplank/StartFault.java
@@ -3,7 +3,7 @@
 import dewplank.config.BadInput;
 import dewplank.config.ResultCode;
 import java.net.BindException;
-import orchard.cellar.StoreException;
+import dewplank.store.StoreException;
 
 /** Why one of the fleet's programs could not start, as its operator is told. Loaded only then. */
 final class StartFault {
--- a/cli/src/main/java/dewplank/rehearsal/FleetRehearsal.java
+++ b/cli/src/main/java/dewplank/rehearsal/FleetRehearsal.java
@@ -16,9 +16,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import orchard.cellar.StoreException;
-import orchard.meadow.Meadow;
-import orchard.nursery.ControlPlane;
+import dewplank.store.StoreException;
+import dewplank.dataplane.DataPlane;
+import dewplank.controlplane.ControlPlane;
 
 /**
  * Runs both programs of the fleet in one process on loopback for a moment: a configuration is put, a list taken, a plain
@@ -51,7 +51,7 @@
         loop.execute(servers::accept);
         ControlPlane control = new ControlPlane(NodeSettings.parse(settings("core", ports[0], true)));
         control.start();
-        Meadow data = new Meadow(NodeSettings.parse(settings("edge", ports[0], false)));
+        DataPlane data = new DataPlane(NodeSettings.parse(settings("edge", ports[0], false)));
         data.start();
         until(() -> status("PUT", ports[3], "/configuration", configuration()) == 200);
         status("GET", ports[3], "/configuration", null);
--- a/cli/src/test/java/dewplank/ArchitectureTest.java
+++ b/cli/src/test/java/dewplank/ArchitectureTest.java
@@ -11,7 +11,7 @@
 /** Arrows point down only: docs/architecture.md draws them. */
 public class ArchitectureTest {
     private static final JavaClasses ALL = new ClassFileImporter()
-        .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("dewplank", "saltfield", "orchard");
+        .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("dewplank", "saltfield");
 
     @Test
     public void layersUseOnlyWhatIsBelow() {
@@ -22,13 +22,13 @@
             .layer("sidecar").definedBy("dewplank.sidecar..", "dewplank.discovery..", "dewplank.peers..",
                 "saltfield.adapter..")
             .layer("rehearsal").definedBy("dewplank.rehearsal..")
-            .layer("control plane").definedBy("orchard.nursery..")
-            .layer("data plane").definedBy("orchard.meadow..")
-            .layer("messages").definedBy("orchard.furrow..")
-            .layer("client").definedBy("orchard.gardener..")
-            .layer("store").definedBy("orchard.cellar..")
-            .layer("fleet").definedBy("orchard.rootstock..", "orchard.almanac..", "orchard.hedgerow..", "orchard.steward..",
-                "orchard.trellis..")
+            .layer("control plane").definedBy("dewplank.controlplane..")
+            .layer("data plane").definedBy("dewplank.dataplane..")
+            .layer("messages").definedBy("dewplank.message..")
+            .layer("client").definedBy("dewplank.client..")
+            .layer("store").definedBy("dewplank.store..")
+            .layer("fleet").definedBy("dewplank.register..", "dewplank.configuration..", "dewplank.membership..", "dewplank.duty..",
+                "dewplank.routing..")
             .layer("exchange").definedBy("dewplank.exchange..")
             .layer("codecs").definedBy("dewplank.http..")
             .layer("net").definedBy("dewplank.net..")
@@ -64,8 +64,8 @@
     /** Decisions of the fleet are pure steps: whoever can't test them in virtual time has them in the wrong place. */
     @Test
     public void theFleetsDecisionsDoNoInputOrOutput() {
-        noClasses().that().resideInAnyPackage("orchard.rootstock..", "orchard.almanac..", "orchard.hedgerow..",
-            "orchard.steward..", "orchard.trellis..").should().dependOnClassesThat()
+        noClasses().that().resideInAnyPackage("dewplank.register..", "dewplank.configuration..", "dewplank.membership..",
+            "dewplank.duty..", "dewplank.routing..").should().dependOnClassesThat()
             .resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..", "java.util.concurrent..",
                 "dewplank.net..", "dewplank.exchange..").check(ALL);
     }
@@ -75,8 +75,8 @@
     public void theProgramsNeedNothingOfTheOperatorsClient() {
         noClasses().that().haveSimpleName("Main").or().haveSimpleNameStartingWith("Commands")
             .or().haveSimpleNameStartingWith("FleetCommands").or().haveNameMatching(".*\\.(Fleet)?Commands\\$.*")
-            .or().resideInAnyPackage("orchard.nursery..", "orchard.meadow..", "dewplank.sidecar..")
-            .should().dependOnClassesThat().resideInAnyPackage("orchard.gardener..", "java.net.http..").check(ALL);
+            .or().resideInAnyPackage("dewplank.controlplane..", "dewplank.dataplane..", "dewplank.sidecar..")
+            .should().dependOnClassesThat().resideInAnyPackage("dewplank.client..", "java.net.http..").check(ALL);
     }
 
     /** What serve loads must not grow with the laboratory: its classes live in a jar that serve never opens. */
--- a/cli/src/test/java/dewplank/HelpTest.java
+++ b/cli/src/test/java/dewplank/HelpTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 
 class HelpTest {
-    private static final Set<String> READING_VARIABLES = Set.of("serve", "check-config", "meadow", "nursery",
+    private static final Set<String> READING_VARIABLES = Set.of("serve", "check-config", "data-plane", "control-plane",
         "check-settings");
 
     @Test
@@ -25,7 +25,7 @@
     void textsNameTheVariables() {
         Map<String, String> texts = Help.texts();
         READING_VARIABLES.forEach(command -> assertTrue(texts.get(command).contains("Variables:"), command));
-        for (String command : List.of("meadow", "nursery", "check-settings")) {
+        for (String command : List.of("data-plane", "control-plane", "check-settings")) {
             assertTrue(texts.get(command).contains("DEWPLANK_NODE_FILE"), command);
         }
         assertTrue(texts.get("serve").contains("GW_CONFIG"));
--- a/cli/src/test/java/dewplank/OperatorMainTest.java
+++ b/cli/src/test/java/dewplank/OperatorMainTest.java
@@ -15,7 +15,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import orchard.nursery.ControlPlane;
+import dewplank.controlplane.ControlPlane;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
@@ -201,7 +201,7 @@
 
     @Test
     void checksSettings() throws IOException {
-        assertEquals("settings of core-1 can be used: control plane (nursery) for operators at " + control
+        assertEquals("settings of core-1 can be used: control plane (verb control-plane) for operators at " + control
             + ", disk in " + folder + "\n", done(run("check-settings", settings.toString())));
         Path noDisk = write("no-disk.json", settings(control, 1, 2, "null"));
         failed(1, "604 KEY_MISSING: data_directory is missing", run("check-settings", noDisk.toString()));
@@ -209,7 +209,7 @@
         failed(1, "604 KEY_MISSING: listen_addresses.readiness is missing", run("check-settings", edge.toString()));
         Path both = write("both.json", settings(control, 1, 2, "null")
             .replace("\"control\":", "\"front\":\"127.0.0.1:1\",\"readiness\":"));
-        assertTrue(done(run("check-settings", both.toString())).contains("data plane (meadow)"));
+        assertTrue(done(run("check-settings", both.toString())).contains("data plane (verb data-plane)"));
         Path none = write("none.json", settings(control, 1, 2, "null").replace("\"control\":", "\"other\":"));
         failed(1, "607 NO_ROLE", run("check-settings", none.toString()));
     }
--- a/cli/src/test/java/dewplank/fleet/Programs.java
+++ b/cli/src/test/java/dewplank/fleet/Programs.java
@@ -14,7 +14,7 @@
     private Programs() { }
 
     static StandInFleet.Commands commands() {
-        return new StandInFleet.Commands(command("nursery"), command("meadow"));
+        return new StandInFleet.Commands(command("control-plane"), command("data-plane"));
     }
 
     private static List<String> command(String program) {
--- a/client/src/main/java/orchard/gardener/Answer.java
+++ b/client/src/main/java/dewplank/client/Answer.java
@@ -1,4 +1,4 @@
-package orchard.gardener;
+package dewplank.client;
 
 import dewplank.config.BadInput;
 import dewplank.config.Json;
--- a/client/src/main/java/orchard/gardener/Change.java
+++ b/client/src/main/java/dewplank/client/Change.java
@@ -1,4 +1,4 @@
-package orchard.gardener;
+package dewplank.client;
 
 import java.util.LinkedHashMap;
 import java.util.Locale;
--- a/client/src/main/java/orchard/gardener/ConfigurationChanges.java
+++ b/client/src/main/java/dewplank/client/ConfigurationChanges.java
@@ -1,12 +1,12 @@
-package orchard.gardener;
+package dewplank.client;
 
 import dewplank.config.BadInput;
 import dewplank.config.Json;
 import dewplank.config.ResultCode;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import orchard.almanac.Configuration;
-import orchard.almanac.InvalidConfigurationException;
+import dewplank.configuration.Configuration;
+import dewplank.configuration.InvalidConfigurationException;
 
 /** Reads, changes and tries out configurations by way of control sidecars. */
 public final class ConfigurationChanges {
--- a/client/src/main/java/orchard/gardener/ConfigurationDifference.java
+++ b/client/src/main/java/dewplank/client/ConfigurationDifference.java
@@ -1,4 +1,4 @@
-package orchard.gardener;
+package dewplank.client;
 
 import dewplank.config.Json;
 import java.nio.charset.StandardCharsets;
@@ -6,7 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import orchard.almanac.Configuration;
+import dewplank.configuration.Configuration;
 
 /**
  * What differs between two configurations, key by key. Items of lists are told apart by their names; the order in which
--- a/client/src/main/java/orchard/gardener/ConfigurationText.java
+++ b/client/src/main/java/dewplank/client/ConfigurationText.java
@@ -1,14 +1,14 @@
-package orchard.gardener;
+package dewplank.client;
 
 import java.util.List;
 import java.util.Locale;
 import java.util.stream.Collectors;
-import orchard.almanac.Configuration;
-import orchard.almanac.Engine;
-import orchard.almanac.Limits;
-import orchard.almanac.Route;
-import orchard.almanac.Service;
-import orchard.almanac.WeightedService;
+import dewplank.configuration.Configuration;
+import dewplank.configuration.Engine;
+import dewplank.configuration.Limits;
+import dewplank.configuration.Route;
+import dewplank.configuration.Service;
+import dewplank.configuration.WeightedService;
 
 /** A configuration as text to read. */
 public final class ConfigurationText {
--- a/client/src/main/java/orchard/gardener/ControlAddresses.java
+++ b/client/src/main/java/dewplank/client/ControlAddresses.java
@@ -1,4 +1,4 @@
-package orchard.gardener;
+package dewplank.client;
 
 import java.net.InetSocketAddress;
 import java.net.URI;
--- a/client/src/main/java/orchard/gardener/ControlCall.java
+++ b/client/src/main/java/dewplank/client/ControlCall.java
@@ -1,4 +1,4 @@
-package orchard.gardener;
+package dewplank.client;
 
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
--- a/client/src/main/java/orchard/gardener/ControlClient.java
+++ b/client/src/main/java/dewplank/client/ControlClient.java
@@ -1,4 +1,4 @@
-package orchard.gardener;
+package dewplank.client;
 
 import java.io.IOException;
 import java.net.URI;
--- a/client/src/main/java/orchard/gardener/JsonValues.java
+++ b/client/src/main/java/dewplank/client/JsonValues.java
@@ -1,4 +1,4 @@
-package orchard.gardener;
+package dewplank.client;
 
 import com.google.gson.Gson;
 import com.google.gson.GsonBuilder;
--- a/client/src/main/java/orchard/gardener/RouteExplanation.java
+++ b/client/src/main/java/dewplank/client/RouteExplanation.java
@@ -1,4 +1,4 @@
-package orchard.gardener;
+package dewplank.client;
 
 import dewplank.config.BadInput;
 import dewplank.config.Fields;
@@ -7,11 +7,11 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import orchard.almanac.Configuration;
-import orchard.almanac.Limits;
-import orchard.almanac.Route;
-import orchard.almanac.RouteTable;
-import orchard.almanac.WeightedService;
+import dewplank.configuration.Configuration;
+import dewplank.configuration.Limits;
+import dewplank.configuration.Route;
+import dewplank.configuration.RouteTable;
+import dewplank.configuration.WeightedService;
 
 /** Where requests of a host and path go: the route, its split, its limits, and the servers listed for it. */
 public final class RouteExplanation {
--- a/client/src/main/java/orchard/gardener/SettingsCheck.java
+++ b/client/src/main/java/dewplank/client/SettingsCheck.java
@@ -1,4 +1,4 @@
-package orchard.gardener;
+package dewplank.client;
 
 import dewplank.config.BadInput;
 import dewplank.config.NodeSettings;
@@ -16,17 +16,17 @@
         List<String> roles = new ArrayList<>();
         if (settings.front() != null || settings.readiness() != null) {
             settings.ofDataPlane();
-            roles.add("data plane (meadow) for clients at " + text(settings.front()) + ", readiness at "
+            roles.add("data plane (verb data-plane) for clients at " + text(settings.front()) + ", readiness at "
                 + text(settings.readiness()));
         }
         if (settings.control() != null) {
             settings.ofControlPlane();
-            roles.add("control plane (nursery) for operators at " + text(settings.control()) + ", disk in "
+            roles.add("control plane (verb control-plane) for operators at " + text(settings.control()) + ", disk in "
                 + settings.dataDirectory());
         }
         if (roles.isEmpty()) {
             throw BadInput.of(ResultCode.NO_ROLE,
-                "listen_addresses names neither front and readiness, for meadow, nor control, for nursery");
+                "listen_addresses names neither front and readiness, for data-plane, nor control, for control-plane");
         }
         return "settings of " + settings.node() + " can be used: " + String.join("; ", roles);
     }
--- a/client/src/main/java/orchard/gardener/package-info.java
+++ b/client/src/main/java/dewplank/client/package-info.java
@@ -1,2 +1,2 @@
 /** The operators' client: calls to control sidecars, readable views, what a file would change, where a request goes. */
-package orchard.gardener;
+package dewplank.client;
--- a/client/src/test/java/orchard/gardener/ConfigurationDifferenceTest.java
+++ b/client/src/test/java/dewplank/client/ConfigurationDifferenceTest.java
@@ -1,4 +1,4 @@
-package orchard.gardener;
+package dewplank.client;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertSame;
@@ -19,7 +19,7 @@
 import java.util.stream.Collectors;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import orchard.almanac.Configuration;
+import dewplank.configuration.Configuration;
 import org.junit.jupiter.api.Test;
 
 class ConfigurationDifferenceTest {
--- a/client/src/test/java/orchard/gardener/ControlClientTest.java
+++ b/client/src/test/java/dewplank/client/ControlClientTest.java
@@ -1,4 +1,4 @@
-package orchard.gardener;
+package dewplank.client;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/client/src/test/java/orchard/gardener/RouteExplanationTest.java
+++ b/client/src/test/java/dewplank/client/RouteExplanationTest.java
@@ -1,4 +1,4 @@
-package orchard.gardener;
+package dewplank.client;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertSame;
@@ -11,7 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
-import orchard.almanac.Configuration;
+import dewplank.configuration.Configuration;
 import org.junit.jupiter.api.Test;
 
 class RouteExplanationTest {
--- a/client/src/test/java/orchard/gardener/StandInControl.java
+++ b/client/src/test/java/dewplank/client/StandInControl.java
@@ -1,4 +1,4 @@
-package orchard.gardener;
+package dewplank.client;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
--- a/controlplane/src/main/java/orchard/nursery/AcceptorKeeper.java
+++ b/controlplane/src/main/java/dewplank/controlplane/AcceptorKeeper.java
@@ -1,12 +1,12 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import dewplank.net.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import orchard.rootstock.Acceptor;
-import orchard.rootstock.AcceptorSet;
+import dewplank.register.Acceptor;
+import dewplank.register.AcceptorSet;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/controlplane/src/main/java/orchard/nursery/ConfigurationHistory.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ConfigurationHistory.java
@@ -1,11 +1,11 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
-import orchard.almanac.Configuration;
-import orchard.almanac.ConfigurationDelta;
-import orchard.furrow.Deflated;
+import dewplank.configuration.Configuration;
+import dewplank.configuration.ConfigurationDelta;
+import dewplank.message.Deflated;
 
 /** The newest configurations known to be chosen, and the updates that lead to the last of them. */
 final class ConfigurationHistory {
--- a/controlplane/src/main/java/orchard/nursery/ConfigurationStore.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ConfigurationStore.java
@@ -1,4 +1,4 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import dewplank.net.EventLoop;
 import java.util.HashMap;
@@ -6,18 +6,18 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
-import orchard.almanac.ChangeRequest;
-import orchard.almanac.ChangeResult;
-import orchard.almanac.Configuration;
-import orchard.almanac.ConfigurationDocument;
-import orchard.rootstock.Acceptor;
-import orchard.rootstock.AcceptorSet;
-import orchard.rootstock.Decision;
-import orchard.rootstock.DurableState;
-import orchard.rootstock.Outcome;
-import orchard.rootstock.Register;
-import orchard.rootstock.RegisterMessage;
-import orchard.rootstock.RegisterValue;
+import dewplank.configuration.ChangeRequest;
+import dewplank.configuration.ChangeResult;
+import dewplank.configuration.Configuration;
+import dewplank.configuration.ConfigurationDocument;
+import dewplank.register.Acceptor;
+import dewplank.register.AcceptorSet;
+import dewplank.register.Decision;
+import dewplank.register.DurableState;
+import dewplank.register.Outcome;
+import dewplank.register.Register;
+import dewplank.register.RegisterMessage;
+import dewplank.register.RegisterValue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/controlplane/src/main/java/orchard/nursery/ControlMesh.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlMesh.java
@@ -1,4 +1,4 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import dewplank.net.EventLoop;
 import java.net.InetSocketAddress;
@@ -8,12 +8,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
-import orchard.furrow.ControlHello;
-import orchard.furrow.FramedConnection;
-import orchard.furrow.MessageCodec;
-import orchard.furrow.SessionAnswer;
-import orchard.furrow.SessionsTold;
-import orchard.hedgerow.Member;
+import dewplank.message.ControlHello;
+import dewplank.message.FramedConnection;
+import dewplank.message.MessageCodec;
+import dewplank.message.SessionAnswer;
+import dewplank.message.SessionsTold;
+import dewplank.membership.Member;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/controlplane/src/main/java/orchard/nursery/Duties.java
+++ b/controlplane/src/main/java/dewplank/controlplane/Duties.java
@@ -1,18 +1,18 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import dewplank.net.EventLoop;
 import java.util.List;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import orchard.rootstock.Acceptor;
-import orchard.rootstock.AcceptorSet;
-import orchard.steward.Candidate;
-import orchard.steward.CandidateOutput;
-import orchard.steward.DutyTiming;
-import orchard.steward.VoteReply;
-import orchard.steward.VoteRequest;
-import orchard.steward.Voter;
-import orchard.steward.VoterOutput;
+import dewplank.register.Acceptor;
+import dewplank.register.AcceptorSet;
+import dewplank.duty.Candidate;
+import dewplank.duty.CandidateOutput;
+import dewplank.duty.DutyTiming;
+import dewplank.duty.VoteReply;
+import dewplank.duty.VoteRequest;
+import dewplank.duty.Voter;
+import dewplank.duty.VoterOutput;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/controlplane/src/main/java/orchard/nursery/JsonText.java
+++ b/controlplane/src/main/java/dewplank/controlplane/JsonText.java
@@ -1,4 +1,4 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import java.util.List;
 
--- a/controlplane/src/main/java/orchard/nursery/OperatorApi.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
@@ -1,4 +1,4 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import dewplank.config.ResultCode;
 import dewplank.exchange.CallTree;
@@ -11,11 +11,11 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
-import orchard.almanac.ChangeRequest;
-import orchard.almanac.ChangeResult;
-import orchard.almanac.ConfigurationDocument;
-import orchard.almanac.InvalidConfigurationException;
-import orchard.rootstock.Outcome;
+import dewplank.configuration.ChangeRequest;
+import dewplank.configuration.ChangeResult;
+import dewplank.configuration.ConfigurationDocument;
+import dewplank.configuration.InvalidConfigurationException;
+import dewplank.register.Outcome;
 
 /** The operator's interface over HTTP. */
 final class OperatorApi implements InboundConnection.Service {
--- a/controlplane/src/main/java/orchard/nursery/OperatorViews.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorViews.java
@@ -1,9 +1,9 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import java.util.List;
-import orchard.furrow.ServerEntry;
-import orchard.hedgerow.Member;
-import orchard.rootstock.Acceptor;
+import dewplank.message.ServerEntry;
+import dewplank.membership.Member;
+import dewplank.register.Acceptor;
 
 /** What this control sidecar knows, as JSON for the operator's client. */
 final class OperatorViews implements OperatorApi.Views {
--- a/controlplane/src/main/java/orchard/nursery/PlatformList.java
+++ b/controlplane/src/main/java/dewplank/controlplane/PlatformList.java
@@ -1,4 +1,4 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import com.jsoniter.JsonIterator;
 import com.jsoniter.ValueType;
@@ -14,7 +14,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import orchard.furrow.ServerEntry;
+import dewplank.message.ServerEntry;
 
 /** Asks the platform for its list of servers, page by page. */
 final class PlatformList {
--- a/controlplane/src/main/java/orchard/nursery/ServerLister.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ServerLister.java
@@ -1,12 +1,12 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import dewplank.net.EventLoop;
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Consumer;
-import orchard.furrow.ListVersion;
-import orchard.furrow.ServerEntry;
-import orchard.furrow.ServerList;
+import dewplank.message.ListVersion;
+import dewplank.message.ServerEntry;
+import dewplank.message.ServerList;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/controlplane/src/main/java/orchard/nursery/Sessions.java
+++ b/controlplane/src/main/java/dewplank/controlplane/Sessions.java
@@ -1,17 +1,17 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import dewplank.net.EventLoop;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import orchard.furrow.FramedConnection;
-import orchard.furrow.ListVersion;
-import orchard.furrow.SessionAnswer;
-import orchard.furrow.SessionOpen;
-import orchard.furrow.SessionQuestion;
-import orchard.furrow.Update;
-import orchard.hedgerow.Member;
-import orchard.hedgerow.SessionTable;
+import dewplank.message.FramedConnection;
+import dewplank.message.ListVersion;
+import dewplank.message.SessionAnswer;
+import dewplank.message.SessionOpen;
+import dewplank.message.SessionQuestion;
+import dewplank.message.Update;
+import dewplank.membership.Member;
+import dewplank.membership.SessionTable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/controlplane/src/main/java/orchard/nursery/StageKeeper.java
+++ b/controlplane/src/main/java/dewplank/controlplane/StageKeeper.java
@@ -1,4 +1,4 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import com.jsoniter.JsonIterator;
 import com.jsoniter.any.Any;
@@ -18,8 +18,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import orchard.furrow.ServerEntry;
-import orchard.steward.StagePlan;
+import dewplank.message.ServerEntry;
+import dewplank.duty.StagePlan;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/controlplane/src/main/java/orchard/nursery/Storage.java
+++ b/controlplane/src/main/java/dewplank/controlplane/Storage.java
@@ -1,4 +1,4 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import dewplank.config.BadInput;
 import dewplank.config.NodeSettings;
@@ -7,15 +7,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import orchard.cellar.AcceptorStore;
-import orchard.cellar.DiskFiles;
-import orchard.cellar.DiskThread;
-import orchard.cellar.SmallFile;
-import orchard.cellar.StoreException;
-import orchard.furrow.BadFrameException;
-import orchard.furrow.MessageCodec;
-import orchard.furrow.ServerList;
-import orchard.rootstock.DurableState;
+import dewplank.store.AcceptorStore;
+import dewplank.store.DiskFiles;
+import dewplank.store.DiskThread;
+import dewplank.store.SmallFile;
+import dewplank.store.StoreException;
+import dewplank.message.BadFrameException;
+import dewplank.message.MessageCodec;
+import dewplank.message.ServerList;
+import dewplank.register.DurableState;
 
 /** This process's disk: the acceptor's state and fencing numbers, written by one thread of its own. */
 final class Storage implements ConfigurationStore.Disk {
--- a/controlplane/src/test/java/orchard/nursery/ControlMeshTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/ControlMeshTest.java
@@ -1,4 +1,4 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotSame;
@@ -13,11 +13,11 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import orchard.furrow.ControlHello;
-import orchard.furrow.FleetMessages;
-import orchard.furrow.FramedConnection;
-import orchard.furrow.SessionsTold;
-import orchard.hedgerow.Member;
+import dewplank.message.ControlHello;
+import dewplank.message.FleetMessages;
+import dewplank.message.FramedConnection;
+import dewplank.message.SessionsTold;
+import dewplank.membership.Member;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/controlplane/src/test/java/orchard/nursery/FramedPeer.java
+++ b/controlplane/src/test/java/dewplank/controlplane/FramedPeer.java
@@ -1,4 +1,4 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import dewplank.exchange.OnLoop;
 import dewplank.exchange.Wire;
@@ -11,11 +11,11 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import orchard.furrow.FleetMessages;
-import orchard.furrow.FramedConnection;
-import orchard.furrow.MessageCodec;
-import orchard.furrow.SessionAnswer;
-import orchard.furrow.SessionsTold;
+import dewplank.message.FleetMessages;
+import dewplank.message.FramedConnection;
+import dewplank.message.MessageCodec;
+import dewplank.message.SessionAnswer;
+import dewplank.message.SessionsTold;
 
 /** Another process of the fleet, on a loop of its own: it notes what comes, and says what the test has it say. */
 final class FramedPeer implements FramedConnection.Handler, Closeable {
--- a/controlplane/src/test/java/orchard/nursery/OperatorApiTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/OperatorApiTest.java
@@ -1,4 +1,4 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/controlplane/src/test/java/orchard/nursery/StandInRegister.java
+++ b/controlplane/src/test/java/dewplank/controlplane/StandInRegister.java
@@ -1,14 +1,14 @@
-package orchard.nursery;
+package dewplank.controlplane;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import orchard.almanac.ChangeRequest;
-import orchard.almanac.ChangeResult;
-import orchard.almanac.ConfigurationDocument;
-import orchard.rootstock.AcceptorSet;
-import orchard.rootstock.Outcome;
-import orchard.rootstock.RegisterValue;
+import dewplank.configuration.ChangeRequest;
+import dewplank.configuration.ChangeResult;
+import dewplank.configuration.ConfigurationDocument;
+import dewplank.register.AcceptorSet;
+import dewplank.register.Outcome;
+import dewplank.register.RegisterValue;
 
 /** A register of one process, which answers at once: a configuration, or that nothing is known. */
 final class StandInRegister implements OperatorApi.Configurations {
--- a/dataplane/src/main/java/orchard/meadow/Counters.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Counters.java
@@ -1,4 +1,4 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 import java.util.EnumMap;
 import java.util.Map;
--- a/dataplane/src/main/java/orchard/meadow/Meadow.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
@@ -1,4 +1,4 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 import dewplank.config.NodeSettings;
 import dewplank.exchange.InboundConnection;
@@ -13,16 +13,16 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import orchard.furrow.FleetMessages;
-import orchard.hedgerow.Member;
-import orchard.trellis.FleetVotes;
-import orchard.trellis.ServerChoice;
+import dewplank.message.FleetMessages;
+import dewplank.membership.Member;
+import dewplank.routing.FleetVotes;
+import dewplank.routing.ServerChoice;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** The data plane: clients' requests in, servers' answers out; what it knows comes from its sessions. */
-public final class Meadow {
-    private static final Logger LOG = LoggerFactory.getLogger(Meadow.class);
+public final class DataPlane {
+    private static final Logger LOG = LoggerFactory.getLogger(DataPlane.class);
     private static final double COUNTERS_EVERY_MS = 5_000;
     private static final double SWEEP_MS = 250;
     private static final double LOOK_MS = 20;
@@ -44,7 +44,7 @@
     private final CountDownLatch drained = new CountDownLatch(1);
     private boolean draining;
 
-    public Meadow(NodeSettings settings) throws IOException {
+    public DataPlane(NodeSettings settings) throws IOException {
         this.settings = settings;
         loop = new EventLoop();
         fleet = new FleetView(loop);
--- a/dataplane/src/main/java/orchard/meadow/Exchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Exchange.java
@@ -1,4 +1,4 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 import dewplank.exchange.HttpCall;
 import dewplank.exchange.InboundConnection;
@@ -12,11 +12,11 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
-import orchard.almanac.Route;
-import orchard.almanac.RouteType;
-import orchard.almanac.Service;
-import orchard.meadow.Counters.Count;
-import orchard.trellis.ServerState;
+import dewplank.configuration.Route;
+import dewplank.configuration.RouteType;
+import dewplank.configuration.Service;
+import dewplank.dataplane.Counters.Count;
+import dewplank.routing.ServerState;
 
 /**
  * A client's request and its one final answer. What is common to plain requests and generations: the deadline, the
--- a/dataplane/src/main/java/orchard/meadow/FleetView.java
+++ b/dataplane/src/main/java/dewplank/dataplane/FleetView.java
@@ -1,4 +1,4 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 import dewplank.net.EventLoop;
 import java.util.ArrayList;
@@ -8,14 +8,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import orchard.almanac.Configuration;
-import orchard.almanac.RouteTable;
-import orchard.furrow.ListVersion;
-import orchard.furrow.ServerEntry;
-import orchard.furrow.ServerList;
-import orchard.hedgerow.Member;
-import orchard.hedgerow.SessionTable;
-import orchard.trellis.ServerState;
+import dewplank.configuration.Configuration;
+import dewplank.configuration.RouteTable;
+import dewplank.message.ListVersion;
+import dewplank.message.ServerEntry;
+import dewplank.message.ServerList;
+import dewplank.membership.Member;
+import dewplank.membership.SessionTable;
+import dewplank.routing.ServerState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/dataplane/src/main/java/orchard/meadow/Forwarder.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
@@ -1,4 +1,4 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 import dewplank.exchange.InboundConnection;
 import dewplank.http.Headers;
@@ -11,13 +11,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
-import orchard.almanac.Route;
-import orchard.almanac.Service;
-import orchard.almanac.WeightedService;
-import orchard.hedgerow.Member;
-import orchard.trellis.PairChoice;
-import orchard.trellis.RetryBudget;
-import orchard.trellis.ServerChoice;
+import dewplank.configuration.Route;
+import dewplank.configuration.Service;
+import dewplank.configuration.WeightedService;
+import dewplank.membership.Member;
+import dewplank.routing.PairChoice;
+import dewplank.routing.RetryBudget;
+import dewplank.routing.ServerChoice;
 
 /** Takes clients' requests, finds their routes, and has an exchange carry each of them. */
 final class Forwarder implements InboundConnection.Service {
--- a/dataplane/src/main/java/orchard/meadow/GenerationExchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/GenerationExchange.java
@@ -1,4 +1,4 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 import dewplank.exchange.HttpCall;
 import dewplank.exchange.InboundConnection;
@@ -8,13 +8,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import orchard.almanac.Route;
-import orchard.almanac.Service;
-import orchard.meadow.Counters.Count;
-import orchard.trellis.EventSplitter;
-import orchard.trellis.PairChoice;
-import orchard.trellis.PromptPrefix;
-import orchard.trellis.ServerState;
+import dewplank.configuration.Route;
+import dewplank.configuration.Service;
+import dewplank.dataplane.Counters.Count;
+import dewplank.routing.EventSplitter;
+import dewplank.routing.PairChoice;
+import dewplank.routing.PromptPrefix;
+import dewplank.routing.ServerState;
 
 /**
  * A generation: the prompt is prefilled at one server, its KV cache handed over to another, and the tokens streamed
--- a/dataplane/src/main/java/orchard/meadow/HandleAnswer.java
+++ b/dataplane/src/main/java/dewplank/dataplane/HandleAnswer.java
@@ -1,4 +1,4 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 import com.jsoniter.JsonIterator;
 import com.jsoniter.ValueType;
--- a/dataplane/src/main/java/orchard/meadow/HealthExchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/HealthExchange.java
@@ -1,4 +1,4 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 import dewplank.net.EventLoop;
 import java.io.IOException;
@@ -9,10 +9,10 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
-import orchard.hedgerow.Member;
-import orchard.trellis.FleetVotes;
-import orchard.trellis.HealthSummary;
-import orchard.trellis.ServerState;
+import dewplank.membership.Member;
+import dewplank.routing.FleetVotes;
+import dewplank.routing.HealthSummary;
+import dewplank.routing.ServerState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/dataplane/src/main/java/orchard/meadow/IgnoredAnswer.java
+++ b/dataplane/src/main/java/dewplank/dataplane/IgnoredAnswer.java
@@ -1,4 +1,4 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 import dewplank.exchange.HttpCall;
 import dewplank.http.Headers;
--- a/dataplane/src/main/java/orchard/meadow/PlainExchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/PlainExchange.java
@@ -1,4 +1,4 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 import dewplank.exchange.HttpCall;
 import dewplank.exchange.InboundConnection;
@@ -6,11 +6,11 @@
 import dewplank.net.Wheel;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
-import orchard.almanac.Route;
-import orchard.almanac.Service;
-import orchard.meadow.Counters.Count;
-import orchard.trellis.ServerChoice;
-import orchard.trellis.ServerState;
+import dewplank.configuration.Route;
+import dewplank.configuration.Service;
+import dewplank.dataplane.Counters.Count;
+import dewplank.routing.ServerChoice;
+import dewplank.routing.ServerState;
 
 /** A request that one server answers whole. */
 final class PlainExchange extends Exchange {
--- a/dataplane/src/main/java/orchard/meadow/Server.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Server.java
@@ -1,9 +1,9 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 import dewplank.exchange.ConnectionPool;
 import dewplank.net.EventLoop;
 import java.net.InetSocketAddress;
-import orchard.trellis.ServerState;
+import dewplank.routing.ServerState;
 
 /** A server and the connections to it. */
 final class Server {
--- a/dataplane/src/main/java/orchard/meadow/ServerCall.java
+++ b/dataplane/src/main/java/dewplank/dataplane/ServerCall.java
@@ -1,10 +1,10 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 import dewplank.exchange.HttpCall;
 import dewplank.http.Headers;
 import dewplank.net.EventLoop;
 import java.nio.ByteBuffer;
-import orchard.trellis.ServerState;
+import dewplank.routing.ServerState;
 
 /** A call to a server that counts as load there from its start to its end, however it ends. */
 final class ServerCall {
--- a/dataplane/src/main/java/orchard/meadow/SessionClient.java
+++ b/dataplane/src/main/java/dewplank/dataplane/SessionClient.java
@@ -1,4 +1,4 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 import dewplank.net.EventLoop;
 import java.net.InetSocketAddress;
@@ -10,18 +10,18 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
-import orchard.almanac.Configuration;
-import orchard.almanac.ConfigurationDelta;
-import orchard.almanac.InvalidConfigurationException;
-import orchard.furrow.BadFrameException;
-import orchard.furrow.Deflated;
-import orchard.furrow.FramedConnection;
-import orchard.furrow.MessageCodec;
-import orchard.furrow.SessionAnswer;
-import orchard.furrow.SessionOpen;
-import orchard.furrow.SessionQuestion;
-import orchard.furrow.Update;
-import orchard.hedgerow.Member;
+import dewplank.configuration.Configuration;
+import dewplank.configuration.ConfigurationDelta;
+import dewplank.configuration.InvalidConfigurationException;
+import dewplank.message.BadFrameException;
+import dewplank.message.Deflated;
+import dewplank.message.FramedConnection;
+import dewplank.message.MessageCodec;
+import dewplank.message.SessionAnswer;
+import dewplank.message.SessionOpen;
+import dewplank.message.SessionQuestion;
+import dewplank.message.Update;
+import dewplank.membership.Member;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/dataplane/src/main/java/orchard/meadow/Sockets.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Sockets.java
@@ -1,4 +1,4 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/dataplane/src/main/java/orchard/meadow/WireNames.java
+++ b/dataplane/src/main/java/dewplank/dataplane/WireNames.java
@@ -1,4 +1,4 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 /** Header fields of the operators' protocol (PROTOCOL, Requests; Servers; Prefill and decode). */
 final class WireNames {
--- a/dataplane/src/main/java/orchard/meadow/package-info.java
+++ b/dataplane/src/main/java/dewplank/dataplane/package-info.java
@@ -1,2 +1,2 @@
 /** The data plane's program: clients' requests forwarded by route to prefill and decode servers. */
-package orchard.meadow;
+package dewplank.dataplane;
--- a/dataplane/src/test/java/orchard/meadow/ControlStandIn.java
+++ b/dataplane/src/test/java/dewplank/dataplane/ControlStandIn.java
@@ -1,4 +1,4 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 import dewplank.exchange.Wire;
 import java.io.Closeable;
@@ -14,12 +14,12 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import orchard.furrow.BadFrameException;
-import orchard.furrow.FleetMessages;
-import orchard.furrow.MessageCodec;
-import orchard.furrow.SessionAnswer;
-import orchard.furrow.SessionOpen;
-import orchard.furrow.SessionQuestion;
+import dewplank.message.BadFrameException;
+import dewplank.message.FleetMessages;
+import dewplank.message.MessageCodec;
+import dewplank.message.SessionAnswer;
+import dewplank.message.SessionOpen;
+import dewplank.message.SessionQuestion;
 
 /** A control sidecar whose words are the test's; it answers questions by itself as long as it is told to. */
 final class ControlStandIn implements Closeable {
--- a/dataplane/src/test/java/orchard/meadow/FleetViewTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/FleetViewTest.java
@@ -1,13 +1,13 @@
-package orchard.meadow;
-
-import static orchard.meadow.TestFleet.MODEL;
-import static orchard.meadow.TestFleet.PLAIN;
-import static orchard.meadow.TestFleet.PROMPT;
-import static orchard.meadow.TestFleet.beginStream;
-import static orchard.meadow.TestFleet.event;
-import static orchard.meadow.TestFleet.request;
-import static orchard.meadow.TestFleet.route;
-import static orchard.meadow.TestFleet.serve;
+package dewplank.dataplane;
+
+import static dewplank.dataplane.TestFleet.MODEL;
+import static dewplank.dataplane.TestFleet.PLAIN;
+import static dewplank.dataplane.TestFleet.PROMPT;
+import static dewplank.dataplane.TestFleet.beginStream;
+import static dewplank.dataplane.TestFleet.event;
+import static dewplank.dataplane.TestFleet.request;
+import static dewplank.dataplane.TestFleet.route;
+import static dewplank.dataplane.TestFleet.serve;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotSame;
@@ -21,10 +21,10 @@
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
-import orchard.furrow.ListVersion;
-import orchard.furrow.ServerEntry;
-import orchard.furrow.ServerList;
-import orchard.trellis.ServerState;
+import dewplank.message.ListVersion;
+import dewplank.message.ServerEntry;
+import dewplank.message.ServerList;
+import dewplank.routing.ServerState;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/dataplane/src/test/java/orchard/meadow/GenerationTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/GenerationTest.java
@@ -1,17 +1,17 @@
-package orchard.meadow;
-
-import static orchard.meadow.TestFleet.MODEL;
-import static orchard.meadow.TestFleet.PROMPT;
-import static orchard.meadow.TestFleet.SEAL;
-import static orchard.meadow.TestFleet.SHORT_PROMPT;
-import static orchard.meadow.TestFleet.answer;
-import static orchard.meadow.TestFleet.beginStream;
-import static orchard.meadow.TestFleet.event;
-import static orchard.meadow.TestFleet.handOver;
-import static orchard.meadow.TestFleet.resumable;
-import static orchard.meadow.TestFleet.route;
-import static orchard.meadow.TestFleet.timeout;
-import static orchard.meadow.TestFleet.turnAway;
+package dewplank.dataplane;
+
+import static dewplank.dataplane.TestFleet.MODEL;
+import static dewplank.dataplane.TestFleet.PROMPT;
+import static dewplank.dataplane.TestFleet.SEAL;
+import static dewplank.dataplane.TestFleet.SHORT_PROMPT;
+import static dewplank.dataplane.TestFleet.answer;
+import static dewplank.dataplane.TestFleet.beginStream;
+import static dewplank.dataplane.TestFleet.event;
+import static dewplank.dataplane.TestFleet.handOver;
+import static dewplank.dataplane.TestFleet.resumable;
+import static dewplank.dataplane.TestFleet.route;
+import static dewplank.dataplane.TestFleet.timeout;
+import static dewplank.dataplane.TestFleet.turnAway;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
--- a/dataplane/src/test/java/orchard/meadow/PlainRouteTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/PlainRouteTest.java
@@ -1,15 +1,15 @@
-package orchard.meadow;
-
-import static orchard.meadow.TestFleet.NOT_EXECUTED;
-import static orchard.meadow.TestFleet.PLAIN;
-import static orchard.meadow.TestFleet.SEAL;
-import static orchard.meadow.TestFleet.answer;
-import static orchard.meadow.TestFleet.request;
-import static orchard.meadow.TestFleet.route;
-import static orchard.meadow.TestFleet.serve;
-import static orchard.meadow.TestFleet.target;
-import static orchard.meadow.TestFleet.timeout;
-import static orchard.meadow.TestFleet.turnAway;
+package dewplank.dataplane;
+
+import static dewplank.dataplane.TestFleet.NOT_EXECUTED;
+import static dewplank.dataplane.TestFleet.PLAIN;
+import static dewplank.dataplane.TestFleet.SEAL;
+import static dewplank.dataplane.TestFleet.answer;
+import static dewplank.dataplane.TestFleet.request;
+import static dewplank.dataplane.TestFleet.route;
+import static dewplank.dataplane.TestFleet.serve;
+import static dewplank.dataplane.TestFleet.target;
+import static dewplank.dataplane.TestFleet.timeout;
+import static dewplank.dataplane.TestFleet.turnAway;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
--- a/dataplane/src/test/java/orchard/meadow/TestFleet.java
+++ b/dataplane/src/test/java/dewplank/dataplane/TestFleet.java
@@ -1,4 +1,4 @@
-package orchard.meadow;
+package dewplank.dataplane;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -22,13 +22,13 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.UnaryOperator;
-import orchard.almanac.Configuration;
-import orchard.almanac.InvalidConfigurationException;
-import orchard.furrow.ListVersion;
-import orchard.furrow.ServerEntry;
-import orchard.furrow.ServerList;
-import orchard.trellis.ServerChoice;
-import orchard.trellis.FleetVotes;
+import dewplank.configuration.Configuration;
+import dewplank.configuration.InvalidConfigurationException;
+import dewplank.message.ListVersion;
+import dewplank.message.ServerEntry;
+import dewplank.message.ServerList;
+import dewplank.routing.ServerChoice;
+import dewplank.routing.FleetVotes;
 
 /** A forwarder between plain-socket clients and scripted servers, whose requests stand in one line whoever got them. */
 final class TestFleet implements Closeable {
--- a/fleet/src/main/java/orchard/almanac/ChangeRequest.java
+++ b/fleet/src/main/java/dewplank/configuration/ChangeRequest.java
@@ -1,4 +1,4 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import java.nio.ByteBuffer;
 import java.security.MessageDigest;
--- a/fleet/src/main/java/orchard/almanac/ChangeResult.java
+++ b/fleet/src/main/java/dewplank/configuration/ChangeResult.java
@@ -1,4 +1,4 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 /** What became of a change. */
 public sealed interface ChangeResult {
--- a/fleet/src/main/java/orchard/almanac/Configuration.java
+++ b/fleet/src/main/java/dewplank/configuration/Configuration.java
@@ -1,4 +1,4 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
@@ -6,12 +6,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import orchard.almanac.InvalidConfigurationException.Reason;
-import orchard.almanac.Item.RouteItem;
-import orchard.almanac.Item.ServiceItem;
-import orchard.almanac.JsonValue.JsonObject;
-import orchard.almanac.Section.ItemList;
-import orchard.almanac.Section.PlainValue;
+import dewplank.configuration.InvalidConfigurationException.Reason;
+import dewplank.configuration.Item.RouteItem;
+import dewplank.configuration.Item.ServiceItem;
+import dewplank.configuration.JsonValue.JsonObject;
+import dewplank.configuration.Section.ItemList;
+import dewplank.configuration.Section.PlainValue;
 
 /**
  * A whole configuration; immutable. It is held as the texts of its items with what they mean, so that a change reads
--- a/fleet/src/main/java/orchard/almanac/ConfigurationDelta.java
+++ b/fleet/src/main/java/dewplank/configuration/ConfigurationDelta.java
@@ -1,4 +1,4 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
@@ -8,8 +8,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import orchard.almanac.Section.ItemList;
-import orchard.almanac.Section.PlainValue;
+import dewplank.configuration.Section.ItemList;
+import dewplank.configuration.Section.PlainValue;
 
 /**
  * The difference of two configurations. It names the two versions and then the later one's fields in order: each as
--- a/fleet/src/main/java/orchard/almanac/ConfigurationDocument.java
+++ b/fleet/src/main/java/dewplank/configuration/ConfigurationDocument.java
@@ -1,4 +1,4 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -9,12 +9,12 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import orchard.almanac.ChangeResult.Accepted;
-import orchard.almanac.ChangeResult.AlreadyAccepted;
-import orchard.almanac.ChangeResult.Invalid;
-import orchard.almanac.ChangeResult.VersionMismatch;
-import orchard.almanac.InvalidConfigurationException.Reason;
-import orchard.almanac.JsonValue.JsonObject;
+import dewplank.configuration.ChangeResult.Accepted;
+import dewplank.configuration.ChangeResult.AlreadyAccepted;
+import dewplank.configuration.ChangeResult.Invalid;
+import dewplank.configuration.ChangeResult.VersionMismatch;
+import dewplank.configuration.InvalidConfigurationException.Reason;
+import dewplank.configuration.JsonValue.JsonObject;
 
 /** What the register holds: the configuration and the last changes that were taken; immutable. */
 public final class ConfigurationDocument {
--- a/fleet/src/main/java/orchard/almanac/ConfigurationPatch.java
+++ b/fleet/src/main/java/dewplank/configuration/ConfigurationPatch.java
@@ -1,15 +1,15 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import orchard.almanac.InvalidConfigurationException.Reason;
-import orchard.almanac.JsonValue.JsonArray;
-import orchard.almanac.JsonValue.JsonObject;
-import orchard.almanac.JsonValue.JsonString;
-import orchard.almanac.Section.ItemList;
+import dewplank.configuration.InvalidConfigurationException.Reason;
+import dewplank.configuration.JsonValue.JsonArray;
+import dewplank.configuration.JsonValue.JsonObject;
+import dewplank.configuration.JsonValue.JsonString;
+import dewplank.configuration.Section.ItemList;
 
 /**
  * Takes a change on top of a configuration's fields. Items are added or replaced first and names removed after, so a
--- a/fleet/src/main/java/orchard/almanac/DeltaReader.java
+++ b/fleet/src/main/java/dewplank/configuration/DeltaReader.java
@@ -1,4 +1,4 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import java.io.ByteArrayInputStream;
 import java.io.DataInputStream;
@@ -7,10 +7,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import orchard.almanac.InvalidConfigurationException.Reason;
-import orchard.almanac.JsonValue.JsonString;
-import orchard.almanac.Section.ItemList;
-import orchard.almanac.Section.PlainValue;
+import dewplank.configuration.InvalidConfigurationException.Reason;
+import dewplank.configuration.JsonValue.JsonString;
+import dewplank.configuration.Section.ItemList;
+import dewplank.configuration.Section.PlainValue;
 
 /** Reads a difference and builds the later configuration from it and the earlier one. */
 final class DeltaReader {
--- a/fleet/src/main/java/orchard/almanac/InvalidConfigurationException.java
+++ b/fleet/src/main/java/dewplank/configuration/InvalidConfigurationException.java
@@ -1,4 +1,4 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 /** A configuration, or a change to one, that cannot be taken; it names the key at fault. */
 public final class InvalidConfigurationException extends Exception {
--- a/fleet/src/main/java/orchard/almanac/Item.java
+++ b/fleet/src/main/java/dewplank/configuration/Item.java
@@ -1,8 +1,8 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import java.util.Arrays;
-import orchard.almanac.InvalidConfigurationException.Reason;
-import orchard.almanac.JsonValue.JsonObject;
+import dewplank.configuration.InvalidConfigurationException.Reason;
+import dewplank.configuration.JsonValue.JsonObject;
 
 /** An item of a named list: its text, and what it means where the list is known. */
 sealed interface Item {
--- a/fleet/src/main/java/orchard/almanac/JsonGrammar.java
+++ b/fleet/src/main/java/dewplank/configuration/JsonGrammar.java
@@ -1,9 +1,9 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
-import orchard.almanac.InvalidConfigurationException.Reason;
+import dewplank.configuration.InvalidConfigurationException.Reason;
 
 /**
  * Checks that bytes are exactly one JSON value by the letter of RFC 8259. The reader that follows skips over what it
--- a/fleet/src/main/java/orchard/almanac/JsonTextReader.java
+++ b/fleet/src/main/java/dewplank/configuration/JsonTextReader.java
@@ -1,4 +1,4 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import com.jsoniter.JsonIterator;
 import com.jsoniter.ValueType;
@@ -8,12 +8,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import orchard.almanac.InvalidConfigurationException.Reason;
-import orchard.almanac.JsonValue.JsonArray;
-import orchard.almanac.JsonValue.JsonNumber;
-import orchard.almanac.JsonValue.JsonObject;
-import orchard.almanac.JsonValue.JsonString;
-import orchard.almanac.JsonValue.JsonWord;
+import dewplank.configuration.InvalidConfigurationException.Reason;
+import dewplank.configuration.JsonValue.JsonArray;
+import dewplank.configuration.JsonValue.JsonNumber;
+import dewplank.configuration.JsonValue.JsonObject;
+import dewplank.configuration.JsonValue.JsonString;
+import dewplank.configuration.JsonValue.JsonWord;
 
 /** Reads a whole JSON text into a tree: nothing is left for later, and duplicate keys are refused. */
 final class JsonTextReader {
--- a/fleet/src/main/java/orchard/almanac/JsonTextWriter.java
+++ b/fleet/src/main/java/dewplank/configuration/JsonTextWriter.java
@@ -1,14 +1,14 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Map;
-import orchard.almanac.JsonValue.JsonArray;
-import orchard.almanac.JsonValue.JsonNumber;
-import orchard.almanac.JsonValue.JsonObject;
-import orchard.almanac.JsonValue.JsonString;
-import orchard.almanac.JsonValue.JsonWord;
+import dewplank.configuration.JsonValue.JsonArray;
+import dewplank.configuration.JsonValue.JsonNumber;
+import dewplank.configuration.JsonValue.JsonObject;
+import dewplank.configuration.JsonValue.JsonString;
+import dewplank.configuration.JsonValue.JsonWord;
 
 /** Writes a JSON tree without spaces; the same tree always gives the same bytes. */
 final class JsonTextWriter {
--- a/fleet/src/main/java/orchard/almanac/Limits.java
+++ b/fleet/src/main/java/dewplank/configuration/Limits.java
@@ -1,4 +1,4 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 /**
  * Bounds on what a client may send and how long it may take.
--- a/fleet/src/main/java/orchard/almanac/RouteCheck.java
+++ b/fleet/src/main/java/dewplank/configuration/RouteCheck.java
@@ -1,11 +1,11 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import orchard.almanac.InvalidConfigurationException.Reason;
+import dewplank.configuration.InvalidConfigurationException.Reason;
 
 /** Checks what routes share: no two with one host and prefix, and every service they name is there. */
 final class RouteCheck {
--- a/fleet/src/main/java/orchard/almanac/RouteReader.java
+++ b/fleet/src/main/java/dewplank/configuration/RouteReader.java
@@ -1,10 +1,10 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import orchard.almanac.InvalidConfigurationException.Reason;
-import orchard.almanac.JsonValue.JsonObject;
+import dewplank.configuration.InvalidConfigurationException.Reason;
+import dewplank.configuration.JsonValue.JsonObject;
 
 /** Reads and checks one route by itself; what it shares with other items is checked over the whole configuration. */
 final class RouteReader {
--- a/fleet/src/main/java/orchard/almanac/RouteTable.java
+++ b/fleet/src/main/java/dewplank/configuration/RouteTable.java
@@ -1,4 +1,4 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import java.util.HashMap;
 import java.util.Locale;
--- a/fleet/src/main/java/orchard/almanac/RouteType.java
+++ b/fleet/src/main/java/dewplank/configuration/RouteType.java
@@ -1,4 +1,4 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 /** What may be repeated of a route's requests. */
 public enum RouteType {
--- a/fleet/src/main/java/orchard/almanac/Section.java
+++ b/fleet/src/main/java/dewplank/configuration/Section.java
@@ -1,4 +1,4 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import orchard.almanac.InvalidConfigurationException.Reason;
-import orchard.almanac.JsonValue.JsonArray;
-import orchard.almanac.JsonValue.JsonObject;
+import dewplank.configuration.InvalidConfigurationException.Reason;
+import dewplank.configuration.JsonValue.JsonArray;
+import dewplank.configuration.JsonValue.JsonObject;
 
 /** A top-level field of a configuration. */
 sealed interface Section {
--- a/fleet/src/main/java/orchard/almanac/ServiceReader.java
+++ b/fleet/src/main/java/dewplank/configuration/ServiceReader.java
@@ -1,9 +1,9 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import java.util.ArrayList;
 import java.util.List;
-import orchard.almanac.JsonValue.JsonObject;
-import orchard.almanac.JsonValue.JsonString;
+import dewplank.configuration.JsonValue.JsonObject;
+import dewplank.configuration.JsonValue.JsonString;
 
 /** Reads and checks one service. */
 final class ServiceReader {
--- a/fleet/src/main/java/orchard/almanac/WeightedService.java
+++ b/fleet/src/main/java/dewplank/configuration/WeightedService.java
@@ -1,4 +1,4 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 /**
  * A service's part of a route's requests.
--- a/fleet/src/main/java/orchard/almanac/package-info.java
+++ b/fleet/src/main/java/dewplank/configuration/package-info.java
@@ -1,2 +1,2 @@
 /** The operators' configuration: parsing, validation, patches, the route table and the history of accepted changes. */
-package orchard.almanac;
+package dewplank.configuration;
--- a/fleet/src/main/java/orchard/steward/Ballot.java
+++ b/fleet/src/main/java/dewplank/duty/Ballot.java
@@ -1,10 +1,10 @@
-package orchard.steward;
+package dewplank.duty;
 
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import orchard.steward.VoteReply.Verdict;
+import dewplank.duty.VoteReply.Verdict;
 
 /** The replies to one round of a candidate's requests. */
 final class Ballot {
--- a/fleet/src/main/java/orchard/steward/Candidate.java
+++ b/fleet/src/main/java/dewplank/duty/Candidate.java
@@ -1,10 +1,10 @@
-package orchard.steward;
+package dewplank.duty;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
 import java.util.function.DoubleSupplier;
-import orchard.steward.VoteRequest.Kind;
+import dewplank.duty.VoteRequest.Kind;
 
 /**
  * One control sidecar's candidacy for one duty. While another holds the duty it probes about once a lease, which binds
--- a/fleet/src/main/java/orchard/steward/CandidateOutput.java
+++ b/fleet/src/main/java/dewplank/duty/CandidateOutput.java
@@ -1,4 +1,4 @@
-package orchard.steward;
+package dewplank.duty;
 
 /** What a candidate wants done. */
 public interface CandidateOutput {
--- a/fleet/src/main/java/orchard/steward/DutyTiming.java
+++ b/fleet/src/main/java/dewplank/duty/DutyTiming.java
@@ -1,4 +1,4 @@
-package orchard.steward;
+package dewplank.duty;
 
 /**
  * The times of a duty's ballots.
--- a/fleet/src/main/java/orchard/steward/VoteReply.java
+++ b/fleet/src/main/java/dewplank/duty/VoteReply.java
@@ -1,4 +1,4 @@
-package orchard.steward;
+package dewplank.duty;
 
 /** A voter's answer. Not a record: messages are filled in field by field. */
 public final class VoteReply {
--- a/fleet/src/main/java/orchard/steward/VoteRequest.java
+++ b/fleet/src/main/java/dewplank/duty/VoteRequest.java
@@ -1,4 +1,4 @@
-package orchard.steward;
+package dewplank.duty;
 
 /** What a candidate asks of a voter. Not a record: messages are filled in field by field. */
 public final class VoteRequest {
--- a/fleet/src/main/java/orchard/steward/Voter.java
+++ b/fleet/src/main/java/dewplank/duty/Voter.java
@@ -1,9 +1,9 @@
-package orchard.steward;
+package dewplank.duty;
 
 import java.util.HashMap;
 import java.util.Map;
-import orchard.steward.VoteReply.Standing;
-import orchard.steward.VoteReply.Verdict;
+import dewplank.duty.VoteReply.Standing;
+import dewplank.duty.VoteReply.Verdict;
 
 /**
  * One control sidecar's votes. For each duty it is bound to one candidate at a time, for the length of a lease, and
--- a/fleet/src/main/java/orchard/steward/VoterOutput.java
+++ b/fleet/src/main/java/dewplank/duty/VoterOutput.java
@@ -1,4 +1,4 @@
-package orchard.steward;
+package dewplank.duty;
 
 /** What a voter wants done. */
 public interface VoterOutput {
--- a/fleet/src/main/java/orchard/hedgerow/Member.java
+++ b/fleet/src/main/java/dewplank/membership/Member.java
@@ -1,4 +1,4 @@
-package orchard.hedgerow;
+package dewplank.membership;
 
 import java.util.Objects;
 
--- a/fleet/src/main/java/orchard/hedgerow/package-info.java
+++ b/fleet/src/main/java/dewplank/membership/package-info.java
@@ -1,2 +1,2 @@
 /** Membership: sessions of sidecars with control sidecars, their leases, and what control sidecars tell each other. */
-package orchard.hedgerow;
+package dewplank.membership;
--- a/fleet/src/main/java/orchard/rootstock/Change.java
+++ b/fleet/src/main/java/dewplank/register/Change.java
@@ -1,4 +1,4 @@
-package orchard.rootstock;
+package dewplank.register;
 
 /** Decides what becomes of the register's payload. */
 public interface Change {
--- a/fleet/src/main/java/orchard/rootstock/ChangeTask.java
+++ b/fleet/src/main/java/dewplank/register/ChangeTask.java
@@ -1,4 +1,4 @@
-package orchard.rootstock;
+package dewplank.register;
 
 /** A caller's change of the payload. */
 final class ChangeTask implements Task {
--- a/fleet/src/main/java/orchard/rootstock/Decision.java
+++ b/fleet/src/main/java/dewplank/register/Decision.java
@@ -1,4 +1,4 @@
-package orchard.rootstock;
+package dewplank.register;
 
 /**
  * What a {@link Change} decided.
--- a/fleet/src/main/java/orchard/rootstock/FinishTask.java
+++ b/fleet/src/main/java/dewplank/register/FinishTask.java
@@ -1,4 +1,4 @@
-package orchard.rootstock;
+package dewplank.register;
 
 /** Finishes what others left: a value accepted but not known to be chosen, or the second step of a replacement. */
 final class FinishTask implements Task {
--- a/fleet/src/main/java/orchard/rootstock/Learner.java
+++ b/fleet/src/main/java/dewplank/register/Learner.java
@@ -1,4 +1,4 @@
-package orchard.rootstock;
+package dewplank.register;
 
 /** What one process knows to be chosen, and what it has seen accepted beyond that. */
 final class Learner {
--- a/fleet/src/main/java/orchard/rootstock/Outcome.java
+++ b/fleet/src/main/java/dewplank/register/Outcome.java
@@ -1,4 +1,4 @@
-package orchard.rootstock;
+package dewplank.register;
 
 /** How a request to the register ended. */
 public sealed interface Outcome permits Outcome.Confirmed, Outcome.Unknown {
--- a/fleet/src/main/java/orchard/rootstock/Round.java
+++ b/fleet/src/main/java/dewplank/register/Round.java
@@ -1,4 +1,4 @@
-package orchard.rootstock;
+package dewplank.register;
 
 import java.util.HashSet;
 import java.util.Set;
--- a/fleet/src/main/java/orchard/rootstock/Task.java
+++ b/fleet/src/main/java/dewplank/register/Task.java
@@ -1,4 +1,4 @@
-package orchard.rootstock;
+package dewplank.register;
 
 /** Something that wants rounds of the proposer until it is done. */
 interface Task {
--- a/fleet/src/main/java/orchard/rootstock/package-info.java
+++ b/fleet/src/main/java/dewplank/register/package-info.java
@@ -3,4 +3,4 @@
  * rounds at a majority (prepare, accept) and carries the value it expects; there is no log and no leader. Nothing here
  * reads a clock, draws time, opens a socket or touches a disk.
  */
-package orchard.rootstock;
+package dewplank.register;
--- a/fleet/src/main/java/orchard/trellis/FleetVotes.java
+++ b/fleet/src/main/java/dewplank/routing/FleetVotes.java
@@ -1,4 +1,4 @@
-package orchard.trellis;
+package dewplank.routing;
 
 import java.util.HashMap;
 import java.util.Iterator;
--- a/fleet/src/main/java/orchard/trellis/HealthSummary.java
+++ b/fleet/src/main/java/dewplank/routing/HealthSummary.java
@@ -1,4 +1,4 @@
-package orchard.trellis;
+package dewplank.routing;
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
--- a/fleet/src/main/java/orchard/trellis/ServerState.java
+++ b/fleet/src/main/java/dewplank/routing/ServerState.java
@@ -1,4 +1,4 @@
-package orchard.trellis;
+package dewplank.routing;
 
 import java.util.HashSet;
 import java.util.LinkedHashSet;
--- a/fleet/src/main/java/orchard/trellis/package-info.java
+++ b/fleet/src/main/java/dewplank/routing/package-info.java
@@ -1,2 +1,2 @@
 /** Routing decisions of the data plane: health verdicts, the choice of servers, prefix affinity, the retry budget. */
-package orchard.trellis;
+package dewplank.routing;
--- a/fleet/src/test/java/orchard/almanac/ConfigurationDocumentTest.java
+++ b/fleet/src/test/java/dewplank/configuration/ConfigurationDocumentTest.java
@@ -1,15 +1,15 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
-import orchard.almanac.ChangeResult.Accepted;
-import orchard.almanac.ChangeResult.AlreadyAccepted;
-import orchard.almanac.ChangeResult.Invalid;
-import orchard.almanac.ChangeResult.VersionMismatch;
-import orchard.almanac.InvalidConfigurationException.Reason;
+import dewplank.configuration.ChangeResult.Accepted;
+import dewplank.configuration.ChangeResult.AlreadyAccepted;
+import dewplank.configuration.ChangeResult.Invalid;
+import dewplank.configuration.ChangeResult.VersionMismatch;
+import dewplank.configuration.InvalidConfigurationException.Reason;
 import org.junit.jupiter.api.Test;
 
 class ConfigurationDocumentTest {
--- a/fleet/src/test/java/orchard/almanac/ConfigurationPropertyTest.java
+++ b/fleet/src/test/java/dewplank/configuration/ConfigurationPropertyTest.java
@@ -1,4 +1,4 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -12,13 +12,13 @@
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import orchard.almanac.ChangeResult.Accepted;
-import orchard.almanac.ChangeResult.AlreadyAccepted;
-import orchard.almanac.JsonValue.JsonArray;
-import orchard.almanac.JsonValue.JsonNumber;
-import orchard.almanac.JsonValue.JsonObject;
-import orchard.almanac.JsonValue.JsonString;
-import orchard.almanac.JsonValue.JsonWord;
+import dewplank.configuration.ChangeResult.Accepted;
+import dewplank.configuration.ChangeResult.AlreadyAccepted;
+import dewplank.configuration.JsonValue.JsonArray;
+import dewplank.configuration.JsonValue.JsonNumber;
+import dewplank.configuration.JsonValue.JsonObject;
+import dewplank.configuration.JsonValue.JsonString;
+import dewplank.configuration.JsonValue.JsonWord;
 
 /** Properties over random configurations; a failure prints its seed. */
 class ConfigurationPropertyTest {
--- a/fleet/src/test/java/orchard/almanac/ConfigurationTest.java
+++ b/fleet/src/test/java/dewplank/configuration/ConfigurationTest.java
@@ -1,11 +1,11 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.List;
-import orchard.almanac.InvalidConfigurationException.Reason;
+import dewplank.configuration.InvalidConfigurationException.Reason;
 import org.junit.jupiter.api.Test;
 
 class ConfigurationTest {
--- a/fleet/src/test/java/orchard/almanac/InvalidConfigurationTest.java
+++ b/fleet/src/test/java/dewplank/configuration/InvalidConfigurationTest.java
@@ -1,11 +1,11 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Arrays;
-import orchard.almanac.InvalidConfigurationException.Reason;
+import dewplank.configuration.InvalidConfigurationException.Reason;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
--- a/fleet/src/test/java/orchard/almanac/RouteTableTest.java
+++ b/fleet/src/test/java/dewplank/configuration/RouteTableTest.java
@@ -1,4 +1,4 @@
-package orchard.almanac;
+package dewplank.configuration;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
--- a/fleet/src/test/java/orchard/steward/DutyPropertyTest.java
+++ b/fleet/src/test/java/dewplank/duty/DutyPropertyTest.java
@@ -1,4 +1,4 @@
-package orchard.steward;
+package dewplank.duty;
 
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,7 +10,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
-import orchard.steward.DutySimulation.Sidecar;
+import dewplank.duty.DutySimulation.Sidecar;
 
 /** One holder at a time, rising numbers, and a successor in time, over random histories; a failure prints its seed. */
 class DutyPropertyTest {
--- a/fleet/src/test/java/orchard/steward/DutySimulation.java
+++ b/fleet/src/test/java/dewplank/duty/DutySimulation.java
@@ -1,4 +1,4 @@
-package orchard.steward;
+package dewplank.duty;
 
 import java.util.ArrayList;
 import java.util.Collections;
--- a/fleet/src/test/java/orchard/steward/DutySuccessionTest.java
+++ b/fleet/src/test/java/dewplank/duty/DutySuccessionTest.java
@@ -1,4 +1,4 @@
-package orchard.steward;
+package dewplank.duty;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -6,7 +6,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
-import orchard.steward.DutySimulation.Sidecar;
+import dewplank.duty.DutySimulation.Sidecar;
 
 /** How long a duty stays vacant where links and disks are well. */
 class DutySuccessionTest {
--- a/fleet/src/test/java/orchard/steward/VoterTest.java
+++ b/fleet/src/test/java/dewplank/duty/VoterTest.java
@@ -1,4 +1,4 @@
-package orchard.steward;
+package dewplank.duty;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -6,8 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import orchard.steward.VoteReply.Verdict;
-import orchard.steward.VoteRequest.Kind;
+import dewplank.duty.VoteReply.Verdict;
+import dewplank.duty.VoteRequest.Kind;
 import org.junit.jupiter.api.Test;
 
 class VoterTest {
--- a/fleet/src/test/java/orchard/hedgerow/SessionTableTest.java
+++ b/fleet/src/test/java/dewplank/membership/SessionTableTest.java
@@ -1,4 +1,4 @@
-package orchard.hedgerow;
+package dewplank.membership;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/fleet/src/test/java/orchard/rootstock/RegisterHistoriesTest.java
+++ b/fleet/src/test/java/dewplank/register/RegisterHistoriesTest.java
@@ -1,4 +1,4 @@
-package orchard.rootstock;
+package dewplank.register;
 
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
--- a/fleet/src/test/java/orchard/rootstock/VersionHistory.java
+++ b/fleet/src/test/java/dewplank/register/VersionHistory.java
@@ -1,4 +1,4 @@
-package orchard.rootstock;
+package dewplank.register;
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
--- a/fleet/src/test/java/orchard/trellis/PromptPrefixTest.java
+++ b/fleet/src/test/java/dewplank/routing/PromptPrefixTest.java
@@ -1,4 +1,4 @@
-package orchard.trellis;
+package dewplank.routing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
--- a/fleet/src/test/java/orchard/trellis/RetryBudgetTest.java
+++ b/fleet/src/test/java/dewplank/routing/RetryBudgetTest.java
@@ -1,4 +1,4 @@
-package orchard.trellis;
+package dewplank.routing;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/messages/src/main/java/orchard/furrow/BadFrameException.java
+++ b/messages/src/main/java/dewplank/message/BadFrameException.java
@@ -1,4 +1,4 @@
-package orchard.furrow;
+package dewplank.message;
 
 /** Bytes from another process that are no message: the connection is of no use any more. */
 public final class BadFrameException extends Exception {
--- a/messages/src/main/java/orchard/furrow/ControlHello.java
+++ b/messages/src/main/java/dewplank/message/ControlHello.java
@@ -1,6 +1,6 @@
-package orchard.furrow;
+package dewplank.message;
 
-import orchard.hedgerow.Member;
+import dewplank.membership.Member;
 
 /** A control sidecar opens a connection to another one. */
 public final class ControlHello {
--- a/messages/src/main/java/orchard/furrow/Deflated.java
+++ b/messages/src/main/java/dewplank/message/Deflated.java
@@ -1,4 +1,4 @@
-package orchard.furrow;
+package dewplank.message;
 
 import java.io.ByteArrayOutputStream;
 import java.util.zip.DataFormatException;
--- a/messages/src/main/java/orchard/furrow/FleetMessages.java
+++ b/messages/src/main/java/dewplank/message/FleetMessages.java
@@ -1,10 +1,10 @@
-package orchard.furrow;
+package dewplank.message;
 
 import java.util.ArrayList;
 import java.util.List;
-import orchard.rootstock.RegisterMessages;
-import orchard.steward.VoteReply;
-import orchard.steward.VoteRequest;
+import dewplank.register.RegisterMessages;
+import dewplank.duty.VoteReply;
+import dewplank.duty.VoteRequest;
 
 /** All kinds of messages between the system's processes, in the order that numbers them on the wire: add at the end. */
 public final class FleetMessages {
--- a/messages/src/main/java/orchard/furrow/ListVersion.java
+++ b/messages/src/main/java/dewplank/message/ListVersion.java
@@ -1,4 +1,4 @@
-package orchard.furrow;
+package dewplank.message;
 
 /** Orders lists of servers: by the fencing number of the duty under which the list was asked for, then by count. */
 public final class ListVersion implements Comparable<ListVersion> {
--- a/messages/src/main/java/orchard/furrow/MessageCodec.java
+++ b/messages/src/main/java/dewplank/message/MessageCodec.java
@@ -1,4 +1,4 @@
-package orchard.furrow;
+package dewplank.message;
 
 import io.protostuff.LinkedBuffer;
 import io.protostuff.ProtostuffIOUtil;
--- a/messages/src/main/java/orchard/furrow/ServerEntry.java
+++ b/messages/src/main/java/dewplank/message/ServerEntry.java
@@ -1,4 +1,4 @@
-package orchard.furrow;
+package dewplank.message;
 
 import java.util.Objects;
 
--- a/messages/src/main/java/orchard/furrow/SessionAnswer.java
+++ b/messages/src/main/java/dewplank/message/SessionAnswer.java
@@ -1,4 +1,4 @@
-package orchard.furrow;
+package dewplank.message;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/messages/src/main/java/orchard/furrow/SessionOpen.java
+++ b/messages/src/main/java/dewplank/message/SessionOpen.java
@@ -1,6 +1,6 @@
-package orchard.furrow;
+package dewplank.message;
 
-import orchard.hedgerow.Member;
+import dewplank.membership.Member;
 
 /** A data plane opens its session with a control sidecar. */
 public final class SessionOpen {
--- a/messages/src/main/java/orchard/furrow/SessionQuestion.java
+++ b/messages/src/main/java/dewplank/message/SessionQuestion.java
@@ -1,4 +1,4 @@
-package orchard.furrow;
+package dewplank.message;
 
 /**
  * What a data plane holds; answered at once by a {@link SessionAnswer}, and by an {@link Update} as soon as there is
--- a/messages/src/main/java/orchard/furrow/SessionsTold.java
+++ b/messages/src/main/java/dewplank/message/SessionsTold.java
@@ -1,8 +1,8 @@
-package orchard.furrow;
+package dewplank.message;
 
 import java.util.ArrayList;
 import java.util.List;
-import orchard.hedgerow.Member;
+import dewplank.membership.Member;
 
 /** A control sidecar tells another the sessions that it holds, and the control sidecars that it knows. */
 public final class SessionsTold {
--- a/messages/src/main/java/orchard/furrow/Update.java
+++ b/messages/src/main/java/dewplank/message/Update.java
@@ -1,7 +1,7 @@
-package orchard.furrow;
+package dewplank.message;
 
 import java.util.List;
-import orchard.hedgerow.Member;
+import dewplank.membership.Member;
 
 /** What is newer than a data plane holds; a part that has not changed is null. */
 public final class Update {
--- a/messages/src/main/java/orchard/furrow/package-info.java
+++ b/messages/src/main/java/dewplank/message/package-info.java
@@ -1,2 +1,2 @@
 /** Messages between the system's own processes: Protostuff bodies in length-prefixed frames. */
-package orchard.furrow;
+package dewplank.message;
--- a/messages/src/test/java/orchard/furrow/FramedConnectionTest.java
+++ b/messages/src/test/java/dewplank/message/FramedConnectionTest.java
@@ -1,4 +1,4 @@
-package orchard.furrow;
+package dewplank.message;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/messages/src/test/java/orchard/furrow/MessageCodecTest.java
+++ b/messages/src/test/java/dewplank/message/MessageCodecTest.java
@@ -1,4 +1,4 @@
-package orchard.furrow;
+package dewplank.message;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -20,16 +20,16 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
-import orchard.hedgerow.Member;
-import orchard.rootstock.Acceptor;
-import orchard.rootstock.AcceptorSet;
-import orchard.rootstock.Ballot;
-import orchard.rootstock.Promise;
-import orchard.rootstock.RegisterMessages;
-import orchard.rootstock.RegisterValue;
-import orchard.rootstock.Report;
-import orchard.steward.VoteReply;
-import orchard.steward.VoteRequest;
+import dewplank.membership.Member;
+import dewplank.register.Acceptor;
+import dewplank.register.AcceptorSet;
+import dewplank.register.Ballot;
+import dewplank.register.Promise;
+import dewplank.register.RegisterMessages;
+import dewplank.register.RegisterValue;
+import dewplank.register.Report;
+import dewplank.duty.VoteReply;
+import dewplank.duty.VoteRequest;
 import org.junit.jupiter.api.Test;
 
 class MessageCodecTest {
--- a/messages/src/test/java/orchard/furrow/Messages.java
+++ b/messages/src/test/java/dewplank/message/Messages.java
@@ -1,4 +1,4 @@
-package orchard.furrow;
+package dewplank.message;
 
 import io.protostuff.runtime.RuntimeSchema;
 import java.lang.reflect.Field;
--- a/store/src/main/java/orchard/cellar/AcceptorStore.java
+++ b/store/src/main/java/dewplank/store/AcceptorStore.java
@@ -1,4 +1,4 @@
-package orchard.cellar;
+package dewplank.store;
 
 import java.io.IOException;
 import java.math.BigInteger;
@@ -6,7 +6,7 @@
 import java.security.SecureRandom;
 import java.util.HashMap;
 import java.util.Map;
-import orchard.rootstock.DurableState;
+import dewplank.register.DurableState;
 
 /**
  * What an acceptor keeps: its state and small counters, in one MVStore file. The file is begun anew under another name
--- a/store/src/main/java/orchard/cellar/DiskThread.java
+++ b/store/src/main/java/dewplank/store/DiskThread.java
@@ -1,4 +1,4 @@
-package orchard.cellar;
+package dewplank.store;
 
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
--- a/store/src/main/java/orchard/cellar/LayeredPath.java
+++ b/store/src/main/java/dewplank/store/LayeredPath.java
@@ -1,4 +1,4 @@
-package orchard.cellar;
+package dewplank.store;
 
 import java.io.IOException;
 import java.nio.channels.FileChannel;
@@ -13,7 +13,7 @@
  * name used once and taken out when the MVStore opens that name.
  */
 final class LayeredPath extends FilePath {
-    private static final String SCHEME = "cellar";
+    private static final String SCHEME = "layered";
     private static final Map<String, StoreFile> HANDED_OVER = new ConcurrentHashMap<>();
     private static final AtomicLong NAMES = new AtomicLong();
 
--- a/store/src/main/java/orchard/cellar/StateCodec.java
+++ b/store/src/main/java/dewplank/store/StateCodec.java
@@ -1,4 +1,4 @@
-package orchard.cellar;
+package dewplank.store;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -7,10 +7,10 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import orchard.rootstock.Acceptor;
-import orchard.rootstock.AcceptorSet;
-import orchard.rootstock.Ballot;
-import orchard.rootstock.RegisterValue;
+import dewplank.register.Acceptor;
+import dewplank.register.AcceptorSet;
+import dewplank.register.Ballot;
+import dewplank.register.RegisterValue;
 
 /** The bytes of what is kept; the first byte tells the version of the format. */
 final class StateCodec {
--- a/store/src/main/java/orchard/cellar/StateFile.java
+++ b/store/src/main/java/dewplank/store/StateFile.java
@@ -1,12 +1,12 @@
-package orchard.cellar;
+package dewplank.store;
 
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Map;
-import orchard.rootstock.DurableState;
-import orchard.rootstock.RegisterValue;
+import dewplank.register.DurableState;
+import dewplank.register.RegisterValue;
 import org.h2.mvstore.MVMap;
 import org.h2.mvstore.MVStore;
 import org.h2.mvstore.MVStoreException;
--- a/store/src/main/java/orchard/cellar/StoreException.java
+++ b/store/src/main/java/dewplank/store/StoreException.java
@@ -1,4 +1,4 @@
-package orchard.cellar;
+package dewplank.store;
 
 /** The disk did not do what it was asked to. */
 public final class StoreException extends Exception {
--- a/store/src/main/java/orchard/cellar/StoreFiles.java
+++ b/store/src/main/java/dewplank/store/StoreFiles.java
@@ -1,4 +1,4 @@
-package orchard.cellar;
+package dewplank.store;
 
 import java.io.IOException;
 import java.nio.file.Path;
--- a/store/src/main/java/orchard/cellar/package-info.java
+++ b/store/src/main/java/dewplank/store/package-info.java
@@ -1,2 +1,2 @@
 /** What an acceptor promised and accepted, on disk in an MVStore: one disk thread, results handed back to the loop. */
-package orchard.cellar;
+package dewplank.store;
--- a/store/src/test/java/orchard/cellar/AcceptorStoreTest.java
+++ b/store/src/test/java/dewplank/store/AcceptorStoreTest.java
@@ -1,15 +1,15 @@
-package orchard.cellar;
+package dewplank.store;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import orchard.rootstock.Acceptor;
-import orchard.rootstock.AcceptorSet;
-import orchard.rootstock.Ballot;
-import orchard.rootstock.DurableState;
-import orchard.rootstock.RegisterValue;
+import dewplank.register.Acceptor;
+import dewplank.register.AcceptorSet;
+import dewplank.register.Ballot;
+import dewplank.register.DurableState;
+import dewplank.register.RegisterValue;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
--- a/store/src/test/java/orchard/cellar/DiskThreadTest.java
+++ b/store/src/test/java/dewplank/store/DiskThreadTest.java
@@ -1,4 +1,4 @@
-package orchard.cellar;
+package dewplank.store;
 
 import java.util.ArrayList;
 import java.util.List;
