Answer a change beyond the history without a clear answer instead of 412

Cause: the document remembered 256 changes; one that was taken and resent after 256 others was answered 412 (VersionMismatch), which denies a change that is in force's past. Ruled out: an endless history (it is part of every write). Change: the history is a chain (every version has one successor at most), 24 bytes a change instead of 48, 1,024 changes. A change is refused only if its base's successor is remembered; otherwise 503 BEYOND_HISTORY. Also catch_up_s is read from the settings' bounds.

--- a/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
@@ -168,6 +168,9 @@
         } else if (result instanceof ChangeResult.VersionMismatch mismatch) {
             result(caller, ResultCode.VERSION_MISMATCH, "version " + mismatch.current() + " is in place",
                 JsonText.plain("version", mismatch.current()));
+        } else if (result instanceof ChangeResult.Forgotten forgotten) {
+            result(caller, ResultCode.BEYOND_HISTORY, "changes on versions below " + forgotten.oldestBase()
+                + " are no longer remembered");
         } else if (result instanceof ChangeResult.Invalid invalid) {
             InvalidConfigurationException error = invalid.error();
             result(caller, ResultCode.INVALID_CONFIGURATION, error.getMessage(),
--- a/fleet/src/main/java/dewplank/configuration/ChangeResult.java
+++ b/fleet/src/main/java/dewplank/configuration/ChangeResult.java
@@ -23,6 +23,14 @@
      */
     record VersionMismatch(long current) implements ChangeResult { }
 
+    /**
+     * The change builds on a version so old that it is not known any more which change was taken on top of it: it may
+     * have been this one, so it is neither confirmed nor refused.
+     *
+     * @param oldestBase the oldest version for which that is known
+     */
+    record Forgotten(long oldestBase) implements ChangeResult { }
+
     /**
      * The change cannot be taken.
      *
--- a/fleet/src/main/java/dewplank/configuration/ConfigurationDocument.java
+++ b/fleet/src/main/java/dewplank/configuration/ConfigurationDocument.java
@@ -6,11 +6,9 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.List;
 import dewplank.configuration.ChangeResult.Accepted;
 import dewplank.configuration.ChangeResult.AlreadyAccepted;
+import dewplank.configuration.ChangeResult.Forgotten;
 import dewplank.configuration.ChangeResult.Invalid;
 import dewplank.configuration.ChangeResult.VersionMismatch;
 import dewplank.configuration.InvalidConfigurationException.Reason;
@@ -19,24 +17,20 @@
 /** What the register holds: the configuration and the last changes that were taken; immutable. */
 public final class ConfigurationDocument {
     /**
-     * Changes that are remembered. A call is resent within seconds of its first sending, and changes come at a few a
-     * second at most: 256 cover a minute of those, and take 12 KB of every write.
+     * Changes that are remembered. At five changes a second 1,024 reach back over three minutes of resends, and take
+     * 24 KB of every write, an eighth of a configuration of 600 routes. A resend that they no longer reach gets no
+     * clear answer, see {@link ChangeResult.Forgotten}.
      */
-    public static final int HISTORY = 256;
+    public static final int HISTORY = 1_024;
     /** The longest body of a request that is read. */
     public static final int MAX_BODY_BYTES = 4 << 20;
 
-    private static final int FORMAT = 1;
-    private static final int DIGEST_BYTES = 32;
-    private static final ConfigurationDocument EMPTY = new ConfigurationDocument(null, List.of());
-
-    /** A change that was taken. */
-    private record Change(long version, long baseVersion, byte[] digest) { }
+    private static final ConfigurationDocument EMPTY = new ConfigurationDocument(null, ChangeHistory.EMPTY);
 
     private final Configuration configuration;
-    private final List<Change> history;
+    private final ChangeHistory history;
 
-    private ConfigurationDocument(Configuration configuration, List<Change> history) {
+    private ConfigurationDocument(Configuration configuration, ChangeHistory history) {
         this.configuration = configuration;
         this.history = history;
     }
@@ -51,10 +45,7 @@
             return EMPTY;
         }
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(payload))) {
-            if (in.readByte() != FORMAT) {
-                throw new IOException("unknown format of a configuration document");
-            }
-            List<Change> history = readHistory(in);
+            ChangeHistory history = ChangeHistory.read(in);
             byte[] json = in.readAllBytes();
             return new ConfigurationDocument(json.length == 0 ? null : Configuration.parse(json), history);
         } catch (IOException | InvalidConfigurationException damaged) {
@@ -62,30 +53,11 @@
         }
     }
 
-    private static List<Change> readHistory(DataInputStream in) throws IOException {
-        int count = in.readUnsignedShort();
-        List<Change> history = new ArrayList<>(count);
-        for (int index = 0; index < count; index++) {
-            long version = in.readLong();
-            long baseVersion = in.readLong();
-            byte[] digest = new byte[DIGEST_BYTES];
-            in.readFully(digest);
-            history.add(new Change(version, baseVersion, digest));
-        }
-        return history;
-    }
-
     /** The document as the register's payload. */
     public byte[] encode() {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
-            out.writeByte(FORMAT);
-            out.writeShort(history.size());
-            for (Change change : history) {
-                out.writeLong(change.version());
-                out.writeLong(change.baseVersion());
-                out.write(change.digest());
-            }
+            history.write(out);
             if (configuration != null) {
                 out.write(configuration.json());
             }
@@ -107,16 +79,17 @@
 
     /**
      * Looks at a change on top of this document. A change that stands in the history is answered as taken, whatever
-     * came since; a body that cannot be read is invalid whatever it builds on.
+     * came since; a body that cannot be read is invalid whatever it builds on. As every version has one successor at
+     * most, a change that builds on a version whose successor is remembered, and is not that successor, was never
+     * taken: only then it is refused.
      *
      * @param request the change
      */
     public ChangeResult apply(ChangeRequest request) {
         byte[] digest = request.digest();
-        for (Change change : history) {
-            if (change.baseVersion() == request.expectedVersion() && Arrays.equals(change.digest(), digest)) {
-                return new AlreadyAccepted(change.version());
-            }
+        long taken = history.find(request.expectedVersion(), digest);
+        if (taken != ChangeHistory.NOT_FOUND) {
+            return new AlreadyAccepted(taken);
         }
         try {
             return applyNew(request, digest);
@@ -130,6 +103,9 @@
             throw new InvalidConfigurationException(Reason.TOO_LARGE, "", "longer than " + MAX_BODY_BYTES + " bytes");
         }
         JsonObject body = JsonTextReader.readObject(request.body());
+        if (!history.reaches(request.expectedVersion())) {
+            return new Forgotten(history.oldestBase());
+        }
         if (request.expectedVersion() != version()) {
             return new VersionMismatch(version());
         }
@@ -138,8 +114,7 @@
             throw new InvalidConfigurationException(Reason.VERSION_NOT_ABOVE, Configuration.VERSION,
                     "is not above " + version());
         }
-        Change change = new Change(next.version(), request.expectedVersion(), digest);
-        return new Accepted(new ConfigurationDocument(next, remembered(change)));
+        return new Accepted(new ConfigurationDocument(next, history.with(next.version(), digest)));
     }
 
     private Configuration next(boolean patch, JsonObject body) throws InvalidConfigurationException {
@@ -152,11 +127,4 @@
         }
         return configuration.patched(body);
     }
-
-    private List<Change> remembered(Change change) {
-        int dropped = Math.max(0, history.size() + 1 - HISTORY);
-        List<Change> next = new ArrayList<>(history.subList(dropped, history.size()));
-        next.add(change);
-        return List.copyOf(next);
-    }
 }
--- a/shared/src/main/java/dewplank/config/NodeSettings.java
+++ b/shared/src/main/java/dewplank/config/NodeSettings.java
@@ -34,11 +34,13 @@
 
     /** Bounds of the operators' rules. Times in milliseconds. */
     public record Bounds(double drainMs, double graceMs, double configApplyMs, double retryRatio, double retryWindowMs,
-                         double retrySlack, double leaseMs, double contactMs, double ackMs) { }
+                         double retrySlack, double leaseMs, double contactMs, double ackMs, double catchUpMs) { }
 
     /** The platform's list of servers. */
     public record Platform(InetSocketAddress address, double callsPerSecond, double lagMs) { }
 
+    /** Where the file gives no {@code catch_up_s}: the shortest time that any deployment has given so far. */
+    private static final double CATCH_UP_S = 4;
     private static final int MOST_PORT = 65_535;
     private static final int BYTES_PER_MB = 1024 * 1024;
     private static final int DECIMAL = 10;
@@ -166,7 +168,8 @@
     private static Bounds bounds(Fields f) {
         return new Bounds(f.positive("drain_ms"), f.positive("grace_s") * 1000, f.positive("config_apply_ms"),
             f.atLeast("retry_budget_ratio", 0), f.positive("budget_window_s") * 1000,
-            f.atLeast("retry_budget_slack", 0), f.atLeast("lease_ms", 0, 3_000), f.positive("contact_ms"), f.atLeast("ack_ms", 0, 4_000));
+            f.atLeast("retry_budget_slack", 0), f.atLeast("lease_ms", 0, 3_000), f.positive("contact_ms"),
+            f.atLeast("ack_ms", 0, 4_000), f.atLeast("catch_up_s", 0, CATCH_UP_S) * 1000);
     }
 
     private static Platform platform(Fields f) {
