Let a replacement of acceptors name the generation it was decided on; tell who is current

Cause: ReplaceTask took any set it met as the one its caller had looked at. A duty holder that was frozen or slow, or two holders in the seconds between leases, could put back an acceptor that had been replaced, or undo a growth. Ruled out: comparing the members instead of the generation, for a set may come back to the same members.

Register.replaceAcceptors takes the generation expected and is confirmed with APPLIED, FOUND_DONE or OVERTAKEN. AcceptorKeeper passes the generation of the set its decision was worked out from.

Register.current(now, within): a quorum answered a question sent within that time and reported nothing accepted or chosen that is newer than what is chosen here; an own chosen round counts from its second round on.

--- a/controlplane/src/main/java/dewplank/controlplane/AcceptorKeeper.java
+++ b/controlplane/src/main/java/dewplank/controlplane/AcceptorKeeper.java
@@ -51,7 +51,7 @@
             List<Acceptor> wanted = wanted(set.members(), live, live(LIVE_MS, SETTLED_MS));
             if (!wanted.equals(set.members()) && !set.isJoint()) {
                 LOG.info("acceptors {} are to become {}", set.members(), wanted);
-                configuration.replaceAcceptors(wanted, CHANGE_MS);
+                configuration.replaceAcceptors(set.generation(), wanted, CHANGE_MS);
             }
         }
         loop.after(LOOK_EVERY_MS, this::look);
--- a/controlplane/src/main/java/dewplank/controlplane/ConfigurationStore.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ConfigurationStore.java
@@ -133,12 +133,13 @@
         register.read(loop.now(), request(then), loop.now() + withinMs, this);
     }
 
-    void replaceAcceptors(List<Acceptor> wanted, double withinMs) {
+    /** Replaces the acceptors, if the set is still the one of this generation, on which that was decided. */
+    void replaceAcceptors(long expectedGeneration, List<Acceptor> wanted, double withinMs) {
         register.replaceAcceptors(loop.now(), request(outcome -> {
             if (outcome instanceof Outcome.Confirmed c) {
-                LOG.info("acceptors are {}", c.value().acceptors().members());
+                LOG.info("acceptors are {} ({})", c.value().acceptors().members(), c.answer());
             }
-        }), wanted, loop.now() + withinMs, this);
+        }), expectedGeneration, wanted, loop.now() + withinMs, this);
     }
 
     private long request(Consumer<Outcome> then) {
--- a/fleet/src/main/java/dewplank/register/Proposer.java
+++ b/fleet/src/main/java/dewplank/register/Proposer.java
@@ -27,6 +27,7 @@
     private int attempts;
     private double retryAt;
     private double lastQuorumAt = Double.NEGATIVE_INFINITY;
+    private double lastChosenAt = Double.NEGATIVE_INFINITY;
 
     Proposer(Register.Settings settings, Acceptor self, Learner learner, RandomGenerator random) {
         this.settings = settings;
@@ -45,6 +46,14 @@
         return lastQuorumAt;
     }
 
+    /**
+     * When the second round was sent that last chose a value here: a quorum accepted it after that, so nothing newer
+     * was chosen before.
+     */
+    double lastChosenAt() {
+        return lastChosenAt;
+    }
+
     void add(double now, Task task, Register.Output out) {
         queue.add(task);
         startIfIdle(now, out);
@@ -82,6 +91,7 @@
         round.accept(message.from());
         if (round.isChosen()) {
             lastQuorumAt = Math.max(lastQuorumAt, round.phaseStartedAt());
+            lastChosenAt = Math.max(lastChosenAt, round.phaseStartedAt());
             chosen(now, out);
         }
     }
--- a/fleet/src/main/java/dewplank/register/Register.java
+++ b/fleet/src/main/java/dewplank/register/Register.java
@@ -102,12 +102,16 @@
         }
     }
 
-    /** Makes the wanted acceptors those that decide, by way of a joint set. */
-    public void replaceAcceptors(double now, long request, List<Acceptor> wanted, double deadline, Output out) {
+    /**
+     * Makes the wanted acceptors those that decide, by way of a joint set, if the set in force is still that of the
+     * expected generation; confirmed with a {@link Replacement} as its answer.
+     */
+    public void replaceAcceptors(double now, long request, long expectedGeneration, List<Acceptor> wanted,
+                                 double deadline, Output out) {
         if (wanted.isEmpty()) {
             out.completed(request, new Outcome.Unknown("no acceptors wanted"));
         } else if (admits(request, out)) {
-            proposer.add(now, new ReplaceTask(request, wanted, deadline), out);
+            proposer.add(now, new ReplaceTask(request, expectedGeneration, wanted, deadline), out);
         }
     }
 
@@ -141,6 +145,17 @@
         return Math.max(proposer.lastQuorumAt(), sweep.lastQuorumAt());
     }
 
+    /**
+     * Whether the value chosen here was the newest at some time within the last {@code withinMs}: a quorum answered a
+     * question sent within that time, and nothing it reported as accepted or chosen is newer than what is chosen here.
+     * So a process that hears a quorum but has not caught up is not current, nor is one whose quorum knows of a newer
+     * value that is accepted and not yet known to be chosen.
+     */
+    public boolean current(double now, double withinMs) {
+        double since = now - withinMs;
+        return proposer.lastChosenAt() >= since || sweep.currentAt() >= since;
+    }
+
     /** Whether this process is one of the acceptors. */
     public boolean isMember() {
         return acceptors().all().contains(self);
--- a/fleet/src/main/java/dewplank/register/ReplaceTask.java
+++ b/fleet/src/main/java/dewplank/register/ReplaceTask.java
@@ -2,32 +2,46 @@
 
 import java.util.List;
 
-/** Replaces the acceptors by way of a joint set; a replacement found half done is finished first. */
+/**
+ * Replaces the acceptors by way of a joint set, if the set in force is still the one that the decision was worked out
+ * from. A replacement found half done is finished first, for a joint set that is chosen leaves no other way on.
+ *
+ * <p>Generations name sets: each chosen value is built on the one before it, so there is one set for each generation.
+ * A caller that was frozen, or one of two callers at once, meets a higher generation than it expects and changes
+ * nothing.
+ */
 final class ReplaceTask implements Task {
+    /** A replacement takes two generations: the joint set and the settled one. */
+    private static final int GENERATIONS = 2;
+
     private final long request;
+    private final long expectedGeneration;
     private final List<Acceptor> wanted;
     private final double deadline;
 
-    ReplaceTask(long request, List<Acceptor> wanted, double deadline) {
+    ReplaceTask(long request, long expectedGeneration, List<Acceptor> wanted, double deadline) {
         this.request = request;
+        this.expectedGeneration = expectedGeneration;
         this.wanted = List.copyOf(wanted);
         this.deadline = deadline;
     }
 
     @Override
     public Proposal propose(RegisterValue read, RegisterValue chosen) {
-        if (read.acceptors().isJoint()) {
-            return FinishTask.settle(read, chosen);
+        AcceptorSet set = read.acceptors();
+        if (set.isJoint()) {
+            Proposal next = FinishTask.settle(read, chosen);
+            return next.changed() ? answered(next.value(), true) : next;
         }
-        if (read.acceptors().consistsOf(wanted)) {
-            return Proposal.keep(read);
+        if (set.generation() == expectedGeneration && !set.consistsOf(wanted)) {
+            return Proposal.of(read.withAcceptors(set.joinedBy(wanted)));
         }
-        return Proposal.of(read.withAcceptors(read.acceptors().joinedBy(wanted)));
+        return answered(read, false);
     }
 
     @Override
     public boolean isDoneWith(Proposal proposal) {
-        return proposal.value().acceptors().consistsOf(wanted);
+        return proposal.answer() != null;
     }
 
     @Override
@@ -39,4 +53,16 @@
     public void complete(Outcome outcome, Register.Output out) {
         out.completed(request, outcome);
     }
+
+    private Proposal answered(RegisterValue settled, boolean changed) {
+        return new Proposal(settled, answer(settled.acceptors()), changed);
+    }
+
+    private Replacement answer(AcceptorSet settled) {
+        if (!settled.consistsOf(wanted)) {
+            return Replacement.OVERTAKEN;
+        }
+        boolean byThisStep = settled.generation() == expectedGeneration + GENERATIONS;
+        return byThisStep ? Replacement.APPLIED : Replacement.FOUND_DONE;
+    }
 }
--- a/fleet/src/main/java/dewplank/register/Sweep.java
+++ b/fleet/src/main/java/dewplank/register/Sweep.java
@@ -27,6 +27,8 @@
     private double askedAt;
     private double nextAt;
     private double lastQuorumAt = Double.NEGATIVE_INFINITY;
+    private Ballot newestReported = Ballot.NONE;
+    private Ballot newestOfQuorum = Ballot.NONE;
     private Ballot watched = Ballot.NONE;
     private double finishAt;
 
@@ -46,6 +48,14 @@
         return lastQuorumAt;
     }
 
+    /**
+     * When the last sweep that a quorum answered was sent, if nothing reported in it is newer than what is chosen
+     * here; else negative infinity. A quorum that has accepted nothing newer lets nothing newer have been chosen.
+     */
+    double currentAt() {
+        return newestOfQuorum.isAfter(learner.chosenBallot()) ? Double.NEGATIVE_INFINITY : lastQuorumAt;
+    }
+
     /** Sweeps when it is time; returns whether it did. */
     boolean tick(double now, Register.Output out) {
         finishIfStuck(now, out);
@@ -67,15 +77,22 @@
             return;
         }
         answered.add(report.from());
+        newestReported = newer(newestReported, newer(report.accepted(), report.chosen()));
         if (learner.acceptors().isQuorum(answered)) {
             lastQuorumAt = askedAt;
+            newestOfQuorum = newestReported;
         }
     }
 
+    private static Ballot newer(Ballot one, Ballot other) {
+        return one.isAfter(other) ? one : other;
+    }
+
     private void ask(double now, Register.Output out) {
         question = questions.next();
         askedAt = now;
         answered.clear();
+        newestReported = Ballot.NONE;
         Set<Acceptor> members = new LinkedHashSet<>(learner.acceptors().all());
         if (learner.unfinishedAcceptors() != null) {
             members.addAll(learner.unfinishedAcceptors().all());
--- /dev/null
+++ b/fleet/src/test/java/dewplank/register/CurrentRulesTest.java
@@ -0,0 +1,113 @@
+package dewplank.register;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+/** When a process may say that the value it knows was the newest a moment ago. */
+class CurrentRulesTest {
+    private static final Acceptor A = new Acceptor("a", "1");
+    private static final Acceptor B = new Acceptor("b", "2");
+    private static final Acceptor C = new Acceptor("c", "3");
+    private static final AcceptorSet SET = AcceptorSet.of(List.of(A, B, C));
+    private static final Ballot OLD = new Ballot(3, "b.1");
+    private static final Ballot NEW = new Ballot(4, "c.1");
+    private static final double WITHIN = 1000;
+    private static final double ASKED = 100;
+
+    private final RecordedOutput out = new RecordedOutput();
+    private final Register register = new Register(new Register.Settings("a", SET, 300, 20, 400, 500),
+        new DurableState("1", OLD, OLD, value(1), OLD, value(1)), new SplittableRandom(1));
+
+    private static RegisterValue value(long revision) {
+        return new RegisterValue(SET, revision, new byte[] {(byte) revision});
+    }
+
+    /** Answers the newest sweep. */
+    private void report(Acceptor from, Ballot accepted, Ballot chosen) {
+        List<Query> asked = out.messages(Query.class);
+        long question = 0;
+        for (Query query : asked) {
+            question = query.fetching() ? question : query.question();
+        }
+        register.received(ASKED, new Report(from.address(), from.identity(), "1", question, accepted,
+            accepted.isAfter(OLD) ? SET : null, chosen, 1, null), out);
+    }
+
+    @Test
+    void aQuorumWithNothingNewerMakesItCurrentForSoLong() {
+        register.tick(ASKED, out);
+        report(A, OLD, OLD);
+        Assertions.assertFalse(register.current(ASKED, WITHIN), "one of three is no quorum");
+        report(B, OLD, Ballot.NONE);
+        Assertions.assertTrue(register.current(ASKED, WITHIN));
+        Assertions.assertTrue(register.current(ASKED + WITHIN, WITHIN));
+        Assertions.assertFalse(register.current(ASKED + WITHIN + 1, WITHIN));
+    }
+
+    @Test
+    void whoHearsAQuorumButHasNotCaughtUpIsNotCurrent() {
+        register.tick(ASKED, out);
+        report(B, NEW, NEW);
+        report(C, NEW, NEW);
+        Assertions.assertEquals(ASKED, register.lastQuorumAt());
+        Assertions.assertFalse(register.current(ASKED, WITHIN));
+        register.received(ASKED, new Report("b", "2", "1", Questions.FETCH, NEW, null, NEW, 2, value(2)), out);
+        Assertions.assertTrue(register.current(ASKED, WITHIN), "it has caught up");
+    }
+
+    @Test
+    void anAcceptanceThatIsNotKnownToBeChosenEndsIt() {
+        register.tick(ASKED, out);
+        report(A, OLD, OLD);
+        report(B, NEW, OLD);
+        Assertions.assertFalse(register.current(ASKED, WITHIN));
+    }
+
+    @Test
+    void aLateAnswerWithNewsEndsIt() {
+        register.tick(ASKED, out);
+        report(A, OLD, OLD);
+        report(B, OLD, OLD);
+        Assertions.assertTrue(register.current(ASKED, WITHIN));
+        report(C, NEW, OLD);
+        Assertions.assertFalse(register.current(ASKED, WITHIN));
+    }
+
+    @Test
+    void newsOfAnEarlierSweepDoesNotStickToTheNext() {
+        register.tick(ASKED, out);
+        report(A, OLD, OLD);
+        report(B, NEW, OLD);
+        double next = ASKED + 1000;
+        register.tick(next, out);
+        Assertions.assertFalse(register.current(next, 2 * WITHIN));
+        report(A, OLD, OLD);
+        report(C, OLD, OLD);
+        Assertions.assertTrue(register.current(next, WITHIN));
+    }
+
+    @Test
+    void anAnswerFromALostDiskDoesNotCount() {
+        register.tick(ASKED, out);
+        report(A, OLD, OLD);
+        report(new Acceptor("b", "wiped"), Ballot.NONE, Ballot.NONE);
+        Assertions.assertFalse(register.current(ASKED, WITHIN));
+    }
+
+    @Test
+    void anOwnChosenRoundCountsFromItsSecondRound() {
+        register.change(ASKED, 1, payload -> new Decision(new byte[] {2}, "taken"), ASKED + WITHIN, out);
+        Ballot ballot = out.messages(Prepare.class).get(0).ballot();
+        for (Acceptor from : List.of(B, C)) {
+            register.received(ASKED + 5, new Promise(from.address(), from.identity(), "1", ballot, OLD, null), out);
+        }
+        Assertions.assertFalse(register.current(ASKED + 5, WITHIN));
+        for (Acceptor from : List.of(B, C)) {
+            register.received(ASKED + 9, new Accepted(from.address(), from.identity(), "1", ballot), out);
+        }
+        Assertions.assertTrue(register.current(ASKED + 5 + WITHIN, WITHIN));
+        Assertions.assertFalse(register.current(ASKED + 6 + WITHIN, WITHIN));
+    }
+}
--- a/fleet/src/test/java/dewplank/register/SimulatedFleet.java
+++ b/fleet/src/test/java/dewplank/register/SimulatedFleet.java
@@ -106,10 +106,18 @@
         step(process, () -> process.register().read(now(), request, now() + patience, process));
     }
 
+    /** Replaces acceptors, expecting the set that the process knows. */
     void replace(SimulatedProcess process, List<Acceptor> wanted, double patience, Consumer<Outcome> listener) {
+        long known = process.isUp() ? process.register().acceptors().generation() : 0;
+        replace(process, known, wanted, patience, listener);
+    }
+
+    void replace(SimulatedProcess process, long expected, List<Acceptor> wanted, double patience,
+                 Consumer<Outcome> listener) {
         long request = expect(process, patience, checked(history.floor(), listener));
         step(process,
-            () -> process.register().replaceAcceptors(now(), request, wanted, now() + patience, process));
+            () -> process.register().replaceAcceptors(now(), request, expected, wanted, now() + patience,
+                process));
     }
 
     void completed(long request, Outcome outcome) {
--- a/fleet/src/test/java/dewplank/register/Troubles.java
+++ b/fleet/src/test/java/dewplank/register/Troubles.java
@@ -130,7 +130,8 @@
 
     private void replaceLost() {
         SimulatedProcess asked = fleet.any(random);
-        fleet.replace(asked, withoutLost(asked), PATIENCE, outcome -> {
+        AcceptorSet set = newestSet(asked);
+        fleet.replace(asked, set.generation(), withoutLost(set), PATIENCE, outcome -> {
             boolean confirmed = outcome instanceof Outcome.Confirmed;
             if (confirmed && !((Outcome.Confirmed) outcome).value().acceptors().all().contains(lost)) {
                 wiped = null;
@@ -140,10 +141,13 @@
         });
     }
 
-    private List<Acceptor> withoutLost(SimulatedProcess asked) {
+    private AcceptorSet newestSet(SimulatedProcess asked) {
         RegisterValue newest = fleet.newestChosen();
         AcceptorSet known = asked.isUp() ? asked.register().acceptors() : AcceptorSet.of(List.of());
-        AcceptorSet set = newest == null ? known : newest.acceptors();
+        return newest == null ? known : newest.acceptors();
+    }
+
+    private List<Acceptor> withoutLost(AcceptorSet set) {
         List<Acceptor> wanted = new ArrayList<>();
         for (Acceptor acceptor : set.isJoint() ? set.joining() : set.members()) {
             wanted.add(acceptor.equals(lost) ? wiped.acceptor() : acceptor);
