--- a/controlplane/src/main/java/dewplank/controlplane/ConfigurationStore.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ConfigurationStore.java
@@ -133,9 +133,15 @@
         register.read(loop.now(), request(then), loop.now() + withinMs, this);
     }
 
-    /** Replaces the acceptors, if the set is still the one of this generation, on which that was decided. */
-    void replaceAcceptors(long expectedGeneration, List<Acceptor> wanted, double withinMs) {
+    /**
+     * Makes the wanted acceptors those that decide.
+     *
+     * @param expectedGeneration that of the set on which this was decided; nothing is changed if another is in force
+     * @param then runs when the change is done or given up
+     */
+    void replaceAcceptors(long expectedGeneration, List<Acceptor> wanted, double withinMs, Runnable then) {
         register.replaceAcceptors(loop.now(), request(outcome -> {
+            then.run();
             if (outcome instanceof Outcome.Confirmed c) {
                 LOG.info("acceptors are {} ({})", c.value().acceptors().members(), c.answer());
             }
@@ -152,6 +158,17 @@
         return register.acceptors();
     }
 
+    /** Milliseconds since a question was sent that a quorum answered; -1 where none was in this life. */
+    long quorumAgeMs() {
+        double at = register.lastQuorumAt();
+        return at == Double.NEGATIVE_INFINITY ? -1 : Math.round(loop.now() - at);
+    }
+
+    /** Whether a quorum's answer within so many milliseconds shows that nothing newer is chosen than is known here. */
+    boolean current(double within) {
+        return register.current(loop.now(), within);
+    }
+
     /** Whether a quorum has answered within so many milliseconds. */
     boolean quorate(double within) {
         return register.lastQuorumAt() >= loop.now() - within;
--- a/controlplane/src/main/java/dewplank/controlplane/ControlMesh.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlMesh.java
@@ -5,9 +5,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeSet;
+import java.util.Set;
 import dewplank.message.ControlHello;
 import dewplank.message.FramedConnection;
 import dewplank.message.MessageCodec;
@@ -27,8 +28,12 @@
     private static final double SILENCE_MS = 1_200;     // without an answer to a beat a link counts as dead
     private static final double DIAL_TIMEOUT_MS = 700;
     private static final double REDIAL_MS = 250;
-    /** Control sidecars known at once; guards against a growing list of addresses that were replaced. */
-    private static final int MOST_PEERS = 64;
+    /** Control sidecars known at once. Beyond, the one that is dead for longest makes room. */
+    static final int MOST_PEERS = 64;
+    /** An address that has not answered for so long and that nobody vouches for is forgotten: replaced machines. */
+    static final double FORGET_MS = 60_000;
+    /** What a peer says of its quorum counts for so long: three beats. */
+    private static final double QUORATE_MS = 1_000;
 
     /** A control sidecar that has said hello and has been heard lately. */
     record Peer(Member member, String identity, double heardAt, double since) { }
@@ -41,6 +46,9 @@
 
         /** A link of ours is up: what the peer may lack is sent. */
         void linked(String address);
+
+        /** Whether the address is kept however long it is dead: a seed, or an acceptor's. */
+        boolean isKept(String address);
     }
 
     private final EventLoop loop;
@@ -65,7 +73,7 @@
     /** Addresses of control sidecars, from the seeds or from others. */
     void learn(Collection<String> addresses) {
         for (String address : addresses) {
-            if (!address.equals(hello.member.address) && !links.containsKey(address) && links.size() < MOST_PEERS) {
+            if (!address.equals(hello.member.address) && !links.containsKey(address) && hasRoom()) {
                 Link link = new Link(address);
                 links.put(address, link);
                 link.dial();
@@ -73,11 +81,38 @@
         }
     }
 
-    /** Own address and those of all that are known. */
-    List<String> addresses() {
-        TreeSet<String> all = new TreeSet<>(links.keySet());
-        all.add(hello.member.address);
-        return new ArrayList<>(all);
+    /** Whether one more link fits, after the one that is dead for longest was dropped where need be. */
+    private boolean hasRoom() {
+        if (links.size() < MOST_PEERS) {
+            return true;
+        }
+        Link oldest = null;
+        for (Link link : links.values()) {
+            if (!link.isUp() && !handler.isKept(link.address) && (oldest == null || link.lastUp < oldest.lastUp)) {
+                oldest = link;
+            }
+        }
+        if (oldest != null) {
+            oldest.drop();
+        }
+        return oldest != null;
+    }
+
+    /** Drops what has been dead for long and is neither a seed nor an acceptor. */
+    private void forget() {
+        double before = loop.now() - FORGET_MS;
+        for (Link link : List.copyOf(links.values())) {
+            if (!link.isUp() && link.lastUp < before && !handler.isKept(link.address)) {
+                LOG.info("control sidecar {} is forgotten", link.address);
+                link.drop();
+            }
+        }
+        peers.values().removeIf(p -> p.heardAt() < before);
+    }
+
+    /** How many addresses are known, the own one not among them. */
+    int known() {
+        return links.size();
     }
 
     /** Own address and those of the links that are up. */
@@ -88,6 +123,20 @@
         return live;
     }
 
+    /** All that are known, those that are up first: for who seeks a control sidecar and cannot be told which lives. */
+    List<String> addressesLiveFirst() {
+        Set<String> all = new LinkedHashSet<>(liveAddresses());
+        all.addAll(links.keySet());
+        return new ArrayList<>(all);
+    }
+
+    /** A control sidecar that lately said that it hears a quorum; null where none did. */
+    String quorateAddress() {
+        double since = loop.now() - QUORATE_MS;
+        return links.values().stream().filter(l -> l.isUp() && l.quorateAt >= since).map(l -> l.address).findFirst()
+            .orElse(null);
+    }
+
     /** Control sidecars heard within so many milliseconds, this one not among them. */
     List<Peer> peers(double within) {
         double since = loop.now() - within;
@@ -115,29 +164,31 @@
 
     /** A control sidecar has said hello on a connection of its own. */
     void greeted(ControlHello from) {
-        Peer known = peers.get(from.member.address);
-        boolean same = known != null && known.identity().equals(from.identity);
-        double now = loop.now();
-        peers.put(from.member.address, new Peer(from.member, from.identity, now, same ? known.since() : now));
+        heard(from);
         learn(List.of(from.member.address));
         Link link = links.get(from.member.address);
         if (link != null) {
             link.greeted();
         }
-        if (peers.size() > MOST_PEERS) {
-            peers.values().removeIf(p -> now - p.heardAt() > 10 * SILENCE_MS);
-        }
     }
 
-    /** Something came from it. */
-    void heard(String address) {
-        peers.computeIfPresent(address, (a, p) -> new Peer(p.member(), p.identity(), loop.now(), p.since()));
+    /**
+     * Something came on a connection that began with this hello. Late words of an earlier life at the same address
+     * show another identity, until the present one speaks again: it then counts as heard from that moment on.
+     */
+    void heard(ControlHello from) {
+        String address = from.member.address;
+        Peer known = peers.get(address);
+        boolean same = known != null && known.identity().equals(from.identity);
+        double now = loop.now();
+        peers.put(address, new Peer(from.member, from.identity, now, same ? known.since() : now));
     }
 
     private void beat() {
         sequence++;
         SessionsTold told = handler.told(sequence);
         links.values().forEach(l -> l.beat(told));
+        forget();
         loop.after(BEAT_MS, this::beat);
     }
 
@@ -147,9 +198,13 @@
         private FramedConnection connection;
         private double answeredAt;
         private double dialAt;
+        private double lastUp;
+        private double quorateAt = Double.NEGATIVE_INFINITY;
+        private boolean dropped;
 
         Link(String address) {
             this.address = address;
+            this.lastUp = loop.now();
             this.to = ControlPlane.socketAddress(address);
         }
 
@@ -157,6 +212,15 @@
             return connection != null && connection.isOpen();
         }
 
+        /** Ends the link and forgets the address. */
+        void drop() {
+            dropped = true;
+            links.remove(address);
+            if (connection != null) {
+                connection.end();
+            }
+        }
+
         void dial() {
             connection = FramedConnection.open(loop, to, DIAL_TIMEOUT_MS, codec, this);
         }
@@ -170,7 +234,12 @@
 
         @Override
         public void opened(FramedConnection opened) {
+            if (dropped) {
+                opened.end();
+                return;
+            }
             answeredAt = loop.now();
+            lastUp = answeredAt;
             opened.send(hello);
             LOG.info("link to control sidecar {} is up", address);
             handler.linked(address);
@@ -178,8 +247,10 @@
 
         @Override
         public void received(FramedConnection from, Object message) {
-            if (message instanceof SessionAnswer) {
+            if (message instanceof SessionAnswer answer && from == connection) {
                 answeredAt = loop.now();
+                lastUp = answeredAt;
+                quorateAt = answer.quorate ? answeredAt : Double.NEGATIVE_INFINITY;
             }
         }
 
--- a/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
@@ -10,10 +10,12 @@
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import dewplank.configuration.Configuration;
 import dewplank.store.StoreException;
 import dewplank.message.ControlHello;
@@ -67,6 +69,7 @@
     private final Listener internal;
     private final CountDownLatch ended = new CountDownLatch(1);
     private long pushedMembers;
+    private Set<String> seeds = Set.of();
 
     public ControlPlane(NodeSettings settings) throws IOException, StoreException {
         this.settings = settings;
@@ -83,9 +86,10 @@
         duties = new Duties(loop, address, storage, random, configuration::acceptors, mesh::send);
         PlatformList platform = new PlatformList(loop, settings.platform().address());
         lister = new ServerLister(loop, platform, duties.list(), this::listChanged);
-        keeper = new AcceptorKeeper(loop, address, storage.identity(), mesh, configuration, duties.list());
+        keeper = new AcceptorKeeper(loop, new Acceptor(address, storage.identity()), settings.bounds().catchUpMs(),
+            mesh, configuration, duties.list());
         stages = new StageKeeper(loop, settings.node(), settings.bounds().leaseMs(), lister, duties.list());
-        operator = new OperatorApi(loop, configuration, new OperatorViews(this));
+        operator = new OperatorApi(loop, configuration, new Contacts(), new OperatorViews(this));
         control = new Listener(loop, settings.control(), MOST_CONNECTIONS, operator::connection);
         internal = new Listener(loop, socketAddress(address), MOST_CONNECTIONS,
             () -> new FramedConnection(codec, new Inbound()));
@@ -125,10 +129,11 @@
         loop.execute(() -> {
             internal.accept();
             control.accept();
-            mesh.learn(founders(settings).stream().map(Acceptor::address).toList());
+            seeds = addresses(founders(settings));
+            mesh.learn(seeds);
             storage.savedList().ifPresent(lister::told);
             configuration.start();
-            mesh.learn(configuration.acceptors().all().stream().map(Acceptor::address).toList());
+            mesh.learn(addresses(configuration.acceptors().all()));
             mesh.start();
             duties.start();
             lister.start();
@@ -156,7 +161,14 @@
 
     /** The settings file has changed: new seeds are learned, all else waits for the next start. */
     public void reload(NodeSettings next) {
-        loop.execute(() -> mesh.learn(founders(next).stream().map(Acceptor::address).toList()));
+        loop.execute(() -> {
+            seeds = addresses(founders(next));
+            mesh.learn(seeds);
+        });
+    }
+
+    private static Set<String> addresses(List<Acceptor> acceptors) {
+        return acceptors.stream().map(Acceptor::address).collect(Collectors.toSet());
     }
 
     /** Called on SIGTERM: duties are handed over, calls under way answered. */
@@ -220,7 +232,7 @@
     private final class MeshHandler implements ControlMesh.Handler {
         @Override
         public SessionsTold told(long sequence) {
-            return new SessionsTold(sequence, table.own(loop.now()), mesh.addresses());
+            return new SessionsTold(sequence, table.own(loop.now()), mesh.liveAddresses());
         }
 
         @Override
@@ -235,10 +247,38 @@
             }
             configuration.ask(to);
         }
+
+        @Override
+        public boolean isKept(String other) {
+            return seeds.contains(other)
+                || configuration.acceptors().all().stream().anyMatch(a -> a.address().equals(other));
+        }
+    }
+
+    private final class Contacts implements OperatorApi.Contact {
+        @Override
+        public boolean isCurrent() {
+            return configuration.quorate(QUORATE_MS);
+        }
+
+        @Override
+        public String betterPlace() {
+            String better = mesh.quorateAddress();
+            return better == null ? null : operatorPlace(better);
+        }
+
+        @Override
+        public List<String> otherPlaces() {
+            return mesh.addressesLiveFirst().stream().filter(a -> !a.equals(address)).map(this::operatorPlace).toList();
+        }
+
+        /** Ports are alike on all machines. */
+        private String operatorPlace(String internalAddress) {
+            return internalAddress.substring(0, internalAddress.lastIndexOf(':') + 1) + settings.control().getPort();
+        }
     }
 
     private void take(String from, Object message) {
-        mesh.heard(from);
         if (message instanceof RegisterMessage m) {
             configuration.received(m);
         } else if (message instanceof SessionsTold told) {
@@ -290,29 +330,30 @@
 
         @Override
         public boolean quorate() {
-            return configuration.quorate(QUORATE_MS);
+            return configuration.current(QUORATE_MS);
         }
 
         @Override
         public List<String> controlAddresses() {
-            return mesh.liveAddresses();
+            return quorate() ? mesh.liveAddresses() : mesh.addressesLiveFirst();
         }
     }
 
     /** A connection that another process has opened: the first message says which kind it is. */
     private final class Inbound implements FramedConnection.Handler {
-        private String controlAddress;
+        private ControlHello peer;
         private Sessions.Session session;
 
         @Override
         public void received(FramedConnection connection, Object message) {
-            if (controlAddress != null) {
+            if (peer != null) {
+                mesh.heard(peer);
                 if (message instanceof SessionsTold told) {
                     connection.send(new SessionAnswer(told.sequence, configuration.quorate(QUORATE_MS), List.of()));
                 }
-                take(controlAddress, message);
+                take(peer.member.address, message);
             } else if (message instanceof ControlHello hello) {
-                controlAddress = hello.member.address;
+                peer = hello;
                 mesh.greeted(hello);
             } else if (message instanceof SessionOpen opening && session == null) {
                 session = sessions.open(connection, opening);
--- a/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
@@ -51,22 +51,38 @@
         void read(double withinMs, Consumer<Outcome> then);
     }
 
+    /** What this control sidecar's word on the configuration is worth, and who may know more. */
+    interface Contact {
+        /** Whether a majority of acceptors was reached lately, so that trying makes sense. */
+        boolean isCurrent();
+
+        /** Where a control sidecar that lately had a majority takes operators' calls, as IP:PORT; null if unknown. */
+        String betterPlace();
+
+        /** Where all control sidecars that are known take operators' calls, those that can be reached first. */
+        List<String> otherPlaces();
+    }
+
     private final EventLoop loop;
     private final Configurations configuration;
+    private final Contact contact;
     private final Views views;
     private final CallTree<Call> calls = new CallTree<>();
     private final Set<InboundConnection> connections = new HashSet<>();
     private final Set<InboundConnection> open = new HashSet<>();
     private boolean closing;
 
-    OperatorApi(EventLoop loop, Configurations configuration, Views views) {
+    OperatorApi(EventLoop loop, Configurations configuration, Contact contact, Views views) {
         this.loop = loop;
         this.configuration = configuration;
+        this.contact = contact;
         this.views = views;
         calls.path("configuration")
-            .on("GET", (request, caller, parameters) -> read(caller))
-            .on("PUT", (request, caller, parameters) -> change(request, caller, false))
-            .on("PATCH", (request, caller, parameters) -> change(request, caller, true));
+            .on("GET", (request, caller, parameters) -> ifCurrent(request, caller, () -> read(caller)))
+            .on("PUT", (request, caller, parameters) -> ifCurrent(request, caller,
+                () -> change(request, caller, false)))
+            .on("PATCH", (request, caller, parameters) -> ifCurrent(request, caller,
+                () -> change(request, caller, true)));
         calls.path("members").on("GET", (request, caller, parameters) -> json(caller, views.members()));
         calls.path("duties").on("GET", (request, caller, parameters) -> json(caller, views.duties()));
         calls.path("servers").on("GET", (request, caller, parameters) -> json(caller, views.servers()))
@@ -130,6 +146,28 @@
         }
     }
 
+    /**
+     * Cut off from a majority this control sidecar could only wait until its caller gives up, so it says at once that
+     * it neither confirms nor refuses, and where to go. A redirect names one that can be reached and lately had a
+     * majority itself; where none is known, a redirect might lead to a machine that is gone.
+     */
+    private void ifCurrent(InboundConnection.Request request, InboundConnection caller, Runnable call) {
+        if (contact.isCurrent()) {
+            call.run();
+            return;
+        }
+        String better = contact.betterPlace();
+        if (better != null && request.target().startsWith("/")) {
+            answer(caller, ResultCode.ELSEWHERE.status(),
+                List.of(json(), new Headers.Field("Location", "http://" + better + request.target())),
+                body(ResultCode.ELSEWHERE, "no majority of acceptors was reached lately from here"));
+            return;
+        }
+        List<String> others = contact.otherPlaces().stream().map(JsonText::quoted).toList();
+        result(caller, ResultCode.NOT_CURRENT, "no majority of acceptors was reached lately",
+            JsonText.plain("elsewhere", JsonText.array(others)));
+    }
+
     private void change(InboundConnection.Request request, InboundConnection caller, boolean patch) {
         String ifMatch = request.headers().get("If-Match");
         if (ifMatch == null) {
--- a/controlplane/src/main/java/dewplank/controlplane/OperatorViews.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorViews.java
@@ -69,6 +69,10 @@
         List<String> acceptors = plane.configuration().acceptors().all().stream().map(OperatorViews::acceptor).toList();
         return JsonText.object(JsonText.field("node", plane.node()),
             JsonText.plain("quorate", plane.configuration().quorate(QUORATE_MS)),
+            JsonText.plain("current", plane.configuration().current(QUORATE_MS)),
+            JsonText.plain("quorum_age_ms", plane.configuration().quorumAgeMs()),
+            JsonText.plain("holds_list_duty", plane.duties().list().holds()),
+            JsonText.plain("acceptors_generation", plane.configuration().acceptors().generation()),
             JsonText.plain("config_version", plane.history().version()),
             JsonText.plain("acceptors", JsonText.array(acceptors))) + "\n";
     }
--- a/controlplane/src/test/java/dewplank/controlplane/ControlMeshTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/ControlMeshTest.java
@@ -1,6 +1,7 @@
 package dewplank.controlplane;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -9,7 +10,9 @@
 import dewplank.net.EventLoop;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +34,7 @@
     private ControlMesh mesh;
     private final List<FramedPeer> others = new ArrayList<>();
     private final BlockingQueue<String> linked = new LinkedBlockingQueue<>();
+    private final Set<String> kept = new HashSet<>();
     private final BlockingQueue<Object> own = new LinkedBlockingQueue<>();
 
     @BeforeEach
@@ -40,7 +44,7 @@
             new ControlMesh.Handler() {
             @Override
             public SessionsTold told(long sequence) {
-                return new SessionsTold(sequence, List.of(SELF), mesh.addresses());
+                return new SessionsTold(sequence, List.of(SELF), mesh.liveAddresses());
             }
 
             @Override
@@ -52,6 +56,11 @@
             public void linked(String address) {
                 linked.add(address);
             }
+
+            @Override
+            public boolean isKept(String address) {
+                return kept.contains(address);
+            }
         });
     }
 
@@ -92,7 +101,7 @@
         other.connection();
         assertTrue(other.hasNoFurtherConnection());
         assertEquals(List.of(OWN, other.address()), OnLoop.get(loop, mesh::liveAddresses));
-        assertEquals(2, OnLoop.get(loop, mesh::addresses).size());
+        assertEquals(1, OnLoop.get(loop, mesh::known));
     }
 
     @Test
@@ -169,7 +178,7 @@
         assertTrue(changed.since() > peer.since());
         OnLoop.pass(loop, 30);
         assertEquals(List.of(), OnLoop.get(loop, () -> mesh.peers(20)));
-        OnLoop.run(loop, () -> mesh.heard(other.address()));
+        OnLoop.run(loop, () -> mesh.heard(new ControlHello(member, "disk-2")));
         assertEquals(1, OnLoop.get(loop, () -> mesh.peers(20)).size());
     }
 
@@ -181,7 +190,27 @@
                 many.add("127.0.1." + i % 200 + ":" + (1 + i));
             }
             mesh.learn(many);
-            assertTrue(mesh.addresses().size() <= 65);
+            assertEquals(ControlMesh.MOST_PEERS, mesh.known());
+        });
+    }
+
+    /** 64 machines that were replaced must not keep the 65th from being known. */
+    @Test
+    void theLongestDeadMakesRoomButNoSeedAndNoAcceptorDoes() throws Exception {
+        OnLoop.run(loop, () -> {
+            kept.add("127.0.1.1:1");
+            List<String> dead = new ArrayList<>();
+            for (int i = 1; i <= ControlMesh.MOST_PEERS; i++) {
+                dead.add("127.0.1." + i + ":1");
+            }
+            mesh.learn(dead);
+            assertEquals(ControlMesh.MOST_PEERS, mesh.known());
+            mesh.learn(List.of("127.0.2.1:1"));
+            List<String> known = mesh.addressesLiveFirst();
+            assertTrue(known.contains("127.0.2.1:1"));
+            assertTrue(known.contains("127.0.1.1:1"));
+            assertFalse(known.contains("127.0.1.2:1"));
+            assertEquals(ControlMesh.MOST_PEERS, mesh.known());
         });
     }
 }
--- a/controlplane/src/test/java/dewplank/controlplane/OperatorApiTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/OperatorApiTest.java
@@ -31,6 +31,7 @@
 
     private final StandInRegister register = new StandInRegister();
     private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final StandInContact contact = new StandInContact();
     private EventLoop loop;
     private OperatorApi api;
     private String base;
@@ -38,7 +39,7 @@
     @BeforeEach
     void start() throws IOException {
         loop = new EventLoop();
-        api = new OperatorApi(loop, register, new FixedViews());
+        api = new OperatorApi(loop, register, contact, new FixedViews());
         Listener listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 16,
             api::connection);
         base = "http://127.0.0.1:" + ((InetSocketAddress) listener.address()).getPort();
@@ -50,6 +51,27 @@
         loop.stop();
     }
 
+    /** What the control sidecar knows of a majority and of others. */
+    private static final class StandInContact implements OperatorApi.Contact {
+        private volatile boolean current = true;
+        private volatile String better;
+
+        @Override
+        public boolean isCurrent() {
+            return current;
+        }
+
+        @Override
+        public String betterPlace() {
+            return better;
+        }
+
+        @Override
+        public List<String> otherPlaces() {
+            return List.of("10.0.0.4:8080", "10.0.0.5:8080");
+        }
+    }
+
     private static final class FixedViews implements OperatorApi.Views {
         @Override
         public String members() {
@@ -167,6 +189,32 @@
         result(ResultCode.NO_QUORUM, get("/configuration"));
     }
 
+    /** Cut off it neither confirms nor refuses, not even what it could tell to be wrong, and asks nobody. */
+    @Test
+    void saysAtOnceThatItIsCutOffAndWhereToGo() {
+        contact.current = false;
+        String[] bodies = {whole(3), "{", ""};
+        for (String body : bodies) {
+            Map<String, Object> fields = result(ResultCode.NOT_CURRENT, call("PUT", "/configuration", "0", body));
+            assertEquals(List.of("10.0.0.4:8080", "10.0.0.5:8080"), fields.get("elsewhere"));
+            result(ResultCode.NOT_CURRENT, call("PATCH", "/configuration", "7", body));
+        }
+        result(ResultCode.NOT_CURRENT, call("PUT", "/configuration", null, whole(3)));
+        result(ResultCode.NOT_CURRENT, get("/configuration"));
+        assertEquals(List.of(), register.waits());
+        assertEquals(200, get("/status").statusCode());
+    }
+
+    @Test
+    void redirectsToOneThatLatelyHadAMajority() {
+        contact.current = false;
+        contact.better = "10.0.0.4:8080";
+        HttpResponse<String> answer = call("PATCH", "/configuration", "7", "{}");
+        result(ResultCode.ELSEWHERE, answer);
+        assertEquals("http://10.0.0.4:8080/configuration", answer.headers().firstValue("Location").orElse(""));
+        assertEquals(List.of(), register.waits());
+    }
+
     @Test
     void answersBeforeCallersMoveOn() {
         call("PUT", "/configuration", "0", whole(3));
--- a/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
@@ -58,8 +58,9 @@
         String address = settings.address() + ":" + settings.internalPorts()[1];
         Member self = new Member(settings.node(), Member.DATA, address, settings.zone(), System.currentTimeMillis());
         exchange = new HealthExchange(loop, fleet, votes, self, new Random(seed));
-        sessions = new SessionClient(loop, FleetMessages.codec(), self, fleet, random, forwarder::fleetChanged);
-        sessions.learn(controlAddresses(settings));
+        sessions = new SessionClient(loop, FleetMessages.codec(), self, fleet, random, settings.bounds().contactMs(),
+            forwarder::fleetChanged);
+        sessions.seeds(controlAddresses(settings));
         int clients = Math.max(64, (settings.resources().fileDescriptors() - SPARE_DESCRIPTORS) / 2);
         front = new Listener(loop, settings.front(), clients, forwarder::connection);
         readiness = new Listener(loop, settings.readiness(), 64, new Readiness(loop, this::ready)::connection);
@@ -108,7 +109,7 @@
 
     /** The settings file has changed: new seeds are learned, all else waits for the next start. */
     public void reload(NodeSettings next) {
-        loop.execute(() -> sessions.learn(controlAddresses(next)));
+        loop.execute(() -> sessions.seeds(controlAddresses(next)));
     }
 
     /** Called on SIGTERM: serves on until the platform sends nobody new, answers what is open, and ends. */
--- a/dataplane/src/main/java/dewplank/dataplane/SessionClient.java
+++ b/dataplane/src/main/java/dewplank/dataplane/SessionClient.java
@@ -2,10 +2,12 @@
 
 import dewplank.net.EventLoop;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.LinkedHashSet;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -28,6 +30,11 @@
 /**
  * This data plane's sessions: two at a time, with different control sidecars. Each is asked with what is held, and left
  * when it is silent, or says for a while that it hears no quorum and another may be better.
+ *
+ * <p>What a control sidecar without a quorum tells may be old. Where something is held already this is harmless, as
+ * only what is newer is taken. A data plane that holds nothing, after its start, keeps such updates back until a
+ * control sidecar with a quorum has told more, or for half of {@code contact_ms}: after a restart of everything there
+ * may be no quorum for a while, and by then one that can reach a quorum's side has had the time to find it.
  */
 final class SessionClient {
     private static final Logger LOG = LoggerFactory.getLogger(SessionClient.class);
@@ -37,8 +44,15 @@
     private static final double DIAL_TIMEOUT_MS = 600;
     private static final double AGAIN_MS = 400;           // before an address that failed is tried again
     private static final double NO_QUORUM_MS = 1_500;     // after which another control sidecar is looked for
+    /** Further sessions beside those that say they hear no quorum, while nothing is held. */
+    private static final int MOST_FURTHER = 2;
     private static final double REST_NO_QUORUM_MS = 4_000;
+    /** Part of {@code contact_ms} for which a data plane that holds nothing waits for a quorum's word. */
+    private static final double KEPT_BACK_PART = 0.5;
+    private static final int MOST_KEPT_BACK = 64;         // updates; a session that tells more begins anew
     private static final int MOST_ADDRESSES = 64;
+    /** An address that no control sidecar has vouched for so long is forgotten, seeds excepted. */
+    private static final double FORGET_MS = 60_000;
 
     private final EventLoop loop;
     private final MessageCodec codec;
@@ -46,32 +60,85 @@
     private final FleetView fleet;
     private final RandomGenerator random;
     private final Runnable changed;
-    private final Set<String> addresses = new LinkedHashSet<>();
-    private final Map<String, Double> notBefore = new HashMap<>();
+    private final double keptBackMs;
+    private Set<String> seeds = Set.of();
+    private final Map<String, Known> addresses = new LinkedHashMap<>();
     private final List<Session> sessions = new ArrayList<>();
+    private double takesAnythingAt = Double.POSITIVE_INFINITY;
     private long sequence;
     private boolean closed;
 
+    /** A control sidecar's address. */
+    private static final class Known {
+        private double toldAt;
+        private double notBefore = Double.NEGATIVE_INFINITY;
+    }
+
+    /**
+     * @param contactMs the settings' bound {@code contact_ms}
+     * @param changed runs after each update
+     */
     SessionClient(EventLoop loop, MessageCodec codec, Member self, FleetView fleet, RandomGenerator random,
-                  Runnable changed) {
+                  double contactMs, Runnable changed) {
         this.loop = loop;
         this.codec = codec;
         this.self = self;
         this.fleet = fleet;
         this.random = random;
+        this.keptBackMs = contactMs * KEPT_BACK_PART;
         this.changed = changed;
     }
 
-    /** Addresses of control sidecars, from the settings or from control sidecars themselves. */
-    void learn(Collection<String> more) {
-        for (String address : more) {
-            if (addresses.size() < MOST_ADDRESSES) {
-                addresses.add(address);
+    /** Addresses of the settings, which are kept however long nobody answers there. */
+    void seeds(Collection<String> newer) {
+        seeds = Set.copyOf(newer);
+        learn(newer);
+    }
+
+    /** Addresses that a control sidecar vouches for. */
+    private void learn(Collection<String> told) {
+        double now = loop.now();
+        for (String address : told) {
+            Known known = addresses.get(address);
+            if (known == null && hasRoom()) {
+                known = new Known();
+                addresses.put(address, known);
+            }
+            if (known != null) {
+                known.toldAt = now;
             }
         }
     }
 
+    /** Whether one more address fits, after the one that nobody vouched for longest was forgotten where need be. */
+    private boolean hasRoom() {
+        if (addresses.size() < MOST_ADDRESSES) {
+            return true;
+        }
+        return addresses.entrySet().stream().filter(e -> mayBeForgotten(e.getKey()))
+            .min(Comparator.comparingDouble(e -> e.getValue().toldAt))
+            .filter(e -> addresses.remove(e.getKey()) != null).isPresent();
+    }
+
+    private boolean mayBeForgotten(String address) {
+        return !seeds.contains(address) && sessions.stream().noneMatch(s -> s.address.equals(address));
+    }
+
+    /** While no session stands nothing is forgotten: any address may be the last one that leads to the others. */
+    private void forget() {
+        if (standing() > 0) {
+            double before = loop.now() - FORGET_MS;
+            addresses.entrySet().removeIf(e -> e.getValue().toldAt < before && mayBeForgotten(e.getKey()));
+        }
+    }
+
+    /** How many addresses are known. */
+    int known() {
+        return addresses.size();
+    }
+
     void start() {
+        takesAnythingAt = loop.now() + keptBackMs;
         beat();
     }
 
@@ -85,12 +152,14 @@
             return;
         }
         List.copyOf(sessions).forEach(Session::beat);
+        forget();
+        trim();
         fill();
         loop.after(BEAT_MS, this::beat);
     }
 
     private void fill() {
-        while (!closed && sessions.size() < SESSIONS) {
+        while (!closed && sessions.size() < SESSIONS + further()) {
             String next = candidate();
             if (next == null) {
                 return;
@@ -101,15 +170,34 @@
         }
     }
 
+    /** While nothing is held, one without a quorum is kept as the last hope, and another is asked beside it. */
+    private int further() {
+        if (!holdsNothing()) {
+            return 0;
+        }
+        return (int) Math.min(MOST_FURTHER, sessions.stream().filter(s -> s.answered && !s.quorate).count());
+    }
+
+    /** Once something is held the further sessions end, those without a quorum first. */
+    private void trim() {
+        for (boolean quorate : new boolean[] {false, true}) {
+            for (Session session : List.copyOf(sessions)) {
+                if (!holdsNothing() && sessions.size() > SESSIONS && session.quorate == quorate) {
+                    session.connection.end();
+                }
+            }
+        }
+    }
+
     private String candidate() {
         double now = loop.now();
         List<String> candidates = new ArrayList<>();
-        for (String address : addresses) {
+        addresses.forEach((address, known) -> {
             boolean used = sessions.stream().anyMatch(s -> s.address.equals(address));
-            if (!used && notBefore.getOrDefault(address, 0.0) <= now) {
+            if (!used && known.notBefore <= now) {
                 candidates.add(address);
             }
-        }
+        });
         return candidates.isEmpty() ? null : candidates.get(random.nextInt(candidates.size()));
     }
 
@@ -118,11 +206,32 @@
         return sessions.stream().filter(s -> s.connection.isOpen()).count();
     }
 
+    private void rest(String address, double until) {
+        Known known = addresses.get(address);
+        if (known != null) {
+            known.notBefore = Math.max(known.notBefore, until);
+        }
+    }
+
+    private boolean holdsNothing() {
+        return fleet.configurationVersion() == 0;
+    }
+
+    /** Whether some session's control sidecar hears a quorum. */
+    private boolean anyQuorate() {
+        return sessions.stream().anyMatch(s -> s.quorate && s.connection.isOpen());
+    }
+
     private final class Session implements FramedConnection.Handler {
         private final String address;
+        private final Deque<Update> keptBack = new ArrayDeque<>();
         private FramedConnection connection;
         private double answeredAt;
         private double quorateAt;
+        private boolean answered;
+        private boolean quorate;
+        /** The members as this control sidecar last told them; null before. */
+        private List<Member> members;
 
         Session(String address) {
             this.address = address;
@@ -154,11 +263,12 @@
             if (now - answeredAt > SILENCE_MS) {
                 LOG.info("control sidecar {} is silent", address);
                 connection.end();
-            } else if (now - quorateAt > NO_QUORUM_MS && candidate() != null) {
+            } else if (!holdsNothing() && now - quorateAt > NO_QUORUM_MS && candidate() != null) {
                 LOG.info("control sidecar {} hears no quorum", address);
+                rest(address, now + REST_NO_QUORUM_MS);
                 connection.end();
-                notBefore.put(address, now + REST_NO_QUORUM_MS);
             } else {
+                takeKeptBack();
                 ask();
             }
         }
@@ -167,10 +277,32 @@
         public void received(FramedConnection from, Object message) {
             answeredAt = loop.now();
             if (message instanceof SessionAnswer answer) {
-                quorateAt = answer.quorate ? loop.now() : quorateAt;
-                learn(answer.controlAddresses);
+                answered(answer);
             } else if (message instanceof Update update) {
-                take(update);
+                keptBack.add(update);
+                takeKeptBack();
+            }
+        }
+
+        private void answered(SessionAnswer answer) {
+            answered = true;
+            quorate = answer.quorate;
+            quorateAt = answer.quorate ? loop.now() : quorateAt;
+            learn(answer.controlAddresses);
+            takeKeptBack();
+            tellMembers();
+        }
+
+        private boolean mustWait() {
+            return holdsNothing() && !quorate && loop.now() < takesAnythingAt;
+        }
+
+        private void takeKeptBack() {
+            while (!keptBack.isEmpty() && !mustWait() && connection.isOpen()) {
+                take(keptBack.remove());
+            }
+            if (keptBack.size() > MOST_KEPT_BACK) {
+                connection.end();
             }
         }
 
@@ -183,11 +315,19 @@
                 fleet.listed(update.servers);
             }
             if (update.members != null) {
-                fleet.members(update.members);
+                members = update.members;
             }
+            tellMembers();
             changed.run();
         }
 
+        /** One without a quorum does not hear of others' sessions: it is believed only where no other is better. */
+        private void tellMembers() {
+            if (members != null && (quorate || !anyQuorate())) {
+                fleet.members(members);
+            }
+        }
+
         private boolean configured(Update update) {
             if (update.configurationVersion <= fleet.configurationVersion()) {
                 return true;
@@ -211,8 +351,7 @@
         @Override
         public void closed(FramedConnection ended) {
             sessions.remove(this);
-            double wait = AGAIN_MS * (0.5 + random.nextDouble());
-            notBefore.merge(address, loop.now() + wait, Math::max);
+            rest(address, loop.now() + AGAIN_MS * (0.5 + random.nextDouble()));
             fill();
         }
     }
--- a/dataplane/src/test/java/dewplank/dataplane/SessionClientTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/SessionClientTest.java
@@ -34,6 +34,8 @@
 
 /** A data plane's sessions with stand-ins for control sidecars. */
 class SessionClientTest {
+    /** So long that no test meets the end of it by chance; those that want it set it themselves. */
+    private static final double CONTACT_MS = 120_000;
     private static final Member SELF = new Member("n1", Member.DATA, "10.0.0.9:1", "z", 17);
 
     private EventLoop loop;
@@ -46,7 +48,11 @@
     void begin() throws IOException {
         loop = new EventLoop();
         view = new FleetView(loop);
-        client = new SessionClient(loop, FleetMessages.codec(), SELF, view, new SplittableRandom(3),
+        client = client(CONTACT_MS);
+    }
+
+    private SessionClient client(double contactMs) {
+        return new SessionClient(loop, FleetMessages.codec(), SELF, view, new SplittableRandom(3), contactMs,
             changes::incrementAndGet);
     }
 
@@ -66,7 +72,7 @@
     private void start(ControlStandIn... known) throws Exception {
         OnLoop.run(loop, () -> {
             for (ControlStandIn control : known) {
-                client.learn(List.of(control.address()));
+                client.seeds(List.of(control.address()));
             }
             client.start();
         });
@@ -243,7 +249,7 @@
         ServerSocket nobody = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         nobody.close();
         ControlStandIn control = control();
-        OnLoop.run(loop, () -> client.learn(List.of("127.0.0.1:" + nobody.getLocalPort())));
+        OnLoop.run(loop, () -> client.seeds(List.of("127.0.0.1:" + nobody.getLocalPort())));
         start(control);
         control.session();
         OnLoop.await(loop, () -> client.standing() == 1);
@@ -273,7 +279,7 @@
         Session left = silent.session();
         Session kept = speaking.session();
         ControlStandIn third = control();
-        OnLoop.run(loop, () -> client.learn(List.of(third.address())));
+        OnLoop.run(loop, () -> client.seeds(List.of(third.address())));
         left.awaitEnd();
         assertEquals(SELF, third.session().open().member);
         assertFalse(kept.isEnded());
@@ -286,8 +292,10 @@
         start(lost, quorate);
         Session left = lost.session();
         Session kept = quorate.session();
+        kept.send(whole(configuration(3, route("a", "safe", PLAIN, 1))));
+        awaitVersion(3);   // who holds something need not keep it as a last hope
         ControlStandIn third = control();
-        OnLoop.run(loop, () -> client.learn(List.of(third.address())));
+        OnLoop.run(loop, () -> client.seeds(List.of(third.address())));
         left.awaitEnd();
         assertEquals(SELF, third.session().open().member);
         OnLoop.pass(loop, 700);
@@ -299,6 +307,7 @@
     void oneWithoutAQuorumIsKeptWhereThereIsNoOther() throws Exception {
         ControlStandIn one = control().withoutQuorum();
         ControlStandIn two = control().withoutQuorum();
+        client = client(800);
         start(one, two);
         Session first = one.session();
         Session second = two.session();
@@ -309,6 +318,96 @@
         awaitVersion(7);   // what is chosen is true, quorum or not
     }
 
+    /** After a restart of everything there may be no quorum for a while: what there is serves, after a time. */
+    @Test
+    void whoHoldsNothingTakesOldStateOnlyAfterATime() throws Exception {
+        ControlStandIn cutOff = control().withoutQuorum();
+        client = client(2_000);
+        start(cutOff);
+        Session session = cutOff.session();
+        double startedAt = OnLoop.get(loop, loop::now);
+        session.question();
+        session.question();   // the first answer has told that there is no quorum
+        session.send(whole(configuration(7, route("a", "safe", PLAIN, 1))));
+        awaitVersion(7);
+        assertTrue(OnLoop.get(loop, loop::now) - startedAt >= 900, "it was taken too soon");
+    }
+
+    /** The cut-off one is asked first and tells first; what it tells is never in force here. */
+    @Test
+    void whoHoldsNothingWaitsForOneWithAQuorum() throws Exception {
+        ControlStandIn cutOff = control().withoutQuorum();
+        start(cutOff);
+        Session old = cutOff.session();
+        old.question();
+        old.question();
+        Configuration stale = configuration(3, route("old", "safe", PLAIN, 1));
+        old.send(whole(stale));
+        old.send(new Update(null, 0, 0, new ServerList(new ListVersion(1, 1), List.of()), List.of(SELF)));
+        old.question();
+        old.question();
+        assertEquals(0, OnLoop.get(loop, view::configurationVersion));
+        assertFalse(OnLoop.get(loop, view::complete));
+        ControlStandIn fresh = control();
+        OnLoop.run(loop, () -> client.seeds(List.of(fresh.address())));
+        Session session = fresh.session();
+        session.send(whole(configuration(7, route("new", "safe", PLAIN, 1))));
+        awaitVersion(7);
+        OnLoop.await(loop, () -> view.listVersion().equals(new ListVersion(1, 1)));   // the old one's updates follow
+        assertEquals(7, view.configurationVersion());
+        assertEquals("new", view.routes().find(TestFleet.HOST, "/new/").name());
+    }
+
+    /** Both sessions may be with cut-off ones: while nothing is held another is asked beside them. */
+    @Test
+    void whoHoldsNothingAsksBeyondTwoThatAreCutOff() throws Exception {
+        ControlStandIn one = control().withoutQuorum();
+        ControlStandIn two = control().withoutQuorum();
+        start(one, two);
+        Session first = one.session();
+        Session second = two.session();
+        ControlStandIn fresh = control();
+        OnLoop.run(loop, () -> client.seeds(List.of(fresh.address())));
+        Session third = fresh.session();
+        assertFalse(first.isEnded() || second.isEnded());
+        third.send(whole(configuration(7, route("new", "safe", PLAIN, 1))));
+        awaitVersion(7);
+        OnLoop.await(loop, () -> client.standing() == 2);
+        assertFalse(third.isEnded());
+    }
+
+    /** One that is cut off hears of no sessions but its own; the budget of retries is divided by the members known. */
+    @Test
+    void membersAreTakenFromOneWithAQuorum() throws Exception {
+        Member other = new Member("n2", Member.DATA, "10.0.0.8:1", "z", 4);
+        ControlStandIn quorate = control();
+        ControlStandIn lost = control().withoutQuorum();
+        start(quorate, lost);
+        Session good = quorate.session();
+        Session cutOff = lost.session();
+        good.send(whole(configuration(7, route("a", "safe", PLAIN, 1))));
+        good.send(new Update(null, 0, 0, null, List.of(SELF, other)));
+        OnLoop.await(loop, () -> view.members().size() == 2);
+        cutOff.question();
+        cutOff.question();
+        cutOff.send(new Update(null, 0, 0, new ServerList(new ListVersion(1, 1), List.of()), List.of(SELF)));
+        OnLoop.await(loop, view::complete);   // so its members were looked at
+        assertEquals(2, view.members().size());
+        good.reset();
+        OnLoop.await(loop, () -> view.members().size() == 1);
+    }
+
+    /** 64 machines that were replaced must not keep a data plane from learning the 65th. */
+    @Test
+    void addressesThatNobodyVouchesForMakeRoom() throws Exception {
+        OnLoop.run(loop, () -> {
+            for (int i = 0; i < 80; i++) {
+                client.seeds(List.of("127.0.1." + i + ":1"));
+            }
+            assertEquals(64, client.known());
+        });
+    }
+
     @Test
     void aClosedClientEndsItsSessionsAndOpensNone() throws Exception {
         ControlStandIn one = control();
--- /dev/null
+++ b/fleet/src/main/java/dewplank/membership/AcceptorPlan.java
@@ -0,0 +1,134 @@
+package dewplank.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import dewplank.register.Acceptor;
+import dewplank.register.AcceptorSet;
+
+/**
+ * What the register's acceptors should be, worked out from which control sidecars are heard: one whose disk was lost is
+ * replaced by the identity that lives at its address, one that fell silent by a control sidecar that is no acceptor
+ * yet, and the set grows to an odd number of them. Pure: the caller gives the time and acts on the answer.
+ *
+ * <p>An acceptor that fell silent stays where nobody can take its place: a smaller set bears less, and the machine may
+ * come back with its disk. Where somebody can, little is lost if it does come back: it takes the next free place.
+ */
+public final class AcceptorPlan {
+    /** More acceptors than this bear no loss that a deployment asks for, and each change waits for more disks. */
+    public static final int MOST_ACCEPTORS = 9;
+
+    /**
+     * Times in milliseconds.
+     *
+     * @param liveMs heard within this: alive
+     * @param settledMs a newcomer heard for so long may take a place
+     * @param goneMs an acceptor that has not been alive for so long gives its place up
+     */
+    public record Timing(double liveMs, double settledMs, double goneMs) {
+        private static final double LIVE_MS = 1_000;   // three heartbeats of 300 ms and their way
+        /** More than a heartbeat and its way: late words of an earlier life are overtaken by then. */
+        private static final double SETTLED_MS = 400;
+        private static final double GONE_PART = 1 / 4.0;
+        private static final double LONGEST_GONE_MS = 2_000;
+
+        /**
+         * The times for a deployment in which the next loss may come {@code catchUpMs} after a successor's start. Of
+         * 4 s: 1 s until the successor's process runs and is linked, 0.4 s to settle, 0.1 s to the next look and 0.1 s
+         * for the change leave more than half for a duty that fell vacant and for slow disks. The silence of the lost
+         * one, 1 s and 1 s, runs from its loss, at the latest from its successor's start.
+         */
+        public static Timing ofCatchUp(double catchUpMs) {
+            return new Timing(LIVE_MS, SETTLED_MS, Math.min(LONGEST_GONE_MS, catchUpMs * GONE_PART));
+        }
+    }
+
+    /**
+     * A control sidecar that has been heard.
+     *
+     * @param acceptor its address and the identity of its disk
+     * @param heardAt when it was last heard
+     * @param since since when that very identity has been heard
+     */
+    public record Sighting(Acceptor acceptor, double heardAt, double since) { }
+
+    private final Timing timing;
+    private final Map<Acceptor, Double> missingSince = new HashMap<>();
+
+    public AcceptorPlan(Timing timing) {
+        this.timing = timing;
+    }
+
+    /**
+     * Notes who is missing; to be called at least a few times within {@link Timing#goneMs}, also where the answer is
+     * not acted on.
+     *
+     * @param now the time
+     * @param set the acceptors in force
+     * @param seen control sidecars heard, this one among them
+     * @return the acceptors that there should be: those of the set where it is as it should be or half changed
+     */
+    public List<Acceptor> wanted(double now, AcceptorSet set, Collection<Sighting> seen) {
+        List<Sighting> live = seen.stream().filter(s -> now - s.heardAt() <= timing.liveMs()).toList();
+        noteMissing(now, set, live.stream().map(Sighting::acceptor).toList());
+        if (set.isJoint()) {
+            return set.members();
+        }
+        List<Acceptor> settled = live.stream().filter(s -> now - s.since() >= timing.settledMs())
+            .map(Sighting::acceptor).toList();
+        List<Acceptor> spare = new ArrayList<>(settled);
+        spare.removeAll(set.members());
+        List<Acceptor> replaced = replaced(now, set.members(), spare);
+        boolean complete = missingSince.isEmpty();
+        return complete && replaced.equals(set.members()) ? grown(set.members(), spare) : replaced;
+    }
+
+    private void noteMissing(double now, AcceptorSet set, List<Acceptor> live) {
+        missingSince.keySet().retainAll(set.members());
+        for (Acceptor member : set.members()) {
+            if (live.contains(member)) {
+                missingSince.remove(member);
+            } else {
+                missingSince.putIfAbsent(member, now);
+            }
+        }
+    }
+
+    /** One replacement: a lost disk's first, as that acceptor is certain not to come back. */
+    private List<Acceptor> replaced(double now, List<Acceptor> members, List<Acceptor> spare) {
+        for (Acceptor member : members) {
+            for (Acceptor other : spare) {
+                if (other.address().equals(member.address())) {
+                    return replaced(members, member, other);
+                }
+            }
+        }
+        for (Acceptor member : members) {
+            double since = missingSince.getOrDefault(member, now);
+            if (now - since >= timing.goneMs() && !spare.isEmpty()) {
+                return replaced(members, member, spare.get(0));
+            }
+        }
+        return members;
+    }
+
+    private static List<Acceptor> replaced(List<Acceptor> members, Acceptor old, Acceptor by) {
+        List<Acceptor> next = new ArrayList<>(members);
+        next.set(next.indexOf(old), by);
+        return next;
+    }
+
+    /** Growth by as many as make the number odd; while somebody is missing spares are for that place. */
+    private static List<Acceptor> grown(List<Acceptor> members, List<Acceptor> spare) {
+        int size = Math.min(MOST_ACCEPTORS, members.size() + spare.size());
+        size -= size % 2 == 0 ? 1 : 0;
+        if (size <= members.size()) {
+            return members;
+        }
+        List<Acceptor> more = new ArrayList<>(members);
+        more.addAll(spare.subList(0, size - members.size()));
+        return more;
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/dewplank/membership/AcceptorPlanTest.java
@@ -0,0 +1,130 @@
+package dewplank.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import dewplank.membership.AcceptorPlan.Sighting;
+import dewplank.membership.AcceptorPlan.Timing;
+import dewplank.register.Acceptor;
+import dewplank.register.AcceptorSet;
+import org.junit.jupiter.api.Test;
+
+class AcceptorPlanTest {
+    private static final double CATCH_UP_MS = 4_000;
+    private static final double LOOK_MS = 100;
+    private static final Timing TIMING = Timing.ofCatchUp(CATCH_UP_MS);
+    private static final Acceptor A = new Acceptor("a:1", "disk-a");
+    private static final Acceptor B = new Acceptor("b:1", "disk-b");
+    private static final Acceptor C = new Acceptor("c:1", "disk-c");
+    private static final Acceptor D = new Acceptor("d:1", "disk-d");
+    private static final Acceptor E = new Acceptor("e:1", "disk-e");
+    private static final Acceptor A_AGAIN = new Acceptor("a:1", "disk-a2");
+
+    private final AcceptorPlan plan = new AcceptorPlan(TIMING);
+
+    private static AcceptorSet set(Acceptor... members) {
+        return AcceptorSet.of(List.of(members));
+    }
+
+    /** Heard at the moment, and for long. */
+    private static Sighting old(double now, Acceptor acceptor) {
+        return new Sighting(acceptor, now, now - 60_000);
+    }
+
+    private static List<Sighting> allOld(double now, Acceptor... acceptors) {
+        return Arrays.stream(acceptors).map(a -> old(now, a)).toList();
+    }
+
+    @Test
+    void leavesACompleteSetAlone() {
+        assertEquals(List.of(A, B, C), plan.wanted(0, set(A, B, C), allOld(0, A, B, C)));
+    }
+
+    /** The bound that a second loss after a replacement rests on: the whole has to fit into catch_up_s. */
+    @Test
+    void aSuccessorHasItsPlaceLongBeforeTheNextLossMayCome() {
+        double startedAt = 1_000;          // the lost one was last heard at 0
+        double linkedAt = startedAt + 1_000;
+        double replacedAt = Double.NaN;
+        for (double now = 0; now < 10_000 && Double.isNaN(replacedAt); now += LOOK_MS) {
+            List<Sighting> seen = new ArrayList<>(allOld(now, B, C));
+            seen.add(new Sighting(A, 0, -60_000));
+            if (now >= linkedAt) {
+                seen.add(new Sighting(D, now, linkedAt));
+            }
+            if (!plan.wanted(now, set(A, B, C), seen).equals(List.of(A, B, C))) {
+                assertEquals(List.of(D, B, C), plan.wanted(now, set(A, B, C), seen));
+                replacedAt = now;
+            }
+        }
+        assertTrue(replacedAt <= startedAt + CATCH_UP_MS / 2, "replaced only at " + replacedAt);
+    }
+
+    /** As many as may be lost at once are replaced, one after the other. */
+    @Test
+    void replacesTwoOfFive() {
+        AcceptorSet set = set(A, B, C, D, E);
+        Acceptor f = new Acceptor("f:1", "disk-f");
+        Acceptor g = new Acceptor("g:1", "disk-g");
+        assertEquals(set.members(), plan.wanted(0, set, allOld(0, C, D, E, f, g)));
+        double gone = TIMING.goneMs();
+        assertEquals(List.of(f, B, C, D, E), plan.wanted(gone, set, allOld(gone, C, D, E, f, g)));
+        assertEquals(List.of(f, g, C, D, E),
+            plan.wanted(gone + 1, set(f, B, C, D, E), allOld(gone + 1, C, D, E, f, g)));
+    }
+
+    @Test
+    void aLostDiskIsReplacedByWhatLivesAtItsAddressAsSoonAsThatHasSettled() {
+        Sighting again = new Sighting(A_AGAIN, 100, 0);
+        assertEquals(List.of(A, B, C), plan.wanted(100, set(A, B, C), List.of(again, old(100, B), old(100, C))));
+        double settled = TIMING.settledMs();
+        assertEquals(List.of(A_AGAIN, B, C), plan.wanted(settled, set(A, B, C),
+            List.of(new Sighting(A_AGAIN, settled, 0), old(settled, B), old(settled, C))));
+    }
+
+    /** Late words of an earlier life at the same address make the identity unsettled, not the other way round. */
+    @Test
+    void anIdentityThatHasJustChangedDoesNotReplaceAnybody() {
+        Sighting flipped = new Sighting(A, 5_000, 4_990);
+        assertEquals(List.of(A_AGAIN, B, C),
+            plan.wanted(5_000, set(A_AGAIN, B, C), List.of(flipped, old(5_000, B), old(5_000, C))));
+    }
+
+    @Test
+    void oneThatFellSilentStaysWhereNobodyCanTakeItsPlace() {
+        for (double now = 0; now < 60_000; now += LOOK_MS) {
+            assertEquals(List.of(A, B, C), plan.wanted(now, set(A, B, C), allOld(now, B, C)));
+        }
+    }
+
+    @Test
+    void oneThatIsHeardAgainInTimeKeepsItsPlace() {
+        plan.wanted(0, set(A, B, C), allOld(0, B, C, D));
+        double back = TIMING.goneMs() - 1;
+        assertEquals(List.of(A, B, C), plan.wanted(back, set(A, B, C), allOld(back, A, B, C, D)));
+        double later = back + TIMING.goneMs() - 1;
+        assertEquals(List.of(A, B, C), plan.wanted(later, set(A, B, C), allOld(later, B, C, D)));
+    }
+
+    @Test
+    void growsToAnOddNumber() {
+        assertEquals(List.of(A, B, C), plan.wanted(0, set(A, B, C), allOld(0, A, B, C, D)));
+        assertEquals(List.of(A, B, C, D, E), plan.wanted(0, set(A, B, C), allOld(0, A, B, C, D, E)));
+        List<Acceptor> many = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            many.add(new Acceptor("m" + i, "disk-" + i));
+        }
+        List<Sighting> seen = many.stream().map(a -> old(0, a)).toList();
+        assertEquals(AcceptorPlan.MOST_ACCEPTORS,
+            plan.wanted(0, AcceptorSet.of(many.subList(0, 3)), seen).size());
+    }
+
+    @Test
+    void aHalfDoneChangeIsFinishedFirst() {
+        AcceptorSet joint = new AcceptorSet(1, List.of(A, B, C), List.of(D, B, C));
+        assertEquals(joint.members(), plan.wanted(9_000, joint, allOld(9_000, B, C, D, E)));
+    }
+}
--- a/messages/src/main/java/dewplank/message/SessionAnswer.java
+++ b/messages/src/main/java/dewplank/message/SessionAnswer.java
@@ -6,7 +6,7 @@
 /** The heartbeat of a session, and of a connection between control sidecars. */
 public final class SessionAnswer {
     public final long sequence;
-    /** Whether the control sidecar has heard a quorum of the register lately. */
+    /** Whether a quorum of the register lately showed that the control sidecar knows the newest configuration. */
     public final boolean quorate;
     /** Addresses of all control sidecars known, to turn to when this one is gone. */
     public final List<String> controlAddresses;
