Share the retry slack by the largest fleet told of lately, and not before it is known

A sidecar took slack divided by the members it was told of at that moment. Right after a restart of control planes, on either side of a cut, and before the first list (one sidecar alone), that number is short while all go on sending: eight sidecars that are told of one each may send 0.6 * 56 * 8 = 269 repeats in a window that allows 56 and a fifth of the requests. BUDGET is summed over all machines, in touch or not.

--- a/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
@@ -15,6 +15,7 @@
 import dewplank.configuration.Service;
 import dewplank.configuration.WeightedService;
 import dewplank.membership.Member;
+import dewplank.routing.FleetSize;
 import dewplank.routing.PairChoice;
 import dewplank.routing.RetryBudget;
 import dewplank.routing.ServerChoice;
@@ -36,6 +37,7 @@
     private final Map<InboundConnection, Exchange> open = new HashMap<>();
     private final Map<InboundConnection, Held> held = new LinkedHashMap<>();
     private final Set<InboundConnection> connections = new HashSet<>();
+    private final FleetSize size;
     private boolean closing;
 
     /** The fleet's budget of repeated sends to a service, of which this sidecar has a part. */
@@ -50,6 +52,7 @@
         this.random = random;
         this.counters = counters;
         this.limits = limits;
+        this.size = new FleetSize(limits.windowMs());
     }
 
     /** A new connection of a client. */
@@ -95,6 +98,7 @@
 
     /** What is known of the fleet has changed: requests that were held go on once it is enough. */
     void fleetChanged() {
+        size.told(loop.now(), (int) fleet.members().stream().filter(m -> m.role.equals(Member.DATA)).count());
         if (fleet.complete() && !held.isEmpty()) {
             Map<InboundConnection, Held> ready = new LinkedHashMap<>(held);
             held.clear();
@@ -223,8 +227,8 @@
 
     /** Takes one repeated send to the service out of this sidecar's part of the budget. */
     boolean mayRepeat(String service) {
-        long sidecars = fleet.members().stream().filter(m -> m.role.equals(Member.DATA)).count();
-        boolean may = budget(service).take(loop.now(), (int) sidecars);
+        double now = loop.now();
+        boolean may = budget(service).take(now, size.settled(now) ? size.dataPlanes(now) : RetryBudget.NO_SLACK);
         counters.add(may ? Counters.Count.RETRIES : Counters.Count.RETRIES_OVER_BUDGET);
         return may;
     }
--- a/fleet/src/test/java/dewplank/routing/RetryBudgetTest.java
+++ b/fleet/src/test/java/dewplank/routing/RetryBudgetTest.java
@@ -54,4 +54,38 @@
             assertTrue(sent <= RATIO * asked + SLACK, sent + " repeats of " + asked + " requests, seed " + seed);
         }
     }
+
+    /**
+     * The same while what each sidecar is told of the others is short: after a restart of the control planes, and on
+     * both sides of a cut. All ask for all that they may have.
+     */
+    @Property(tries = 200)
+    void theFleetKeepsToTheBudgetWhileListsAreShort(@ForAll @IntRange(min = 2, max = 12) int sidecars,
+                                                    @ForAll @LongRange long seed) {
+        java.util.SplittableRandom random = new java.util.SplittableRandom(seed);
+        List<RetryBudget> budgets = new ArrayList<>();
+        List<FleetSize> sizes = new ArrayList<>();
+        for (int i = 0; i < sidecars; i++) {
+            budgets.add(new RetryBudget(RATIO, WINDOW_MS, SLACK));
+            sizes.add(new FleetSize(WINDOW_MS));
+        }
+        double wholeFrom = 0.2 * WINDOW_MS * random.nextDouble();   // all sessions stand: by then all are told of all
+        double cutFrom = WINDOW_MS + 2 * WINDOW_MS * random.nextDouble();
+        double cutTo = cutFrom + 4 * WINDOW_MS * random.nextDouble();
+        List<Double> repeats = new ArrayList<>();
+        for (double now = 0; now < 8 * WINDOW_MS; now += 100 * random.nextDouble()) {
+            int asking = random.nextInt(sidecars);
+            boolean few = now < wholeFrom || now >= cutFrom && now < cutTo;
+            sizes.get(asking).told(now, few ? 1 + random.nextInt(sidecars) : sidecars);
+            int among = sizes.get(asking).settled(now) ? sizes.get(asking).dataPlanes(now) : RetryBudget.NO_SLACK;
+            while (budgets.get(asking).take(now, among)) {
+                repeats.add(now);
+            }
+        }
+        for (double end : repeats) {
+            double start = end - WINDOW_MS;
+            long sent = repeats.stream().filter(t -> t > start && t <= end).count();
+            assertTrue(sent <= SLACK, sent + " repeats, seed " + seed);
+        }
+    }
 }
