Hold clients to the limits of the configuration in force, and count their time from its first byte

Heads were bounded by a constant of 16 KiB whatever max_header_bytes says, so that a proper request was answered 431 (DENIED) where the operator allows longer ones. The time-out for heads bound whole requests: a long body over a slow link was answered 408 after 3 s. A shorter idle time-out held the moment it was learnt, while clients may still go by the longer one. What a client waits for was counted from the request's last byte, so that servers were handed more than was left of it and the route's time-out was answered late by as much as the body took. A time of NaN counted as none and was refused.

Heads: max_header_bytes and 8 KiB for the request line; 128 KiB while no configuration is known, as none may be refused for good then. Heads have header_timeout_ms, whole requests the longer of that and idle_timeout_ms, rests idle_timeout_ms; what is shortened holds config_apply_ms later. Ruled out: closing at four fifths, and a bound on bodies by the client's own time, which a route's time-out does already once the request is whole.

--- a/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
@@ -39,6 +39,7 @@
     private final SessionClient sessions;
     private final HealthExchange exchange;
     private final Counters counters = new Counters();
+    private final ClientLimits limits;
     private final Listener front;
     private final Listener readiness;
     private final CountDownLatch drained = new CountDownLatch(1);
@@ -53,6 +54,7 @@
         FleetVotes votes = new FleetVotes();
         ServerChoice choice = new ServerChoice(settings.zone(), votes, random);
         NodeSettings.Bounds bounds = settings.bounds();
+        limits = new ClientLimits(bounds.configApplyMs());
         forwarder = new Forwarder(loop, fleet, choice, random, counters,
             new Forwarder.RetryLimits(bounds.retryRatio(), bounds.retryWindowMs(), bounds.retrySlack()));
         String address = settings.address() + ":" + settings.internalPorts()[1];
@@ -95,11 +97,11 @@
     /** Ends connections on which no whole request comes, and idle ones to servers. */
     private void sweep() {
         double now = loop.now();
-        double headerMs = fleet.configuration() == null ? 3_000 : fleet.configuration().limits().headerTimeoutMs();
-        double idleMs = fleet.configuration() == null ? 15_000 : fleet.configuration().limits().idleTimeoutMs();
+        if (fleet.configuration() != null) {
+            limits.inForce(now, fleet.configuration().limits());
+        }
         for (InboundConnection c : forwarder.connections()) {
-            double most = c.halfRead() ? headerMs : idleMs;
-            if (!c.busy() && now - c.waitsSince() > most) {
+            if (limits.overdue(now, c)) {
                 c.giveUp();
             }
         }
--- a/dataplane/src/main/java/dewplank/dataplane/Exchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Exchange.java
@@ -62,7 +62,8 @@
     private double clientWaits() {
         String text = request.headers().get(WireNames.REMAINING_TIME);
         try {
-            return text == null ? DEFAULT_WAIT_MS : Math.max(1, Double.parseDouble(text));
+            double ms = text == null ? DEFAULT_WAIT_MS : Double.parseDouble(text);
+            return Double.isNaN(ms) ? DEFAULT_WAIT_MS : Math.max(1, ms);
         } catch (NumberFormatException e) {
             return DEFAULT_WAIT_MS;
         }
--- a/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import dewplank.configuration.Limits;
 import dewplank.configuration.Route;
 import dewplank.configuration.Service;
 import dewplank.configuration.WeightedService;
@@ -26,6 +27,11 @@
     private static final int MOST_HELD = 512;
     private static final int MOST_OPEN = 4_096;   // requests open at once, beyond which further ones are refused
 
+    /** The limit on heads may be meant for the fields alone: the request line has room of its own. */
+    private static final int FIRST_LINE_BYTES = 8 * 1024;
+    /** Before there is a configuration: nothing is refused that it may allow. */
+    private static final int UNKNOWN_HEAD_BYTES = 128 * 1024;
+
     private final EventLoop loop;
     private final FleetView fleet;
     private final ServerChoice choice;
@@ -69,10 +75,10 @@
             hold(request, connection);
             return;
         }
-        route(request, connection, loop.now());
+        route(request, connection, connection.waitsSince());
     }
 
-    /** A request that waits for what is needed to serve it. */
+    /** A request that waits for what is needed to serve it; its client counts from its first byte. */
     private record Held(InboundConnection.Request request, double arrivedAt) { }
 
     /** Just started: what is needed is on its way, and comes within moments if at all. */
@@ -82,7 +88,7 @@
             refuse(connection, "0.5");
             return;
         }
-        Held waiting = new Held(request, loop.now());
+        Held waiting = new Held(request, connection.waitsSince());
         held.put(connection, waiting);
         loop.after(HOLD_MS, () -> {
             if (held.remove(connection, waiting)) {
@@ -166,7 +172,17 @@
 
     @Override
     public int maxBodyBytes() {
-        return fleet.configuration() == null ? 4 * 1024 * 1024 : fleet.configuration().limits().maxBodyBytes();
+        return limits().maxBodyBytes();
+    }
+
+    @Override
+    public int maxHeadBytes() {
+        int fields = fleet.configuration() == null ? UNKNOWN_HEAD_BYTES : limits().maxHeaderBytes();
+        return (int) Math.min(Integer.MAX_VALUE, (long) fields + FIRST_LINE_BYTES);
+    }
+
+    private Limits limits() {
+        return fleet.configuration() == null ? Limits.DEFAULTS : fleet.configuration().limits();
     }
 
     /** The exchange has answered its request, whole. */
--- /dev/null
+++ b/dataplane/src/test/java/dewplank/dataplane/ClientLimitsTest.java
@@ -0,0 +1,152 @@
+package dewplank.dataplane;
+
+import static dewplank.dataplane.TestFleet.PLAIN;
+import static dewplank.dataplane.TestFleet.route;
+import static dewplank.dataplane.TestFleet.serve;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dewplank.configuration.Configuration;
+import dewplank.configuration.Limits;
+import dewplank.exchange.InboundConnection;
+import dewplank.exchange.OnLoop;
+import dewplank.exchange.ScriptedServer.Call;
+import dewplank.exchange.Wire;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/** What clients may send and how long they may take, by the configuration's limits. */
+class ClientLimitsTest {
+    private static final double APPLY_MS = 2_000;
+    private static final int KIB = 1024;
+
+    private final ClientLimits limits = new ClientLimits(APPLY_MS);
+
+    private static Limits limits(double headerMs, double idleMs) {
+        return new Limits(16 * KIB, 1 << 20, headerMs, idleMs);
+    }
+
+    // ---- changed limits -------------------------------------------------------------------------------
+
+    @Test
+    void aLongerTimeHoldsAtOnce() {
+        limits.inForce(0, limits(3_000, 5_000));
+        limits.inForce(100_000, limits(4_000, 60_000));
+        assertEquals(60_000, limits.idleMs(100_000));
+        assertEquals(4_000, limits.headMs(100_000));
+    }
+
+    @Test
+    void aShorterTimeHoldsOnceEverybodyHasIt() {
+        limits.inForce(0, limits(3_000, 60_000));
+        limits.inForce(100_000, limits(1_000, 5_000));
+        assertEquals(60_000, limits.idleMs(101_999));
+        assertEquals(3_000, limits.headMs(101_999));
+        assertEquals(5_000, limits.idleMs(102_000));
+        assertEquals(1_000, limits.headMs(102_000));
+    }
+
+    /** The same limits, seen again and again, hold nothing up; two changes in quick succession forget neither. */
+    @Test
+    void ofSeveralChangesTheLongestHolds() {
+        limits.inForce(0, limits(3_000, 60_000));
+        limits.inForce(100_000, limits(3_000, 20_000));
+        limits.inForce(101_000, limits(3_000, 5_000));
+        limits.inForce(102_500, limits(3_000, 5_000));
+        assertEquals(60_000, limits.idleMs(102_900));
+        assertEquals(5_000, limits.idleMs(103_000));
+    }
+
+    // ---- connections ----------------------------------------------------------------------------------
+
+    /** The only connection is left alone for all of that time, four fifths of it and more, and no longer. */
+    private static void assertOverdueAfter(TestFleet net, double ms) throws Exception {
+        OnLoop.run(net.loop, () -> {
+            ClientLimits limits = new ClientLimits(APPLY_MS);
+            limits.inForce(0, net.view.configuration().limits());
+            InboundConnection c = net.forwarder.connections().get(0);
+            double since = c.waitsSince();
+            assertFalse(limits.overdue(since + 0.8 * ms, c));
+            assertFalse(limits.overdue(since + ms, c));
+            assertTrue(limits.overdue(since + ms + 1, c));
+        });
+    }
+
+    @Test
+    void aHeadABodyAndARestHaveTimesOfTheirOwn() throws Exception {
+        try (TestFleet net = new TestFleet()) {
+            net.routes(route("once", "unsafe", PLAIN, 1));
+            net.plain();
+            Wire client = net.client();
+            OnLoop.await(net.loop, () -> net.forwarder.openConnections() == 1);
+            assertOverdueAfter(net, 15_000);
+            client.send("POST /once/ HTTP/1.1\r\nHost: " + TestFleet.HOST + "\r\n");
+            OnLoop.await(net.loop, () -> net.forwarder.connections().get(0).halfRead());
+            assertOverdueAfter(net, 3_000);
+            client.send("Content-Length: 4\r\n\r\nab");
+            OnLoop.await(net.loop, () -> net.forwarder.connections().get(0).headRead());
+            assertOverdueAfter(net, 15_000);
+            client.send("cd");
+            serve(net.next(), "");
+            assertEquals(200, client.read().status());
+            OnLoop.await(net.loop, () -> !net.forwarder.connections().get(0).busy());
+            assertOverdueAfter(net, 15_000);
+        }
+    }
+
+    /** However long the answer takes, the connection's rest begins behind it. */
+    @Test
+    void aRequestThatIsServedIsNeverOverdue() throws Exception {
+        try (TestFleet net = new TestFleet()) {
+            net.routes(route("once", "unsafe", PLAIN, 1));
+            net.plain();
+            Wire client = net.ask("/once/");
+            Call call = net.next();
+            OnLoop.run(net.loop, () -> assertFalse(limits.overdue(Double.MAX_VALUE,
+                net.forwarder.connections().get(0))));
+            serve(call, "");
+            assertEquals(200, client.read().status());
+        }
+    }
+
+    // ---- heads ----------------------------------------------------------------------------------------
+
+    private static String longHead(int bytes) {
+        return TestFleet.request("/once/", "X-Long: " + "x".repeat(bytes) + "\r\n", "");
+    }
+
+    private static void bound(TestFleet net, int maxHeaderBytes) throws Exception {
+        String json = new String(net.view.configuration().json(), StandardCharsets.UTF_8)
+            .replaceFirst("\"config_version\":[0-9]+", "\"config_version\":99")
+            .replaceFirst("\"max_header_bytes\":[0-9]+", "\"max_header_bytes\":" + maxHeaderBytes);
+        Configuration next = Configuration.parse(json.getBytes(StandardCharsets.UTF_8));
+        OnLoop.run(net.loop, () -> net.view.configured(next));
+    }
+
+    @Test
+    void aHeadMayBeAsLongAsTheConfigurationSays() throws Exception {
+        try (TestFleet net = new TestFleet()) {
+            net.routes(route("once", "unsafe", PLAIN, 1));
+            net.plain();
+            bound(net, 60 * KIB);
+            Wire client = net.client();
+            client.send(longHead(59 * KIB));
+            serve(net.next(), "");
+            assertEquals(200, client.read().status());
+            Wire tooLong = net.client();
+            tooLong.send(longHead(70 * KIB));
+            assertEquals(431, tooLong.read().status());
+        }
+    }
+
+    /** It can't be told yet what is too long, and what is refused for good may be allowed. */
+    @Test
+    void aLongHeadIsHeldAndRefusedForNowWhereThereIsNoConfiguration() throws Exception {
+        try (TestFleet net = new TestFleet()) {
+            Wire client = net.client();
+            client.send(longHead(60 * KIB));
+            assertEquals(503, client.read().status());
+        }
+    }
+}
--- a/dataplane/src/test/java/dewplank/dataplane/PlainRouteTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/PlainRouteTest.java
@@ -524,6 +524,74 @@
 
     // ---- deadlines ------------------------------------------------------------------------------------
 
+    private static String half(String target, int remainingMs) {
+        return "POST " + target + " HTTP/1.1\r\nHost: " + TestFleet.HOST + "\r\nX-Dewplank-Remaining-Time-Ms: "
+            + remainingMs + "\r\nContent-Length: 2\r\n\r\n";
+    }
+
+    private void awaitHalfRead() throws Exception {
+        OnLoop.await(net.loop, () -> net.forwarder.connections().stream().anyMatch(c -> c.headRead()));
+    }
+
+    /** The client has counted since it began to send, and servers are handed what is left of that. */
+    @Test
+    void timeIsCountedFromTheFirstByte() throws Exception {
+        net.plain();
+        Wire client = net.client();
+        client.send(half("/once/", 4_000));
+        awaitHalfRead();
+        OnLoop.pass(net.loop, 300);
+        client.send("hi");
+        Call call = net.next();
+        int handed = Integer.parseInt(call.message().header("X-Dewplank-Remaining-Time-Ms"));
+        assertTrue(handed > 0 && handed <= 3_700, "handed " + handed);
+        serve(call, "");
+        assertEquals(200, client.read().status());
+    }
+
+    @Test
+    void aRequestThatBecomesWholeAfterItsTimeoutIsRefusedAtOnce() throws Exception {
+        net.plain();
+        Wire client = net.client();
+        client.send(half("/brief/", 9_000));
+        awaitHalfRead();
+        OnLoop.pass(net.loop, 160);
+        client.send("hi");
+        assertRefused(client.read());
+        net.assertQuiet();
+    }
+
+    @Test
+    void aTimeThatIsNoneIsTheRoutesOwn() throws Exception {
+        net.plain();
+        for (String odd : List.of("NaN", "soon", "")) {
+            Wire client = net.client();
+            client.send(request("/once/", "", "hi").replace("Time-Ms: 9000", "Time-Ms: " + odd));
+            Call call = net.next();
+            int handed = Integer.parseInt(call.message().header("X-Dewplank-Remaining-Time-Ms"));
+            assertTrue(handed > 0 && handed < 8_000, "handed " + handed);
+            serve(call, "");
+            assertEquals(200, client.read().status());
+        }
+    }
+
+    /** Never more than is left; and the one that is sent later has less. */
+    @Test
+    void aRepeatIsHandedWhatIsLeftByThen() throws Exception {
+        net.plain();
+        net.plain();
+        Wire client = net.ask("/safe/");
+        Call first = net.next();
+        OnLoop.pass(net.loop, 200);
+        answer(first, "500 Internal Server Error", SEAL, "");
+        Call second = net.next();
+        int before = Integer.parseInt(first.message().header("X-Dewplank-Remaining-Time-Ms"));
+        int after = Integer.parseInt(second.message().header("X-Dewplank-Remaining-Time-Ms"));
+        assertTrue(before < 8_000 && after <= before - 200, before + ", then " + after);
+        serve(second, "");
+        assertEquals(200, client.read().status());
+    }
+
     /** It reached a server and may run there: 503 would promise that it never will. */
     @Test
     void anUnsafeRequestThatAServerHoldsAtItsDeadlineIsNotRefused() throws Exception {
--- a/shared/src/main/java/dewplank/exchange/InboundConnection.java
+++ b/shared/src/main/java/dewplank/exchange/InboundConnection.java
@@ -2,6 +2,7 @@
 
 import dewplank.http.BadMessageException;
 import dewplank.http.Headers;
+import dewplank.http.MessageParser;
 import dewplank.http.MessageWriter;
 import dewplank.http.RequestParser;
 import dewplank.net.Connection;
@@ -37,6 +38,11 @@
         default int maxBodyBytes() {
             return 64 * 1024;
         }
+
+        /** Of a request's first line and fields together. */
+        default int maxHeadBytes() {
+            return MessageParser.MAX_HEAD;
+        }
     }
 
     /** A whole request. */
@@ -71,6 +77,7 @@
         if (!busy && !parser.begun()) {
             waitsSince = loop.now();
             parser.maxBody(service.maxBodyBytes());
+            parser.maxHead(service.maxHeadBytes());
         }
         try {
             while (!busy && !connection.isClosed() && parser.feed(bytes)) {
@@ -222,12 +229,17 @@
         return !busy && parser.begun();
     }
 
+    /** Whether the head of a request has come, and its body not whole. */
+    public boolean headRead() {
+        return halfRead() && parser.headRead();
+    }
+
     /** Whether it has had an answer. */
     public boolean answered() {
         return answered;
     }
 
-    /** Since when a whole request is waited for. */
+    /** Since when a whole request is waited for: its first byte, or before that the last answer or the beginning. */
     public double waitsSince() {
         return waitsSince;
     }
--- a/shared/src/main/java/dewplank/http/MessageParser.java
+++ b/shared/src/main/java/dewplank/http/MessageParser.java
@@ -18,6 +18,7 @@
     private enum State { START, FIELDS, FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, TO_THE_END, DONE }
 
     private int maxBody;
+    private int maxHead = MAX_HEAD;
     private State state = State.START;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -62,6 +63,11 @@
         maxBody = bytes;
     }
 
+    /** Heads of the next message may have so many bytes, its first line among them. */
+    public final void maxHead(int bytes) {
+        maxHead = bytes;
+    }
+
     /** Makes ready for the next message. */
     public void reset() {
         state = State.START;
@@ -100,7 +106,7 @@
         boolean inChunks = state == State.CHUNK_SIZE || state == State.CHUNK_END;
         while (in.hasRemaining()) {
             byte b = in.get();
-            if (!inChunks && ++headBytes > MAX_HEAD || inChunks && line.size() > MAX_CHUNK_LINE) {
+            if (!inChunks && ++headBytes > maxHead || inChunks && line.size() > MAX_CHUNK_LINE) {
                 throw new BadMessageException(431, "the head is too long");
             }
             if (b != '\n') {
