Answer what is open at a drain's end, keep the system's own fields, name instances in all calls

StageKeeper had no test: what an order and a report name, and the wait of a new holder, are now looked at.

--- a/controlplane/src/main/java/dewplank/controlplane/StageKeeper.java
+++ b/controlplane/src/main/java/dewplank/controlplane/StageKeeper.java
@@ -29,6 +29,8 @@
  */
 final class StageKeeper {
     private static final Logger LOG = LoggerFactory.getLogger(StageKeeper.class);
+    /** Whoever else has the address by now answers 421, and neither reports for it nor takes its orders. */
+    private static final String TARGET_INSTANCE = "X-Dewplank-Target-Instance";
     private static final double LOOK_EVERY_MS = 250;
     private static final double ASK_EVERY_MS = 1_200;
     private static final int MOST_ASKED_AT_ONCE = 32;        // by turns beyond that: reports are priced, and cost time
@@ -111,7 +113,8 @@
     }
 
     private void ask(ServerEntry server) {
-        ByteBuffer message = MessageWriter.request("GET", "/report", server.address).noBody();
+        ByteBuffer message = MessageWriter.request("GET", "/report", server.address)
+            .header(TARGET_INSTANCE, server.instanceId).noBody();
         call(server, message, (status, body) -> {
             if (status == 200) {
                 learn(server, body);
@@ -157,7 +160,7 @@
             + ",\"fence_number\":" + number + "}";
         ByteBuffer message = MessageWriter.request("POST", "/order", server.address)
             .header("Content-Type", "application/json")
-            .header("X-Dewplank-Target-Instance", server.instanceId)
+            .header(TARGET_INSTANCE, server.instanceId)
             .body(body.getBytes(StandardCharsets.UTF_8));
         orderedAt.put(service, loop.now());
         orders++;
--- /dev/null
+++ b/controlplane/src/test/java/dewplank/controlplane/StageKeeperTest.java
@@ -0,0 +1,131 @@
+package dewplank.controlplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dewplank.config.Json;
+import dewplank.exchange.ScriptedServer;
+import dewplank.exchange.ScriptedServer.Call;
+import dewplank.message.ListVersion;
+import dewplank.message.ServerEntry;
+import dewplank.message.ServerList;
+import dewplank.net.EventLoop;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Reports and orders as model servers see them. */
+class StageKeeperTest {
+    private static final String TARGET = "X-Dewplank-Target-Instance";
+    private static final long NUMBER = 41;
+    private static final double SPARE_MS = 500;
+
+    private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
+    private final List<ScriptedServer> servers = new ArrayList<>();
+    private final HeldDuty duty = new HeldDuty();
+    private EventLoop loop;
+    private ServerLister lister;
+
+    /** A duty that is held from the first question on; it notes when that was. */
+    private final class HeldDuty implements ServerLister.Duty {
+        private double firstAsked = Double.POSITIVE_INFINITY;
+
+        @Override
+        public synchronized boolean holds() {
+            firstAsked = Math.min(firstAsked, loop.now());
+            return true;
+        }
+
+        synchronized double since() {
+            return firstAsked;
+        }
+
+        @Override
+        public long fencingNumber() {
+            return NUMBER;
+        }
+    }
+
+    @BeforeEach
+    void begin() throws IOException {
+        loop = new EventLoop();
+        lister = new ServerLister(loop, null, duty, list -> { });
+        List<ServerEntry> entries = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            ScriptedServer server = new ScriptedServer(calls);
+            servers.add(server);
+            entries.add(new ServerEntry("i-" + i, "model", server.addressText(), "z", 64, false, 0, "decode"));
+        }
+        lister.told(new ServerList(new ListVersion(1, 1), entries));
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        loop.stop();
+        for (ScriptedServer server : servers) {
+            server.close();
+        }
+    }
+
+    private void keep(double leaseMs) {
+        StageKeeper keeper = new StageKeeper(loop, "core-1", leaseMs, lister, duty);
+        loop.execute(keeper::start);
+    }
+
+    /** Answers reports, each of which names the instance that it is meant for, until something else comes. */
+    private Call answerReports() throws Exception {
+        while (true) {
+            Call call = ScriptedServer.next(calls);
+            assertEquals("i-" + servers.indexOf(call.server()), call.message().header(TARGET));
+            if (!call.message().method().equals("GET")) {
+                return call;
+            }
+            assertEquals("/report", call.message().target());
+            call.wire().answer("200 OK", "Content-Type: application/json\r\n",
+                "{\"stage\":\"decode\",\"busy\":false,\"queued\":0,\"active\":0,\"kv_used\":0,\"kv_capacity\":1000}");
+        }
+    }
+
+    @Test
+    void anOrderNamesItsHolderItsNumberAndItsInstance() throws Exception {
+        keep(0);
+        Call order = answerReports();
+        assertEquals("POST", order.message().method());
+        assertEquals("/order", order.message().target());
+        Map<String, Object> body = Json.object(order.message().body());
+        assertEquals("stage", body.get("operation"));
+        assertEquals("prefill", body.get("stage"));
+        assertEquals("core-1", body.get("holder"));
+        assertEquals(NUMBER, body.get("fence_number"));
+        assertNull(body.get("expected_count"));
+        order.wire().answer("202 Accepted", "", "");
+    }
+
+    /** What the last holder ordered may still be on its way. */
+    @Test
+    void aNewHolderWaitsOutTheLeaseAndMore() throws Exception {
+        keep(700);
+        Call order = answerReports();
+        double at = loop.now();
+        assertEquals("POST", order.message().method());
+        assertTrue(at - duty.since() >= 700 + SPARE_MS, "ordered after " + (at - duty.since()) + " ms");
+    }
+
+    /** The report of whoever has the address by now is none of the instance that was asked for. */
+    @Test
+    void noOrderFollowsFromAReportThatWasNotGiven() throws Exception {
+        keep(0);
+        for (int i = 0; i < 6; i++) {
+            Call call = ScriptedServer.next(calls);
+            assertEquals("/report", call.message().target());
+            call.wire().answer("421 Misdirected Request", "", "{\"stage\":\"decode\"}");
+        }
+    }
+}
--- a/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
@@ -28,7 +28,12 @@
     private static final double LOOK_MS = 20;
     /** The platform asks each second and leaves after two misses; then its list of connections has to settle. */
     private static final double ACCEPT_ON_MS = 2_600;
+    /** Of the grace: where it is short, what was taken last needs the rest of it to be answered. */
+    private static final double ACCEPT_ON_PART = 0.4;
     private static final double KILL_SPARE_MS = 700;
+    private static final double KILL_SPARE_PART = 0.2;
+    /** Before the end: for the last answers to leave. */
+    private static final double LAST_ANSWERS_MS = 100;
     private static final double READ_ON_MS = 400;
     private static final int SPARE_DESCRIPTORS = 300;
 
@@ -116,19 +121,33 @@
 
     /** Called on SIGTERM: serves on until the platform sends nobody new, answers what is open, and ends. */
     public void drain() throws InterruptedException {
-        double mostMs = settings.bounds().graceMs() - KILL_SPARE_MS;
+        double graceMs = settings.bounds().graceMs();
         loop.execute(() -> {
             LOG.info("draining: {} requests open", forwarder.openRequests());
             draining = true;
-            loop.after(ACCEPT_ON_MS, this::stopAccepting);
+            loop.after(acceptOnMs(graceMs), this::stopAccepting);
         });
-        if (!drained.await((long) mostMs, TimeUnit.MILLISECONDS)) {
-            LOG.warn("draining did not end in time: {} requests open", forwarder.openRequests());
+        if (!drained.await((long) (endMs(graceMs) - LAST_ANSWERS_MS), TimeUnit.MILLISECONDS)) {
+            loop.execute(() -> {
+                LOG.warn("draining did not end in time: {} requests open", forwarder.openRequests());
+                forwarder.endAll();
+            });
+            drained.await((long) LAST_ANSWERS_MS, TimeUnit.MILLISECONDS);
         }
         loop.execute(counters::log);
         loop.stop();
     }
 
+    /** How long after SIGTERM connections are taken on. */
+    static double acceptOnMs(double graceMs) {
+        return Math.min(ACCEPT_ON_MS, ACCEPT_ON_PART * graceMs);
+    }
+
+    /** How long after SIGTERM the process ends at the latest. */
+    static double endMs(double graceMs) {
+        return graceMs - Math.min(KILL_SPARE_MS, KILL_SPARE_PART * graceMs);
+    }
+
     private void stopAccepting() {
         forwarder.close();
         front.close();
--- a/dataplane/src/main/java/dewplank/dataplane/Exchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Exchange.java
@@ -91,6 +91,12 @@
         }
     }
 
+    /** The process ends: whatever can be said by now is said. */
+    final void endNow() {
+        mayHaveRun |= runMayBeUnderWay();
+        fail(mayHaveRun ? 502 : 503);
+    }
+
     /** The client has left: nothing more is sent for it, and what runs for it is ended. */
     final void abandon() {
         if (!over) {
@@ -204,8 +210,7 @@
     final ByteBuffer message(Server server, List<Headers.Field> further) {
         List<Headers.Field> fields = new ArrayList<>();
         for (Headers.Field f : request.headers().endToEnd()) {
-            boolean replaced = f.name().equalsIgnoreCase(WireNames.REMAINING_TIME)
-                || f.name().equalsIgnoreCase(WireNames.TARGET_INSTANCE)
+            boolean replaced = WireNames.systems(f.name())
                 || further.stream().anyMatch(n -> n.name().equalsIgnoreCase(f.name()));
             if (!replaced) {
                 fields.add(f);
--- a/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
@@ -190,6 +190,14 @@
         open.remove(connection);
     }
 
+    /** The process ends: what is still open gets the answer that can be given by now. */
+    void endAll() {
+        Map<InboundConnection, Held> unserved = new LinkedHashMap<>(held);
+        held.clear();
+        unserved.keySet().forEach(connection -> refuse(connection, "0.5"));
+        List.copyOf(open.values()).forEach(Exchange::endNow);
+    }
+
     /** From here on each answer is the last on its connection. */
     void close() {
         closing = true;
--- a/dataplane/src/main/java/dewplank/dataplane/KvHandle.java
+++ b/dataplane/src/main/java/dewplank/dataplane/KvHandle.java
@@ -17,8 +17,8 @@
     void free(EventLoop loop, Counters counters) {
         counters.add(Counters.Count.FREED);
         HttpCall delete = new HttpCall(loop, server.address, server.pool,
-            MessageWriter.request("DELETE", "/kv-handle/" + id, server.addressText).body(new byte[0]),
-            new IgnoredAnswer());
+            MessageWriter.request("DELETE", "/kv-handle/" + id, server.addressText)
+                .header(WireNames.TARGET_INSTANCE, server.state.instanceId()).body(new byte[0]), new IgnoredAnswer());
         delete.start(Exchange.CONNECT_TIMEOUT_MS);
         loop.after(FREE_TIMEOUT_MS, delete::cancel);
     }
--- a/dataplane/src/main/java/dewplank/dataplane/WireNames.java
+++ b/dataplane/src/main/java/dewplank/dataplane/WireNames.java
@@ -14,5 +14,11 @@
     static final String LAST_EVENT_ID = "Last-Event-Id";
     static final String PRIORITY = "Priority";
 
+    /** What only the system says to a server, whatever a client has sent. */
+    static boolean systems(String name) {
+        return name.equalsIgnoreCase(STAGE) || name.equalsIgnoreCase(KV_FROM)
+            || name.equalsIgnoreCase(REMAINING_TIME) || name.equalsIgnoreCase(TARGET_INSTANCE);
+    }
+
     private WireNames() { }
 }
--- a/dataplane/src/test/java/dewplank/dataplane/GenerationTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/GenerationTest.java
@@ -64,6 +64,7 @@
         assertEquals("DELETE", call.message().method());
         assertEquals("/kv-handle/" + handle, call.message().target());
         assertSame(at, call.server());
+        assertEquals(net.id(at), call.message().header("X-Dewplank-Target-Instance"));
     }
 
     /** The whole stream, and what the client sees of it. */
@@ -107,6 +108,41 @@
         net.assertQuiet();
     }
 
+    /** Which part of a generation a call is, and whose handle it takes, is the system's to say. */
+    @Test
+    void whatOnlyTheSystemSaysIsNotTakenFromTheClient() throws Exception {
+        net.prefill();
+        net.decode();
+        String own = "X-Dewplank-Processing-Stage: decode\r\nkv-from: 10.0.0.1:80/other\r\n"
+            + "X-Dewplank-Target-Instance: i-other\r\n";
+        Wire client = net.ask("/gen/", PROMPT + own);
+        Call read = net.next();
+        assertIsPrefill(read);
+        assertEquals(1, read.message().count("X-Dewplank-Processing-Stage"));
+        assertEquals(1, read.message().count("X-Dewplank-Target-Instance"));
+        assertEquals(0, read.message().count("Kv-From"));
+        handOver(read, "h1");
+        Call decode = net.next();
+        assertIsDecode(decode, read.server().addressText() + "/h1");
+        assertEquals(0, decode.message().count("X-Dewplank-Processing-Stage"));
+        assertEquals(1, decode.message().count("Kv-From"));
+        streamOut(decode, client);
+        net.assertQuiet();
+    }
+
+    /** At the end of a process: nobody has run it, so that its client may come again. */
+    @Test
+    void aPromptThatIsReadWhenTheProcessEndsIsRefused() throws Exception {
+        net.prefill();
+        net.decode();
+        Wire client = net.ask("/gen/", PROMPT);
+        Call read = net.next();
+        OnLoop.run(net.loop, net.forwarder::endAll);
+        assertEquals(503, client.read().status());
+        read.wire().awaitEnd();
+        net.assertQuiet();
+    }
+
     @Test
     void eachRequestGoesOnFromItsOwnHandle() throws Exception {
         ScriptedServer prefill = net.prefill();
--- a/dataplane/src/test/java/dewplank/dataplane/PlainRouteTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/PlainRouteTest.java
@@ -712,6 +712,37 @@
         assertEquals(200, client.read().status());
     }
 
+    /** The other part of the system's own words is looked at in GenerationTest. */
+    @Test
+    void aPlainRequestNamesNoStageAndNoHandle() throws Exception {
+        net.plain();
+        Wire client = net.ask("/once/", "X-Dewplank-Processing-Stage: prefill\r\nKv-From: 10.0.0.1:80/h\r\n");
+        Call call = net.next();
+        assertNull(call.message().header("X-Dewplank-Processing-Stage"));
+        assertNull(call.message().header("Kv-From"));
+        serve(call, "");
+        assertEquals(200, client.read().status());
+    }
+
+    /** What may have run is not refused, and what nobody was offered is. */
+    @Test
+    void whatIsOpenWhenTheProcessEndsIsAnswered() throws Exception {
+        try (TestFleet unready = new TestFleet()) {
+            Wire held = unready.ask("/once/");
+            OnLoop.await(unready.loop, () -> unready.forwarder.openRequests() == 1);
+            OnLoop.run(unready.loop, unready.forwarder::endAll);
+            assertEquals(503, held.read().status());
+            unready.assertQuiet();
+        }
+        net.plain();
+        Wire client = net.ask("/once/");
+        Call call = net.next();
+        OnLoop.run(net.loop, net.forwarder::endAll);
+        assertEquals(502, client.read().status());
+        call.wire().awaitEnd();
+        net.assertQuiet();
+    }
+
     @Test
     void aClosingForwarderEndsConnectionsWithTheirAnswers() throws Exception {
         net.plain();
