Try each named kind of invalid change both ways, and the operators' interface byte by byte

If-Match forms, the very same change again, bounds of bodies, requests without a path or a method. No fault was found.

--- /dev/null
+++ b/controlplane/src/test/java/dewplank/controlplane/OperatorRequestsTest.java
@@ -0,0 +1,222 @@
+package dewplank.controlplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dewplank.exchange.Wire;
+import dewplank.net.EventLoop;
+import dewplank.net.Listener;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The operators' interface byte by byte: what callers may write, what is refused, and with which status. */
+class OperatorRequestsTest {
+    private static final String ROUTE = "{\"name\":\"r-1\",\"host_name\":\"a.example\",\"path_prefix\":\"/a/\","
+        + "\"route_type\":\"safe\",\"timeout_ms\":2500,\"service\":\"s\"}";
+    private static final int MIB = 1 << 20;
+
+    private EventLoop loop;
+    private Listener listener;
+
+    /** Nothing to see. */
+    private static final class NoViews implements OperatorApi.Views {
+        @Override
+        public String members() {
+            return "{}";
+        }
+
+        @Override
+        public String duties() {
+            return "{}";
+        }
+
+        @Override
+        public String servers() {
+            return "{}";
+        }
+
+        @Override
+        public String server(String instanceId) {
+            return null;
+        }
+
+        @Override
+        public String status() {
+            return "{}";
+        }
+    }
+
+    /** A control sidecar that reaches a majority. */
+    private static final class InContact implements OperatorApi.Contact {
+        @Override
+        public boolean isCurrent() {
+            return true;
+        }
+
+        @Override
+        public String betterPlace() {
+            return null;
+        }
+
+        @Override
+        public List<String> otherPlaces() {
+            return List.of();
+        }
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        loop = new EventLoop();
+        OperatorApi api = new OperatorApi(loop, new StandInRegister(), new InContact(), new NoViews());
+        listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 64,
+            api::connection);
+        loop.execute(listener::accept);
+    }
+
+    @AfterEach
+    void stop() {
+        loop.stop();
+    }
+
+    private static String whole(long version) {
+        return "{\"config_version\":" + version + ",\"routes\":[" + ROUTE + "],\"services\":[{\"name\":\"s\"}]}";
+    }
+
+    private Wire caller() throws IOException {
+        return Wire.to((InetSocketAddress) listener.address());
+    }
+
+    private int status(String method, String ifMatch, String body) throws IOException {
+        try (Wire caller = caller()) {
+            caller.send(method + " /configuration HTTP/1.1\r\nHost: c\r\nIf-Match: " + ifMatch + "\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body);
+            return caller.read().status();
+        }
+    }
+
+    // ---- If-Match -------------------------------------------------------------------------------------
+
+    @ParameterizedTest
+    @ValueSource(strings = {"3", "\"3\"", " 3 ", "03"})
+    void theVersionMayStandInQuotes(String ifMatch) throws IOException {
+        assertEquals(200, status("PUT", "0", whole(3)));
+        assertEquals(200, status("PUT", ifMatch, whole(4)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"*", "W/\"3\"", "3, 4", "3.0", "-3", "three", "", "\"\"", "99999999999999999999"})
+    void whatNamesNoVersionIsRefused(String ifMatch) throws IOException {
+        assertEquals(200, status("PUT", "0", whole(3)));
+        assertEquals(400, status("PUT", ifMatch, whole(4)));
+        assertEquals(400, status("PATCH", ifMatch, "{\"config_version\":4}"));
+    }
+
+    // ---- the same again -------------------------------------------------------------------------------
+
+    @Test
+    void theVerySameChangeIsAcknowledgedAgainWhateverCameSince() throws IOException {
+        String patch = "{\"config_version\":8,\"remove\":{\"routes\":[\"r-1\"]}}";
+        assertEquals(200, status("PUT", "0", whole(3)));
+        assertEquals(200, status("PUT", "0", whole(3)));
+        assertEquals(200, status("PATCH", "3", patch));
+        assertEquals(200, status("PUT", "8", whole(9)));
+        assertEquals(200, status("PUT", "0", whole(3)));
+        assertEquals(200, status("PATCH", "3", patch));
+        assertEquals(200, status("PUT", "8", whole(9)));
+    }
+
+    /** The same number for another change, the same bytes on another version, the same bytes by the other method. */
+    @Test
+    void whatOnlyLooksTheSameIsRefused() throws IOException {
+        assertEquals(200, status("PUT", "0", whole(3)));
+        assertEquals(412, status("PUT", "0", whole(3) + " "));
+        assertEquals(412, status("PUT", "2", whole(3)));
+        assertEquals(400, status("PUT", "3", whole(3)));
+        assertEquals(412, status("PATCH", "0", whole(3)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"PUT,3", "PATCH,3", "PUT,2", "PATCH,2"})
+    void whatCannotBeReadIsInvalidWhateverItBuildsOn(String method, String ifMatch) throws IOException {
+        assertEquals(200, status("PUT", "0", whole(3)));
+        assertEquals(400, status(method, ifMatch, "{\"config_version\":4,"));
+        assertEquals(400, status(method, ifMatch, ""));
+    }
+
+    // ---- bodies ---------------------------------------------------------------------------------------
+
+    private static String head(String fields) {
+        return "PUT /configuration HTTP/1.1\r\nHost: c\r\nIf-Match: 0\r\n" + fields + "\r\n";
+    }
+
+    @Test
+    void aLargeConfigurationIsTaken() throws IOException {
+        assertEquals(200, status("PUT", "0", whole(3) + " ".repeat(4 * MIB - whole(3).length())));
+    }
+
+    @Test
+    void aLongerOneIsInvalid() throws IOException {
+        assertEquals(400, status("PUT", "0", whole(3) + " ".repeat(4 * MIB - whole(3).length() + 1)));
+    }
+
+    /** Told by the head alone, so that nobody sends it. */
+    @Test
+    void aBodyBeyondAllBoundsIsNotRead() throws IOException {
+        try (Wire caller = caller()) {
+            caller.send(head("Content-Length: " + 5 * MIB + "\r\n"));
+            assertEquals(413, caller.read().status());
+            assertNull(caller.read());
+        }
+        assertEquals(200, status("PUT", "0", whole(3)));
+    }
+
+    @Test
+    void aBodyMayComeInChunks() throws IOException {
+        try (Wire caller = caller()) {
+            caller.send(head("Transfer-Encoding: chunked\r\n"));
+            caller.chunk(whole(3).substring(0, 20));
+            caller.chunk(whole(3).substring(20));
+            caller.lastChunk();
+            assertEquals(200, caller.read().status());
+        }
+    }
+
+    // ---- what is no request ---------------------------------------------------------------------------
+
+    @Test
+    void aRequestWithoutPathOrMethodIsRefusedAndNothingElseEnds() throws IOException {
+        for (String first : List.of("GET  HTTP/1.1", "GET HTTP/1.1", " /configuration HTTP/1.1", " ", "GET",
+            "GET configuration HTTP/1.1", "GET /configuration", "G@T /configuration HTTP/1.1", "\u0000\u0001\u0002")) {
+            try (Wire caller = caller()) {
+                caller.send(first + "\r\nHost: c\r\n\r\n");
+                Wire.Message answer = caller.read();
+                assertEquals(400, answer.status(), first);
+                assertEquals("close", answer.header("Connection"), first);
+                assertNull(caller.read(), first);
+            }
+        }
+        assertEquals(200, status("PUT", "0", whole(3)));
+    }
+
+    @Test
+    void aMethodOrAPathThatIsNotThereIsNamed() throws IOException {
+        for (String target : List.of("/", "//", "/configuration/1", "/?x=/configuration")) {
+            try (Wire caller = caller()) {
+                caller.send("GET " + target + " HTTP/1.1\r\nHost: c\r\n\r\n");
+                Wire.Message answer = caller.read();
+                assertEquals(404, answer.status(), target);
+                assertTrue(answer.body().contains("NO_SUCH_PATH"), answer.body());
+            }
+        }
+        assertEquals(405, status("POST", "0", whole(3)));
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/dewplank/configuration/RefusedChangesTest.java
@@ -0,0 +1,124 @@
+package dewplank.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.stream.Stream;
+import dewplank.configuration.InvalidConfigurationException.Reason;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Each kind of invalid change that the operators' pages and their bench name, as a whole configuration and as a change
+ * of items: none is taken, whatever else it holds, and the configuration in place stays.
+ */
+class RefusedChangesTest {
+    private static final long CURRENT = 5;
+
+    /** A kind of fault, as a whole configuration and as a change on top of the current one. */
+    private record Kind(String name, Reason reason, String whole, String patch) {
+        @Override
+        public String toString() {
+            return name;
+        }
+    }
+
+    private static ConfigurationDocument current() {
+        ChangeRequest first = new ChangeRequest(false, 0, Samples.bytes(Samples.whole(CURRENT)));
+        return assertInstanceOf(ChangeResult.Accepted.class, ConfigurationDocument.decode(null).apply(first)).next();
+    }
+
+    private static String whole(String extraRoute) {
+        String routes = Samples.SPLIT_ROUTE + "," + Samples.PLAIN_ROUTE + "," + extraRoute;
+        return Samples.whole(7, routes, Samples.MODEL_SERVICE + "," + Samples.PLAIN_SERVICE);
+    }
+
+    private static String upsert(String list, String item) {
+        return "{\"config_version\":7,\"upsert\":{\"" + list + "\":[" + item + "]}}";
+    }
+
+    private static Kind ofRoute(String name, Reason reason, String route) {
+        return new Kind(name, reason, whole(route), upsert("routes", route));
+    }
+
+    private static String route(String was, String by) {
+        String route = Samples.route("r-3", "/more/", "wuno");
+        assertTrue(route.contains(was), was);
+        return route.replace(was, by);
+    }
+
+    static Stream<Kind> kinds() {
+        String same = Samples.whole(CURRENT);
+        String shared = "{\"name\":\"k-1\",\"key\":\"same\"},{\"name\":\"k-1\",\"key\":\"same\"}";
+        return Stream.of(
+            ofRoute("unknown_service", Reason.UNKNOWN_SERVICE, route("\"wuno\"", "\"nobody\"")),
+            ofRoute("unknown_service of a split", Reason.UNKNOWN_SERVICE, route("\"service\":\"wuno\"",
+                "\"weighted_split\":[{\"service\":\"huvo\",\"weight\":9},{\"service\":\"nobody\",\"weight\":0}]")),
+            ofRoute("same_place", Reason.SHARED_PREFIX, route("/more/", "/pufi/")),
+            ofRoute("same_place in other letters", Reason.SHARED_PREFIX,
+                route("/more/", "/pufi/").replace("ficu.example", "FICU.example")),
+            ofRoute("no_weight", Reason.BAD_WEIGHTS, route("\"service\":\"wuno\"",
+                "\"weighted_split\":[{\"service\":\"huvo\",\"weight\":0},{\"service\":\"wuno\",\"weight\":0}]")),
+            ofRoute("no_timeout", Reason.BAD_TIMEOUT, route("\"timeout_ms\":2500", "\"timeout_ms\":0")),
+            new Kind("a service that is still needed", Reason.UNKNOWN_SERVICE,
+                Samples.whole(7, Samples.PLAIN_ROUTE, Samples.PLAIN_SERVICE),
+                "{\"config_version\":7,\"remove\":{\"services\":[\"huvo\"]}}"),
+            new Kind("old_version", Reason.VERSION_NOT_ABOVE, Samples.whole(4), "{\"config_version\":4}"),
+            new Kind("same_version", Reason.VERSION_NOT_ABOVE, same, "{\"config_version\":5}"),
+            new Kind("same_version, other content", Reason.VERSION_NOT_ABOVE, Samples.whole(CURRENT, "", ""),
+                "{\"config_version\":5,\"remove\":{\"routes\":[\"r-1\"]}}"),
+            new Kind("shared_key: one name twice", Reason.DUPLICATE_NAME,
+                same.replace(":5,", ":7,\"keys\":[" + shared + "],"), upsert("keys", shared)),
+            new Kind("shared_key: one key twice", Reason.DUPLICATE_KEY,
+                same.replace(":5,", ":7,\"config_version\":9,"), "{\"config_version\":7,\"config_version\":9}"));
+    }
+
+    private static void assertRefused(Reason reason, boolean patch, String body) {
+        ConfigurationDocument document = current();
+        ChangeRequest request = new ChangeRequest(patch, CURRENT, Samples.bytes(body));
+        ChangeResult.Invalid refused = assertInstanceOf(ChangeResult.Invalid.class, document.apply(request));
+        assertEquals(reason, refused.error().reason(), refused.error().getMessage());
+        assertEquals(Samples.whole(CURRENT), Samples.text(document.configuration().json()));
+    }
+
+    @ParameterizedTest
+    @MethodSource("kinds")
+    void isRefusedAsAWhole(Kind kind) {
+        assertRefused(kind.reason(), false, kind.whole());
+    }
+
+    @ParameterizedTest
+    @MethodSource("kinds")
+    void isRefusedAsAChangeOfItems(Kind kind) {
+        assertRefused(kind.reason(), true, kind.patch());
+    }
+
+    /** cut_short: at every byte, both ways. */
+    @Test
+    void whatIsCutShortIsRefused() {
+        byte[] whole = Samples.bytes(Samples.whole(7));
+        byte[] patch = Samples.bytes(upsert("routes", Samples.route("r-3", "/more/", "wuno")));
+        for (int length = 0; length < Math.max(whole.length, patch.length); length++) {
+            if (length < whole.length) {
+                assertRefused(Reason.UNREADABLE, false, Samples.text(Arrays.copyOf(whole, length)));
+            }
+            if (length < patch.length) {
+                assertRefused(Reason.UNREADABLE, true, Samples.text(Arrays.copyOf(patch, length)));
+            }
+        }
+    }
+
+    /** stale_match: it builds on a version that is no longer, or not yet, in place. */
+    @Test
+    void whatBuildsOnAnotherVersionIsRefused() {
+        for (long expected : new long[] {0, 4, 6, 7}) {
+            assertEquals(new ChangeResult.VersionMismatch(CURRENT),
+                current().apply(new ChangeRequest(false, expected, Samples.bytes(Samples.whole(7)))));
+            assertEquals(new ChangeResult.VersionMismatch(CURRENT),
+                current().apply(new ChangeRequest(true, expected, Samples.bytes("{\"config_version\":7}"))));
+        }
+    }
+}
