--- a/controlplane/src/main/java/dewplank/controlplane/AcceptorKeeper.java
+++ b/controlplane/src/main/java/dewplank/controlplane/AcceptorKeeper.java
@@ -1,6 +1,6 @@
 package dewplank.controlplane;
 
-import dewplank.net.EventLoop;
+import dewplank.net.Scheduler;
 import java.util.ArrayList;
 import java.util.List;
 import dewplank.membership.AcceptorPlan;
@@ -23,7 +23,7 @@
     /** A change that has not come through by then is worked out again from what is then known. */
     private static final double CHANGE_MS = 1_000;
 
-    private final EventLoop loop;
+    private final Scheduler loop;
     private final Acceptor self;
     private final ControlMesh mesh;
     private final ConfigurationStore configuration;
@@ -31,7 +31,7 @@
     private final AcceptorPlan plan;
     private boolean changing;
 
-    AcceptorKeeper(EventLoop loop, Acceptor self, double catchUpMs, ControlMesh mesh,
+    AcceptorKeeper(Scheduler loop, Acceptor self, double catchUpMs, ControlMesh mesh,
                    ConfigurationStore configuration, ServerLister.Duty duty) {
         this.loop = loop;
         this.self = self;
--- a/controlplane/src/main/java/dewplank/controlplane/ConfigurationStore.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ConfigurationStore.java
@@ -1,6 +1,6 @@
 package dewplank.controlplane;
 
-import dewplank.net.EventLoop;
+import dewplank.net.Scheduler;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,14 +44,14 @@
         void learned(Configuration configuration);
     }
 
-    private final EventLoop loop;
+    private final Scheduler loop;
     private final Disk disk;
     private final Surroundings surroundings;
     private final Register register;
     private final Map<Long, Consumer<Outcome>> waiting = new HashMap<>();
     private long nextRequest;
 
-    ConfigurationStore(EventLoop loop, String address, List<Acceptor> initial, DurableState recovered, Disk disk,
+    ConfigurationStore(Scheduler loop, String address, List<Acceptor> initial, DurableState recovered, Disk disk,
                        RandomGenerator random, Surroundings surroundings) {
         this.loop = loop;
         this.disk = disk;
--- a/controlplane/src/main/java/dewplank/controlplane/ControlMesh.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlMesh.java
@@ -1,6 +1,6 @@
 package dewplank.controlplane;
 
-import dewplank.net.EventLoop;
+import dewplank.net.Scheduler;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -10,8 +10,8 @@
 import java.util.Map;
 import java.util.Set;
 import dewplank.message.ControlHello;
-import dewplank.message.FramedConnection;
-import dewplank.message.MessageCodec;
+import dewplank.message.MessageLink;
+import dewplank.message.MessageTransport;
 import dewplank.message.SessionAnswer;
 import dewplank.message.SessionsTold;
 import dewplank.membership.Member;
@@ -51,17 +51,17 @@
         boolean isKept(String address);
     }
 
-    private final EventLoop loop;
-    private final MessageCodec codec;
+    private final Scheduler loop;
+    private final MessageTransport transport;
     private final ControlHello hello;
     private final Handler handler;
     private final Map<String, Link> links = new LinkedHashMap<>();
     private final Map<String, Peer> peers = new LinkedHashMap<>();
     private long sequence;
 
-    ControlMesh(EventLoop loop, MessageCodec codec, ControlHello hello, Handler handler) {
+    ControlMesh(Scheduler loop, MessageTransport transport, ControlHello hello, Handler handler) {
         this.loop = loop;
-        this.codec = codec;
+        this.transport = transport;
         this.hello = hello;
         this.handler = handler;
     }
@@ -192,10 +192,10 @@
         loop.after(BEAT_MS, this::beat);
     }
 
-    private final class Link implements FramedConnection.Handler {
+    private final class Link implements MessageLink.Handler {
         private final String address;
         private final InetSocketAddress to;
-        private FramedConnection connection;
+        private MessageLink connection;
         private double answeredAt;
         private double dialAt;
         private double lastUp;
@@ -222,7 +222,7 @@
         }
 
         void dial() {
-            connection = FramedConnection.open(loop, to, DIAL_TIMEOUT_MS, codec, this);
+            connection = transport.open(to, DIAL_TIMEOUT_MS, this);
         }
 
         /** It lives: no waiting before the next attempt. */
@@ -233,7 +233,7 @@
         }
 
         @Override
-        public void opened(FramedConnection opened) {
+        public void opened(MessageLink opened) {
             if (dropped) {
                 opened.end();
                 return;
@@ -246,7 +246,7 @@
         }
 
         @Override
-        public void received(FramedConnection from, Object message) {
+        public void received(MessageLink from, Object message) {
             if (message instanceof SessionAnswer answer && from == connection) {
                 answeredAt = loop.now();
                 lastUp = answeredAt;
@@ -255,7 +255,7 @@
         }
 
         @Override
-        public void closed(FramedConnection ended) {
+        public void closed(MessageLink ended) {
             if (connection == ended) {
                 connection = null;
                 dialAt = loop.now() + REDIAL_MS;
--- a/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
@@ -1,17 +1,15 @@
 package dewplank.controlplane;
 
 import dewplank.config.NodeSettings;
-import dewplank.net.EventLoop;
-import dewplank.net.Listener;
+import dewplank.net.Scheduler;
+import dewplank.net.ServerEndpoint;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
-import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -20,9 +18,9 @@
 import dewplank.store.StoreException;
 import dewplank.message.ControlHello;
 import dewplank.message.FleetMessages;
-import dewplank.message.FramedConnection;
 import dewplank.message.ListVersion;
 import dewplank.message.MessageCodec;
+import dewplank.message.MessageLink;
 import dewplank.message.ServerList;
 import dewplank.message.SessionAnswer;
 import dewplank.message.SessionOpen;
@@ -48,11 +46,11 @@
     private static final double PUSH_MEMBERS_MS = 250;
     private static final double LOOK_MS = 20;
     private static final double END_MS = 1_500;
-    private static final int MOST_CONNECTIONS = 1_024;
+    static final int MOST_CONNECTIONS = 1_024;
 
     private final NodeSettings settings;
-    private final EventLoop loop;
-    private final MessageCodec codec = FleetMessages.codec();
+    private final ControlEnvironment environment;
+    private final Scheduler loop;
     private final String address;
     private final Storage storage;
     private final ControlMesh mesh;
@@ -65,34 +63,45 @@
     private final AcceptorKeeper keeper;
     private final StageKeeper stages;
     private final OperatorApi operator;
-    private final Listener control;
-    private final Listener internal;
-    private final CountDownLatch ended = new CountDownLatch(1);
+    private final ServerEndpoint control;
+    private final ServerEndpoint internal;
     private long pushedMembers;
     private Set<String> seeds = Set.of();
 
+    /** With the machine's clock, sockets and disk. */
     public ControlPlane(NodeSettings settings) throws IOException, StoreException {
+        this(settings, FleetMessages.codec());
+    }
+
+    private ControlPlane(NodeSettings settings, MessageCodec codec) throws IOException, StoreException {
+        this(settings, new SystemEnvironment(settings, codec), codec);
+    }
+
+    ControlPlane(NodeSettings settings, ControlEnvironment environment, MessageCodec codec)
+            throws IOException, StoreException {
         this.settings = settings;
-        loop = new EventLoop();
+        this.environment = environment;
+        loop = environment.scheduler();
         address = settings.address() + ":" + settings.internalPorts()[0];
-        RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
-        storage = new Storage(loop, settings, founder(address), codec);
-        Member self = new Member(settings.node(), Member.CONTROL, address, settings.zone(), System.currentTimeMillis());
-        mesh = new ControlMesh(loop, codec, new ControlHello(self, storage.identity()), new MeshHandler());
+        RandomGenerator random = environment.random();
+        storage = new Storage(settings, settings.initialStart() ? founder(address) : environment.newIdentity(),
+            environment.files(), environment.disk(), codec);
+        Member self = new Member(settings.node(), Member.CONTROL, address, settings.zone(), environment.wallClockMs());
+        mesh = new ControlMesh(loop, environment.transport(), new ControlHello(self, storage.identity()),
+            new MeshHandler());
         List<Acceptor> initial = storage.identity().equals(founder(address)) ? founders(settings) : List.of();
         configuration = new ConfigurationStore(loop, address, initial, storage.recovered(), storage, random,
             new RegisterSurroundings());
         sessions = new Sessions(loop, table, new UpdateSource());
         duties = new Duties(loop, address, storage, random, configuration::acceptors, mesh::send);
-        PlatformList platform = new PlatformList(loop, settings.platform().address());
-        lister = new ServerLister(loop, platform, duties.list(), this::listChanged);
+        lister = new ServerLister(loop, environment.platform(), duties.list(), this::listChanged);
         keeper = new AcceptorKeeper(loop, new Acceptor(address, storage.identity()), settings.bounds().catchUpMs(),
             mesh, configuration, duties.list());
-        stages = new StageKeeper(loop, settings.node(), settings.bounds().leaseMs(), lister, duties.list());
-        operator = new OperatorApi(loop, configuration, new Contacts(), new OperatorViews(this));
-        control = new Listener(loop, settings.control(), MOST_CONNECTIONS, operator::connection);
-        internal = new Listener(loop, socketAddress(address), MOST_CONNECTIONS,
-            () -> new FramedConnection(codec, new Inbound()));
+        stages = new StageKeeper(loop, settings.node(), settings.bounds().leaseMs(), lister, duties.list(),
+            environment.serverCalls());
+        operator = new OperatorApi(configuration, new Contacts(), new OperatorViews(this));
+        control = environment.operators(operator);
+        internal = environment.transport().listen(socketAddress(address), MOST_CONNECTIONS, Inbound::new);
     }
 
     /** The acceptors at the very first start, when nothing is known but the seeds. */
@@ -173,23 +182,29 @@
 
     /** Called on SIGTERM: duties are handed over, calls under way answered. */
     public void drain() throws InterruptedException {
+        CountDownLatch ended = new CountDownLatch(1);
+        drain(ended::countDown);
+        ended.await((long) (2 * END_MS), TimeUnit.MILLISECONDS);
+        environment.stop();
+        storage.close();
+    }
+
+    /** The same without waiting for it. */
+    void drain(Runnable then) {
         loop.execute(() -> {
             LOG.info("ending");
             duties.release();
             control.close();
-            endWhenIdle(loop.now() + END_MS);
+            endWhenIdle(loop.now() + END_MS, then);
         });
-        ended.await((long) (2 * END_MS), TimeUnit.MILLISECONDS);
-        loop.stop();
-        storage.close();
     }
 
-    private void endWhenIdle(double until) {
+    private void endWhenIdle(double until, Runnable then) {
         if (operator.close() || loop.now() >= until) {
             operator.endAll();
-            loop.after(LOOK_MS, ended::countDown);
+            loop.after(LOOK_MS, then);
         } else {
-            loop.after(LOOK_MS, () -> endWhenIdle(until));
+            loop.after(LOOK_MS, () -> endWhenIdle(until, then));
         }
     }
 
@@ -227,6 +242,11 @@
         return settings.node();
     }
 
+    /** The identity of this process's disk. */
+    String identity() {
+        return storage.identity();
+    }
+
     // ---- wiring ---------------------------------------------------------------------------------------
 
     private final class MeshHandler implements ControlMesh.Handler {
@@ -340,12 +360,12 @@
     }
 
     /** A connection that another process has opened: the first message says which kind it is. */
-    private final class Inbound implements FramedConnection.Handler {
+    private final class Inbound implements MessageLink.Handler {
         private ControlHello peer;
         private Sessions.Session session;
 
         @Override
-        public void received(FramedConnection connection, Object message) {
+        public void received(MessageLink connection, Object message) {
             if (peer != null) {
                 mesh.heard(peer);
                 if (message instanceof SessionsTold told) {
@@ -365,7 +385,7 @@
         }
 
         @Override
-        public void closed(FramedConnection connection) {
+        public void closed(MessageLink connection) {
             if (session != null) {
                 session.closed();
             }
--- a/controlplane/src/main/java/dewplank/controlplane/Duties.java
+++ b/controlplane/src/main/java/dewplank/controlplane/Duties.java
@@ -1,6 +1,6 @@
 package dewplank.controlplane;
 
-import dewplank.net.EventLoop;
+import dewplank.net.Scheduler;
 import java.util.List;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -29,7 +29,7 @@
         void send(String address, Object message);
     }
 
-    private final EventLoop loop;
+    private final Scheduler loop;
     private final String address;
     private final Storage storage;
     private final Supplier<AcceptorSet> acceptors;
@@ -37,7 +37,7 @@
     private final Voter voter;
     private final Candidate candidate;
 
-    Duties(EventLoop loop, String address, Storage storage, RandomGenerator random, Supplier<AcceptorSet> acceptors,
+    Duties(Scheduler loop, String address, Storage storage, RandomGenerator random, Supplier<AcceptorSet> acceptors,
            Sending sending) {
         this.loop = loop;
         this.address = address;
--- /dev/null
+++ b/controlplane/src/main/java/dewplank/controlplane/HttpServerCalls.java
@@ -0,0 +1,95 @@
+package dewplank.controlplane;
+
+import dewplank.exchange.ConnectionPool;
+import dewplank.exchange.HttpCall;
+import dewplank.http.Headers;
+import dewplank.http.MessageWriter;
+import dewplank.net.EventLoop;
+import dewplank.net.Wheel;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import dewplank.message.ServerEntry;
+
+/** Calls to model servers over HTTP, on connections that are kept for a while. */
+final class HttpServerCalls implements ServerCalls {
+    private static final double CALL_TIMEOUT_MS = 600;
+    private static final double CONNECT_TIMEOUT_MS = 300;
+    /** Whoever else has the address by now answers 421, and neither reports for it nor takes its orders. */
+    private static final String TARGET_INSTANCE = "X-Dewplank-Target-Instance";
+    private static final double MOST_IDLE_MS = 5_000;
+
+    private final EventLoop loop;
+    private final Map<String, ConnectionPool> pools = new HashMap<>();
+
+    HttpServerCalls(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    @Override
+    public void report(ServerEntry server, BooleanSupplier onlyIf, Answer answer) {
+        ByteBuffer message = MessageWriter.request("GET", "/report", server.address)
+            .header(TARGET_INSTANCE, server.instanceId).noBody();
+        call(server, message, onlyIf, answer);
+    }
+
+    @Override
+    public void order(ServerEntry server, byte[] body, BooleanSupplier onlyIf, Answer answer) {
+        ByteBuffer message = MessageWriter.request("POST", "/order", server.address)
+            .header("Content-Type", "application/json")
+            .header(TARGET_INSTANCE, server.instanceId)
+            .body(body);
+        call(server, message, onlyIf, answer);
+    }
+
+    @Override
+    public void keep(Collection<String> addresses) {
+        pools.keySet().retainAll(addresses);
+    }
+
+    private void call(ServerEntry server, ByteBuffer message, BooleanSupplier onlyIf, Answer answer) {
+        InetSocketAddress to = ControlPlane.socketAddress(server.address);
+        ConnectionPool pool = pools.computeIfAbsent(server.address, a -> new ConnectionPool(loop, 0, MOST_IDLE_MS));
+        WholeAnswer whole = new WholeAnswer(answer);
+        HttpCall call = new HttpCall(loop, to, pool, message, whole).onlyIf(onlyIf);
+        whole.timeout = loop.after(CALL_TIMEOUT_MS, call::cancel);
+        call.start(CONNECT_TIMEOUT_MS);
+    }
+
+    private static final class WholeAnswer implements HttpCall.Listener {
+        private final Answer then;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private Wheel.Timer timeout;
+        private int status;
+
+        WholeAnswer(Answer then) {
+            this.then = then;
+        }
+
+        @Override
+        public boolean head(int answerStatus, Headers headers) {
+            status = answerStatus;
+            return true;
+        }
+
+        @Override
+        public void body(byte[] piece) {
+            body.writeBytes(piece);
+        }
+
+        @Override
+        public void complete() {
+            timeout.cancel();
+            then.taken(status, body.toByteArray());
+        }
+
+        @Override
+        public void failed(HttpCall.Failure failure) {
+            timeout.cancel();
+        }
+    }
+}
--- a/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
@@ -3,6 +3,7 @@
 import dewplank.config.ResultCode;
 import dewplank.exchange.CallTree;
 import dewplank.exchange.InboundConnection;
+import dewplank.exchange.Responder;
 import dewplank.http.Headers;
 import dewplank.net.EventLoop;
 import java.nio.charset.StandardCharsets;
@@ -25,7 +26,7 @@
     private static final double READ_MS = 850;
     private static final int MOST_BODY_BYTES = 4 * 1024 * 1024 + 64 * 1024;
     private interface Call {
-        void run(InboundConnection.Request request, InboundConnection caller, List<String> parameters);
+        void run(InboundConnection.Request request, Responder caller, List<String> parameters);
     }
 
     /** Read-only views of this control sidecar, as JSON. */
@@ -63,17 +64,15 @@
         List<String> otherPlaces();
     }
 
-    private final EventLoop loop;
     private final Configurations configuration;
     private final Contact contact;
     private final Views views;
     private final CallTree<Call> calls = new CallTree<>();
     private final Set<InboundConnection> connections = new HashSet<>();
-    private final Set<InboundConnection> open = new HashSet<>();
+    private final Set<Responder> open = new HashSet<>();
     private boolean closing;
 
-    OperatorApi(EventLoop loop, Configurations configuration, Contact contact, Views views) {
-        this.loop = loop;
+    OperatorApi(Configurations configuration, Contact contact, Views views) {
         this.configuration = configuration;
         this.contact = contact;
         this.views = views;
@@ -90,7 +89,7 @@
         calls.path("status").on("GET", (request, caller, parameters) -> json(caller, views.status()));
     }
 
-    InboundConnection connection() {
+    InboundConnection connection(EventLoop loop) {
         InboundConnection connection = new InboundConnection(loop, this);
         connections.add(connection);
         return connection;
@@ -118,6 +117,11 @@
 
     @Override
     public void handle(InboundConnection.Request request, InboundConnection caller) {
+        handle(request, (Responder) caller);
+    }
+
+    /** Serves one call. */
+    void handle(InboundConnection.Request request, Responder caller) {
         open.add(caller);
         CallTree.Match<Call> match = calls.find(request.method(), request.target());
         if (match.handler() != null) {
@@ -127,7 +131,7 @@
         }
     }
 
-    private void noSuch(InboundConnection.Request request, InboundConnection caller, Set<String> methods) {
+    private void noSuch(InboundConnection.Request request, Responder caller, Set<String> methods) {
         if (methods.isEmpty()) {
             result(caller, ResultCode.NO_SUCH_PATH, request.target() + " is none of this interface's paths");
             return;
@@ -137,7 +141,7 @@
             body(ResultCode.NO_SUCH_METHOD, request.method() + " is not among " + allowed));
     }
 
-    private void server(InboundConnection caller, String instanceId) {
+    private void server(Responder caller, String instanceId) {
         String server = views.server(instanceId);
         if (server == null) {
             result(caller, ResultCode.NO_SUCH_SERVER, "the list of servers has no instance " + instanceId);
@@ -151,7 +155,7 @@
      * it neither confirms nor refuses, and where to go. A redirect names one that can be reached and lately had a
      * majority itself; where none is known, a redirect might lead to a machine that is gone.
      */
-    private void ifCurrent(InboundConnection.Request request, InboundConnection caller, Runnable call) {
+    private void ifCurrent(InboundConnection.Request request, Responder caller, Runnable call) {
         if (contact.isCurrent()) {
             call.run();
             return;
@@ -168,7 +172,7 @@
             JsonText.plain("elsewhere", JsonText.array(others)));
     }
 
-    private void change(InboundConnection.Request request, InboundConnection caller, boolean patch) {
+    private void change(InboundConnection.Request request, Responder caller, boolean patch) {
         String ifMatch = request.headers().get("If-Match");
         if (ifMatch == null) {
             result(caller, ResultCode.IF_MATCH_MISSING, "If-Match has to give the version that the change builds on");
@@ -193,7 +197,7 @@
         }
     }
 
-    private void changed(InboundConnection caller, Outcome outcome) {
+    private void changed(Responder caller, Outcome outcome) {
         if (!(outcome instanceof Outcome.Confirmed confirmed)) {
             result(caller, ResultCode.NO_QUORUM, ((Outcome.Unknown) outcome).reason());
             return;
@@ -216,7 +220,7 @@
         }
     }
 
-    private void read(InboundConnection caller) {
+    private void read(Responder caller) {
         configuration.read(READ_MS, outcome -> {
             if (!(outcome instanceof Outcome.Confirmed confirmed)) {
                 result(caller, ResultCode.NO_QUORUM, ((Outcome.Unknown) outcome).reason());
@@ -232,11 +236,11 @@
         });
     }
 
-    private void json(InboundConnection caller, String body) {
+    private void json(Responder caller, String body) {
         answer(caller, 200, body.getBytes(StandardCharsets.UTF_8));
     }
 
-    private void result(InboundConnection caller, ResultCode code, String detail, String... more) {
+    private void result(Responder caller, ResultCode code, String detail, String... more) {
         answer(caller, code.status(), body(code, detail, more));
     }
 
@@ -252,11 +256,11 @@
         return new Headers.Field("Content-Type", "application/json");
     }
 
-    private void answer(InboundConnection caller, int status, byte[] body) {
+    private void answer(Responder caller, int status, byte[] body) {
         answer(caller, status, List.of(json()), body);
     }
 
-    private void answer(InboundConnection caller, int status, List<Headers.Field> headers, byte[] body) {
+    private void answer(Responder caller, int status, List<Headers.Field> headers, byte[] body) {
         if (open.remove(caller)) {
             caller.answer(status, headers, body);
         }
@@ -271,7 +275,7 @@
 
     /** What is under way gets an answer before the process ends. */
     void endAll() {
-        for (InboundConnection caller : List.copyOf(open)) {
+        for (Responder caller : List.copyOf(open)) {
             result(caller, ResultCode.ENDING, "this control sidecar ends");
         }
     }
--- /dev/null
+++ b/controlplane/src/main/java/dewplank/controlplane/PlatformApi.java
@@ -0,0 +1,17 @@
+package dewplank.controlplane;
+
+import java.util.List;
+import dewplank.message.ServerEntry;
+
+/** The platform, which knows what servers there are. */
+interface PlatformApi {
+    /** How one reading of the list ended. */
+    interface Ended {
+        void listed(List<ServerEntry> servers);
+
+        void failed(String why);
+    }
+
+    /** Reads the whole list; one of the two is told afterwards. */
+    void ask(Ended ended);
+}
--- a/controlplane/src/main/java/dewplank/controlplane/PlatformList.java
+++ b/controlplane/src/main/java/dewplank/controlplane/PlatformList.java
@@ -16,19 +16,12 @@
 import java.util.List;
 import dewplank.message.ServerEntry;
 
-/** Asks the platform for its list of servers, page by page. */
-final class PlatformList {
+/** Asks the platform for its list of servers over HTTP, page by page. */
+final class PlatformList implements PlatformApi {
     private static final double CALL_TIMEOUT_MS = 1_000;
     private static final double CONNECT_TIMEOUT_MS = 500;
     private static final int MOST_PAGES = 1_000;
 
-    /** How one reading of the list ended. */
-    interface Ended {
-        void listed(List<ServerEntry> servers);
-
-        void failed(String why);
-    }
-
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final ConnectionPool pool;
@@ -44,7 +37,8 @@
         return calls;
     }
 
-    void ask(Ended ended) {
+    @Override
+    public void ask(Ended ended) {
         new Reading(ended).page(null);
     }
 
--- a/controlplane/src/main/java/dewplank/controlplane/ServerLister.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ServerLister.java
@@ -1,6 +1,6 @@
 package dewplank.controlplane;
 
-import dewplank.net.EventLoop;
+import dewplank.net.Scheduler;
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Consumer;
@@ -23,8 +23,8 @@
         long fencingNumber();
     }
 
-    private final EventLoop loop;
-    private final PlatformList platform;
+    private final Scheduler loop;
+    private final PlatformApi platform;
     private final Duty duty;
     private final Consumer<ServerList> changed;
     private ServerList newest = new ServerList(ListVersion.NONE, List.of());
@@ -32,7 +32,7 @@
     private boolean failing;
     private double askAt;
 
-    ServerLister(EventLoop loop, PlatformList platform, Duty duty, Consumer<ServerList> changed) {
+    ServerLister(Scheduler loop, PlatformApi platform, Duty duty, Consumer<ServerList> changed) {
         this.loop = loop;
         this.platform = platform;
         this.duty = duty;
@@ -65,7 +65,7 @@
         loop.after(LOOK_EVERY_MS, this::look);
     }
 
-    private final class Asked implements PlatformList.Ended {
+    private final class Asked implements PlatformApi.Ended {
         @Override
         public void listed(List<ServerEntry> servers) {
             asking = false;
--- a/controlplane/src/main/java/dewplank/controlplane/Sessions.java
+++ b/controlplane/src/main/java/dewplank/controlplane/Sessions.java
@@ -1,10 +1,10 @@
 package dewplank.controlplane;
 
-import dewplank.net.EventLoop;
+import dewplank.net.Scheduler;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import dewplank.message.FramedConnection;
+import dewplank.message.MessageLink;
 import dewplank.message.ListVersion;
 import dewplank.message.SessionAnswer;
 import dewplank.message.SessionOpen;
@@ -36,19 +36,19 @@
         long membersDigest;
     }
 
-    private final EventLoop loop;
+    private final Scheduler loop;
     private final SessionTable table;
     private final Source source;
     private final Set<Session> open = new HashSet<>();
 
-    Sessions(EventLoop loop, SessionTable table, Source source) {
+    Sessions(Scheduler loop, SessionTable table, Source source) {
         this.loop = loop;
         this.table = table;
         this.source = source;
     }
 
     /** A data plane opens its session; null where there is no room. */
-    Session open(FramedConnection connection, SessionOpen message) {
+    Session open(MessageLink connection, SessionOpen message) {
         if (!table.renew(loop.now(), message.member)) {
             LOG.warn("no room for a session of {}", message.member.node);
             connection.end();
@@ -71,12 +71,12 @@
 
     /** One session. */
     final class Session {
-        private final FramedConnection connection;
+        private final MessageLink connection;
         private final Member member;
         private final Held held = new Held();
         private boolean asked;
 
-        Session(FramedConnection connection, Member member) {
+        Session(MessageLink connection, Member member) {
             this.connection = connection;
             this.member = member;
         }
--- a/controlplane/src/main/java/dewplank/controlplane/StageKeeper.java
+++ b/controlplane/src/main/java/dewplank/controlplane/StageKeeper.java
@@ -3,15 +3,7 @@
 import com.jsoniter.JsonIterator;
 import com.jsoniter.any.Any;
 import com.jsoniter.spi.JsonException;
-import dewplank.exchange.ConnectionPool;
-import dewplank.exchange.HttpCall;
-import dewplank.http.Headers;
-import dewplank.http.MessageWriter;
-import dewplank.net.EventLoop;
-import dewplank.net.Wheel;
-import java.io.ByteArrayOutputStream;
-import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
+import dewplank.net.Scheduler;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -29,13 +21,9 @@
  */
 final class StageKeeper {
     private static final Logger LOG = LoggerFactory.getLogger(StageKeeper.class);
-    /** Whoever else has the address by now answers 421, and neither reports for it nor takes its orders. */
-    private static final String TARGET_INSTANCE = "X-Dewplank-Target-Instance";
     private static final double LOOK_EVERY_MS = 250;
     private static final double ASK_EVERY_MS = 1_200;
     private static final int MOST_ASKED_AT_ONCE = 32;        // by turns beyond that: reports are priced, and cost time
-    private static final double CALL_TIMEOUT_MS = 600;
-    private static final double CONNECT_TIMEOUT_MS = 300;
     private static final double REPORT_FRESH_MS = 3_000;
     private static final double ORDER_EVERY_MS = 2_500;      // a change takes a second or two to show
     private static final double IDLE_ORDER_EVERY_MS = 300;   // while nothing runs anywhere
@@ -43,25 +31,27 @@
 
     private record Reported(StagePlan.Engine engine, double at) { }
 
-    private final EventLoop loop;
+    private final Scheduler loop;
     private final String holder;
     private final double leaseMs;
     private final ServerLister lister;
     private final ServerLister.Duty duty;
+    private final ServerCalls calls;
     private final Map<String, Reported> reports = new HashMap<>();
     private final Map<String, Double> orderedAt = new HashMap<>();
-    private final Map<String, ConnectionPool> pools = new HashMap<>();
     private double heldSince = Double.POSITIVE_INFINITY;
     private double askAt;
     private int turn;
     private long orders;
 
-    StageKeeper(EventLoop loop, String holder, double leaseMs, ServerLister lister, ServerLister.Duty duty) {
+    StageKeeper(Scheduler loop, String holder, double leaseMs, ServerLister lister, ServerLister.Duty duty,
+                ServerCalls calls) {
         this.loop = loop;
         this.holder = holder;
         this.leaseMs = leaseMs;
         this.lister = lister;
         this.duty = duty;
+        this.calls = calls;
     }
 
     void start() {
@@ -104,7 +94,7 @@
     private void askAll() {
         List<ServerEntry> engines = new ArrayList<>();
         servicesWithEngines().values().forEach(engines::addAll);
-        pools.keySet().removeIf(a -> engines.stream().noneMatch(e -> e.address.equals(a)));
+        calls.keep(engines.stream().map(e -> e.address).toList());
         int count = Math.min(engines.size(), MOST_ASKED_AT_ONCE);
         for (int i = 0; i < count; i++) {
             ask(engines.get((turn + i) % engines.size()));
@@ -113,9 +103,7 @@
     }
 
     private void ask(ServerEntry server) {
-        ByteBuffer message = MessageWriter.request("GET", "/report", server.address)
-            .header(TARGET_INSTANCE, server.instanceId).noBody();
-        call(server, message, (status, body) -> {
+        calls.report(server, duty::holds, (status, body) -> {
             if (status == 200) {
                 learn(server, body);
             }
@@ -158,16 +146,12 @@
         long number = duty.fencingNumber();
         String body = "{\"operation\":\"stage\",\"stage\":\"" + stage + "\",\"holder\":" + JsonText.quoted(holder)
             + ",\"fence_number\":" + number + "}";
-        ByteBuffer message = MessageWriter.request("POST", "/order", server.address)
-            .header("Content-Type", "application/json")
-            .header(TARGET_INSTANCE, server.instanceId)
-            .body(body.getBytes(StandardCharsets.UTF_8));
         orderedAt.put(service, loop.now());
         orders++;
         LOG.info("server {} is ordered to {} under number {}", server.instanceId, stage, number);
         reports.computeIfPresent(server.instanceId, (id, r) -> new Reported(ordered(r.engine(), change.toPrefill()),
             r.at()));
-        call(server, message, (status, answer) -> {
+        calls.order(server, body.getBytes(StandardCharsets.UTF_8), duty::holds, (status, answer) -> {
             if (status != 200 && status != 202) {
                 LOG.info("server {} answers {} to an order", server.instanceId, status);
                 reports.remove(server.instanceId);
@@ -180,50 +164,4 @@
         return new StagePlan.Engine(e.instanceId(), e.zone(), prefill, false, e.queued(), e.active(), e.slotCount(),
             e.memoryUsed(), e.memoryCapacity());
     }
-
-    private interface Answer {
-        void taken(int status, byte[] body);
-    }
-
-    private void call(ServerEntry server, ByteBuffer message, Answer answer) {
-        InetSocketAddress to = ControlPlane.socketAddress(server.address);
-        ConnectionPool pool = pools.computeIfAbsent(server.address, a -> new ConnectionPool(loop, 0, 5_000));
-        WholeAnswer whole = new WholeAnswer(answer);
-        HttpCall call = new HttpCall(loop, to, pool, message, whole).onlyIf(duty::holds);
-        whole.timeout = loop.after(CALL_TIMEOUT_MS, call::cancel);
-        call.start(CONNECT_TIMEOUT_MS);
-    }
-
-    private static final class WholeAnswer implements HttpCall.Listener {
-        private final Answer then;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private Wheel.Timer timeout;
-        private int status;
-
-        WholeAnswer(Answer then) {
-            this.then = then;
-        }
-
-        @Override
-        public boolean head(int answerStatus, Headers headers) {
-            status = answerStatus;
-            return true;
-        }
-
-        @Override
-        public void body(byte[] piece) {
-            body.writeBytes(piece);
-        }
-
-        @Override
-        public void complete() {
-            timeout.cancel();
-            then.taken(status, body.toByteArray());
-        }
-
-        @Override
-        public void failed(HttpCall.Failure failure) {
-            timeout.cancel();
-        }
-    }
 }
--- a/controlplane/src/main/java/dewplank/controlplane/Storage.java
+++ b/controlplane/src/main/java/dewplank/controlplane/Storage.java
@@ -2,42 +2,45 @@
 
 import dewplank.config.BadInput;
 import dewplank.config.NodeSettings;
-import dewplank.net.EventLoop;
 import java.nio.ByteBuffer;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import dewplank.store.AcceptorStore;
-import dewplank.store.DiskFiles;
-import dewplank.store.DiskThread;
+import dewplank.store.DiskExecutor;
 import dewplank.store.SmallFile;
 import dewplank.store.StoreException;
+import dewplank.store.StoreFiles;
 import dewplank.message.BadFrameException;
 import dewplank.message.MessageCodec;
 import dewplank.message.ServerList;
 import dewplank.register.DurableState;
 
-/** This process's disk: the acceptor's state and fencing numbers, written by one thread of its own. */
+/** This process's disk: the acceptor's state and fencing numbers, written apart from the loop. */
 final class Storage implements ConfigurationStore.Disk {
     private final AcceptorStore store;
-    private final DiskThread thread;
+    private final DiskExecutor executor;
     private final SmallFile serverList;
     private final MessageCodec codec;
     private final boolean firstStart;
     private ServerList unsaved;
     private boolean savingList;
 
-    Storage(EventLoop loop, NodeSettings settings, String founder, MessageCodec codec) throws StoreException {
+    /**
+     * Opens what is there.
+     *
+     * @param identityIfNew the identity that an empty disk gets
+     */
+    Storage(NodeSettings settings, String identityIfNew, StoreFiles files, DiskExecutor executor, MessageCodec codec)
+            throws StoreException {
+        this.executor = executor;
         this.codec = codec;
         if (settings.dataDirectory() == null) {
             throw new BadInput("data_directory is null: the control plane needs a disk");
         }
-        store = settings.initialStart()
-            ? AcceptorStore.open(settings.dataDirectory(), new DiskFiles(), settings.resources().diskBytes(), founder)
-            : AcceptorStore.open(settings.dataDirectory(), new DiskFiles(), settings.resources().diskBytes());
+        store = AcceptorStore.open(settings.dataDirectory(), files, settings.resources().diskBytes(), identityIfNew);
         firstStart = settings.initialStart() && store.createdNow();
-        serverList = new SmallFile(new DiskFiles(), settings.dataDirectory(), "servers");
-        thread = new DiskThread(loop::execute);
+        serverList = new SmallFile(files, settings.dataDirectory(), "servers");
     }
 
     DurableState recovered() {
@@ -59,11 +62,11 @@
 
     @Override
     public void save(DurableState state, Consumer<Boolean> done) {
-        thread.submit(() -> store.save(state), () -> done.accept(true), () -> done.accept(false));
+        executor.submit(() -> store.save(state), () -> done.accept(true), () -> done.accept(false));
     }
 
     void saveNumber(String name, long number, Consumer<Boolean> done) {
-        thread.submit(() -> store.saveNumber(name, number), () -> done.accept(true), () -> done.accept(false));
+        executor.submit(() -> store.saveNumber(name, number), () -> done.accept(true), () -> done.accept(false));
     }
 
     /** The list of servers as it was when last saved; empty where there is none. */
@@ -97,10 +100,10 @@
             savingList = false;
             saveNext();
         };
-        thread.submit(() -> serverList.replace(frame), done, done);
+        executor.submit(() -> serverList.replace(frame), done, done);
     }
 
     void close() {
-        thread.close();
+        executor.close();
     }
 }
--- /dev/null
+++ b/controlplane/src/main/java/dewplank/controlplane/SystemEnvironment.java
@@ -0,0 +1,91 @@
+package dewplank.controlplane;
+
+import dewplank.config.NodeSettings;
+import dewplank.net.EventLoop;
+import dewplank.net.Listener;
+import dewplank.net.Scheduler;
+import dewplank.net.ServerEndpoint;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+import dewplank.message.MessageCodec;
+import dewplank.message.MessageTransport;
+import dewplank.message.TcpTransport;
+import dewplank.store.AcceptorStore;
+import dewplank.store.DiskExecutor;
+import dewplank.store.DiskFiles;
+import dewplank.store.DiskThread;
+import dewplank.store.StoreFiles;
+
+/** The machine's own clock, sockets and disk. */
+final class SystemEnvironment implements ControlEnvironment {
+    private final NodeSettings settings;
+    private final EventLoop loop;
+    private final RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
+    private final StoreFiles files = new DiskFiles();
+    private final DiskExecutor disk;
+    private final MessageTransport transport;
+
+    SystemEnvironment(NodeSettings settings, MessageCodec codec) throws IOException {
+        this.settings = settings;
+        loop = new EventLoop();
+        disk = new DiskThread(loop::execute);
+        transport = new TcpTransport(loop, codec);
+    }
+
+    @Override
+    public Scheduler scheduler() {
+        return loop;
+    }
+
+    @Override
+    public long wallClockMs() {
+        return System.currentTimeMillis();
+    }
+
+    @Override
+    public RandomGenerator random() {
+        return random;
+    }
+
+    @Override
+    public String newIdentity() {
+        return AcceptorStore.randomIdentity();
+    }
+
+    @Override
+    public MessageTransport transport() {
+        return transport;
+    }
+
+    @Override
+    public StoreFiles files() {
+        return files;
+    }
+
+    @Override
+    public DiskExecutor disk() {
+        return disk;
+    }
+
+    @Override
+    public PlatformApi platform() {
+        return new PlatformList(loop, settings.platform().address());
+    }
+
+    @Override
+    public ServerCalls serverCalls() {
+        return new HttpServerCalls(loop);
+    }
+
+    @Override
+    public ServerEndpoint operators(OperatorApi api) throws IOException {
+        return new Listener(loop, settings.control(), ControlPlane.MOST_CONNECTIONS, () -> api.connection(loop));
+    }
+
+    @Override
+    public void stop() {
+        loop.stop();
+    }
+}
--- a/controlplane/src/test/java/dewplank/controlplane/ControlMeshTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/ControlMeshTest.java
@@ -18,8 +18,9 @@
 import java.util.concurrent.TimeUnit;
 import dewplank.message.ControlHello;
 import dewplank.message.FleetMessages;
-import dewplank.message.FramedConnection;
+import dewplank.message.MessageLink;
 import dewplank.message.SessionsTold;
+import dewplank.message.TcpTransport;
 import dewplank.membership.Member;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -40,7 +41,7 @@
     @BeforeEach
     void begin() throws IOException {
         loop = new EventLoop();
-        mesh = new ControlMesh(loop, FleetMessages.codec(), new ControlHello(SELF, "disk-0"),
+        mesh = new ControlMesh(loop, new TcpTransport(loop, FleetMessages.codec()), new ControlHello(SELF, "disk-0"),
             new ControlMesh.Handler() {
             @Override
             public SessionsTold told(long sequence) {
@@ -139,7 +140,7 @@
         FramedPeer silent = other();
         FramedPeer speaking = other().answering();
         start(silent.address(), speaking.address());
-        FramedConnection first = silent.connection();
+        MessageLink first = silent.connection();
         assertEquals(first, silent.ended());
         assertNotSame(first, silent.connection());
         assertTrue(speaking.hasLostNone());
@@ -149,7 +150,7 @@
     void aBrokenLinkIsDialledAnew() throws Exception {
         FramedPeer other = other().answering();
         start(other.address());
-        FramedConnection first = other.connection();
+        MessageLink first = other.connection();
         other.message(SessionsTold.class);
         other.end(first);
         assertNotSame(first, other.connection());
--- a/controlplane/src/test/java/dewplank/controlplane/FramedPeer.java
+++ b/controlplane/src/test/java/dewplank/controlplane/FramedPeer.java
@@ -14,17 +14,18 @@
 import dewplank.message.FleetMessages;
 import dewplank.message.FramedConnection;
 import dewplank.message.MessageCodec;
+import dewplank.message.MessageLink;
 import dewplank.message.SessionAnswer;
 import dewplank.message.SessionsTold;
 
 /** Another process of the fleet, on a loop of its own: it notes what comes, and says what the test has it say. */
-final class FramedPeer implements FramedConnection.Handler, Closeable {
+final class FramedPeer implements MessageLink.Handler, Closeable {
     private final EventLoop loop = new EventLoop();
     private final MessageCodec codec = FleetMessages.codec();
     private final Listener listener;
-    private final BlockingQueue<FramedConnection> opened = new LinkedBlockingQueue<>();
+    private final BlockingQueue<MessageLink> opened = new LinkedBlockingQueue<>();
     private final BlockingQueue<Object> messages = new LinkedBlockingQueue<>();
-    private final BlockingQueue<FramedConnection> closed = new LinkedBlockingQueue<>();
+    private final BlockingQueue<MessageLink> closed = new LinkedBlockingQueue<>();
     private volatile boolean answers;
 
     FramedPeer() throws IOException {
@@ -40,12 +41,12 @@
     }
 
     @Override
-    public void opened(FramedConnection connection) {
+    public void opened(MessageLink connection) {
         opened.add(connection);
     }
 
     @Override
-    public void received(FramedConnection connection, Object message) {
+    public void received(MessageLink connection, Object message) {
         messages.add(message);
         if (answers && message instanceof SessionsTold told) {
             connection.send(new SessionAnswer(told.sequence, true, told.controlAddresses));
@@ -53,7 +54,7 @@
     }
 
     @Override
-    public void closed(FramedConnection connection) {
+    public void closed(MessageLink connection) {
         closed.add(connection);
     }
 
@@ -65,11 +66,11 @@
         return next;
     }
 
-    FramedConnection connection() throws InterruptedException {
+    MessageLink connection() throws InterruptedException {
         return next(opened);
     }
 
-    FramedConnection ended() throws InterruptedException {
+    MessageLink ended() throws InterruptedException {
         return next(closed);
     }
 
@@ -99,16 +100,16 @@
         return kind.cast(next(messages));
     }
 
-    FramedConnection dial(InetSocketAddress to) throws Exception {
+    MessageLink dial(InetSocketAddress to) throws Exception {
         OnLoop.run(loop, () -> FramedConnection.open(loop, to, 5_000, codec, this));
         return connection();
     }
 
-    void send(FramedConnection on, Object message) throws Exception {
+    void send(MessageLink on, Object message) throws Exception {
         OnLoop.run(loop, () -> on.send(message));
     }
 
-    void end(FramedConnection connection) throws Exception {
+    void end(MessageLink connection) throws Exception {
         OnLoop.run(loop, connection::end);
     }
 
--- a/controlplane/src/test/java/dewplank/controlplane/OperatorApiTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/OperatorApiTest.java
@@ -39,9 +39,9 @@
     @BeforeEach
     void start() throws IOException {
         loop = new EventLoop();
-        api = new OperatorApi(loop, register, contact, new FixedViews());
+        api = new OperatorApi(register, contact, new FixedViews());
         Listener listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 16,
-            api::connection);
+            () -> api.connection(loop));
         base = "http://127.0.0.1:" + ((InetSocketAddress) listener.address()).getPort();
         loop.execute(listener::accept);
     }
--- a/controlplane/src/test/java/dewplank/controlplane/SessionsTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/SessionsTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import dewplank.message.FleetMessages;
 import dewplank.message.FramedConnection;
+import dewplank.message.MessageLink;
 import dewplank.message.ListVersion;
 import dewplank.message.ServerList;
 import dewplank.message.SessionAnswer;
@@ -66,11 +67,11 @@
     }
 
     /** Hands what comes to the sessions, as the control plane does. */
-    private final class Serving implements FramedConnection.Handler {
+    private final class Serving implements MessageLink.Handler {
         private Sessions.Session session;
 
         @Override
-        public void received(FramedConnection connection, Object message) {
+        public void received(MessageLink connection, Object message) {
             if (message instanceof SessionOpen open) {
                 session = sessions.open(connection, open);
             } else if (message instanceof SessionQuestion question && session != null) {
@@ -79,7 +80,7 @@
         }
 
         @Override
-        public void closed(FramedConnection connection) {
+        public void closed(MessageLink connection) {
             if (session != null) {
                 session.closed();
             }
@@ -97,8 +98,8 @@
         loop.stop();
     }
 
-    private FramedConnection opened() throws Exception {
-        FramedConnection connection = dataPlane.dial((InetSocketAddress) listener.address());
+    private MessageLink opened() throws Exception {
+        MessageLink connection = dataPlane.dial((InetSocketAddress) listener.address());
         dataPlane.send(connection, new SessionOpen(DATA));
         return connection;
     }
@@ -116,7 +117,7 @@
 
     @Test
     void aQuestionIsAnsweredAtOnceWhetherOrNotThereIsNews() throws Exception {
-        FramedConnection connection = opened();
+        MessageLink connection = opened();
         dataPlane.send(connection, new SessionQuestion(41, 7, new ListVersion(2, 3), 5));
         SessionAnswer answer = dataPlane.nextIs(SessionAnswer.class);
         assertEquals(41, answer.sequence);
@@ -129,7 +130,7 @@
 
     @Test
     void newsGoesOutAtOnceAndOnlyOnce() throws Exception {
-        FramedConnection connection = opened();
+        MessageLink connection = opened();
         dataPlane.send(connection, new SessionQuestion(1, 7, ListVersion.NONE, 0));
         dataPlane.nextIs(SessionAnswer.class);
         push(configuration(8));
@@ -153,7 +154,7 @@
     /** What it holds is not known before it has asked: a difference could not be told. */
     @Test
     void nothingIsToldBeforeTheFirstQuestion() throws Exception {
-        FramedConnection connection = opened();
+        MessageLink connection = opened();
         OnLoop.await(loop, () -> sessions.size() == 1);
         push(configuration(8));
         assertEquals(List.of(), OnLoop.get(loop, () -> asked));
@@ -165,7 +166,7 @@
     @Test
     void whatWasSentCountsAsHeld() throws Exception {
         List<Member> members = List.of(DATA);
-        FramedConnection connection = opened();
+        MessageLink connection = opened();
         dataPlane.send(connection, new SessionQuestion(1, 7, new ListVersion(1, 1), 0));
         dataPlane.nextIs(SessionAnswer.class);
         push(new Update(new byte[] {1}, 8, 7, new ServerList(new ListVersion(1, 2), List.of()), members));
@@ -178,7 +179,7 @@
 
     @Test
     void aSessionThatHasEndedIsNeitherAMemberNorTold() throws Exception {
-        FramedConnection connection = opened();
+        MessageLink connection = opened();
         dataPlane.send(connection, new SessionQuestion(1, 0, ListVersion.NONE, 0));
         dataPlane.nextIs(SessionAnswer.class);
         dataPlane.end(connection);
@@ -195,7 +196,7 @@
                 table.renew(loop.now(), new Member("other" + i, Member.DATA, "a", "z", 1));
             }
         });
-        FramedConnection connection = opened();
+        MessageLink connection = opened();
         assertEquals(connection, dataPlane.ended());
         assertEquals(0, OnLoop.get(loop, sessions::size));
         assertNull(news);
--- a/controlplane/src/test/java/dewplank/controlplane/StageKeeperTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/StageKeeperTest.java
@@ -75,7 +75,7 @@
     }
 
     private void keep(double leaseMs) {
-        StageKeeper keeper = new StageKeeper(loop, "core-1", leaseMs, lister, duty);
+        StageKeeper keeper = new StageKeeper(loop, "core-1", leaseMs, lister, duty, new HttpServerCalls(loop));
         loop.execute(keeper::start);
     }
 
--- a/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import dewplank.message.FleetMessages;
+import dewplank.message.TcpTransport;
 import dewplank.membership.Member;
 import dewplank.routing.FleetVotes;
 import dewplank.routing.ServerChoice;
@@ -65,8 +66,8 @@
         String address = settings.address() + ":" + settings.internalPorts()[1];
         Member self = new Member(settings.node(), Member.DATA, address, settings.zone(), System.currentTimeMillis());
         exchange = new HealthExchange(loop, fleet, votes, self, new Random(seed));
-        sessions = new SessionClient(loop, FleetMessages.codec(), self, fleet, random, settings.bounds().contactMs(),
-            forwarder::fleetChanged);
+        sessions = new SessionClient(loop, new TcpTransport(loop, FleetMessages.codec()), self, fleet, random,
+            settings.bounds().contactMs(), forwarder::fleetChanged);
         sessions.seeds(controlAddresses(settings));
         int clients = Math.max(64, (settings.resources().fileDescriptors() - SPARE_DESCRIPTORS) / 2);
         front = new Listener(loop, settings.front(), clients, forwarder::connection);
--- a/dataplane/src/main/java/dewplank/dataplane/FleetView.java
+++ b/dataplane/src/main/java/dewplank/dataplane/FleetView.java
@@ -1,6 +1,6 @@
 package dewplank.dataplane;
 
-import dewplank.net.EventLoop;
+import dewplank.net.Scheduler;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -23,7 +23,7 @@
 final class FleetView {
     private static final Logger LOG = LoggerFactory.getLogger(FleetView.class);
 
-    private final EventLoop loop;
+    private final Scheduler loop;
     private Configuration configuration;
     private RouteTable routes;
     private ListVersion listVersion = ListVersion.NONE;
@@ -32,7 +32,7 @@
     private List<Member> members = List.of();
     private long membersDigest;
 
-    FleetView(EventLoop loop) {
+    FleetView(Scheduler loop) {
         this.loop = loop;
     }
 
--- a/dataplane/src/main/java/dewplank/dataplane/Server.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Server.java
@@ -1,7 +1,7 @@
 package dewplank.dataplane;
 
 import dewplank.exchange.ConnectionPool;
-import dewplank.net.EventLoop;
+import dewplank.net.Scheduler;
 import java.net.InetSocketAddress;
 import dewplank.routing.ServerState;
 
@@ -15,7 +15,7 @@
     final String addressText;
     final ConnectionPool pool;
 
-    Server(EventLoop loop, ServerState state, String addressText) {
+    Server(Scheduler loop, ServerState state, String addressText) {
         this.state = state;
         this.addressText = addressText;
         this.address = Sockets.address(addressText);
--- a/dataplane/src/main/java/dewplank/dataplane/SessionClient.java
+++ b/dataplane/src/main/java/dewplank/dataplane/SessionClient.java
@@ -1,6 +1,6 @@
 package dewplank.dataplane;
 
-import dewplank.net.EventLoop;
+import dewplank.net.Scheduler;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -17,8 +17,8 @@
 import dewplank.configuration.InvalidConfigurationException;
 import dewplank.message.BadFrameException;
 import dewplank.message.Deflated;
-import dewplank.message.FramedConnection;
-import dewplank.message.MessageCodec;
+import dewplank.message.MessageLink;
+import dewplank.message.MessageTransport;
 import dewplank.message.SessionAnswer;
 import dewplank.message.SessionOpen;
 import dewplank.message.SessionQuestion;
@@ -54,8 +54,8 @@
     /** An address that no control sidecar has vouched for so long is forgotten, seeds excepted. */
     private static final double FORGET_MS = 60_000;
 
-    private final EventLoop loop;
-    private final MessageCodec codec;
+    private final Scheduler loop;
+    private final MessageTransport transport;
     private final Member self;
     private final FleetView fleet;
     private final RandomGenerator random;
@@ -78,10 +78,10 @@
      * @param contactMs the settings' bound {@code contact_ms}
      * @param changed runs after each update
      */
-    SessionClient(EventLoop loop, MessageCodec codec, Member self, FleetView fleet, RandomGenerator random,
+    SessionClient(Scheduler loop, MessageTransport transport, Member self, FleetView fleet, RandomGenerator random,
                   double contactMs, Runnable changed) {
         this.loop = loop;
-        this.codec = codec;
+        this.transport = transport;
         this.self = self;
         this.fleet = fleet;
         this.random = random;
@@ -222,10 +222,10 @@
         return sessions.stream().anyMatch(s -> s.quorate && s.connection.isOpen());
     }
 
-    private final class Session implements FramedConnection.Handler {
+    private final class Session implements MessageLink.Handler {
         private final String address;
         private final Deque<Update> keptBack = new ArrayDeque<>();
-        private FramedConnection connection;
+        private MessageLink connection;
         private double answeredAt;
         private double quorateAt;
         private boolean answered;
@@ -239,11 +239,11 @@
 
         void dial() {
             InetSocketAddress to = Sockets.address(address);
-            connection = FramedConnection.open(loop, to, DIAL_TIMEOUT_MS, codec, this);
+            connection = transport.open(to, DIAL_TIMEOUT_MS, this);
         }
 
         @Override
-        public void opened(FramedConnection opened) {
+        public void opened(MessageLink opened) {
             answeredAt = loop.now();
             quorateAt = loop.now();
             opened.send(new SessionOpen(self));
@@ -274,7 +274,7 @@
         }
 
         @Override
-        public void received(FramedConnection from, Object message) {
+        public void received(MessageLink from, Object message) {
             answeredAt = loop.now();
             if (message instanceof SessionAnswer answer) {
                 answered(answer);
@@ -349,7 +349,7 @@
         }
 
         @Override
-        public void closed(FramedConnection ended) {
+        public void closed(MessageLink ended) {
             sessions.remove(this);
             rest(address, loop.now() + AGAIN_MS * (0.5 + random.nextDouble()));
             fill();
--- a/dataplane/src/test/java/dewplank/dataplane/SessionClientTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/SessionClientTest.java
@@ -20,6 +20,7 @@
 import dewplank.configuration.ConfigurationDelta;
 import dewplank.message.Deflated;
 import dewplank.message.FleetMessages;
+import dewplank.message.TcpTransport;
 import dewplank.message.ListVersion;
 import dewplank.message.ServerEntry;
 import dewplank.message.ServerList;
@@ -52,8 +53,8 @@
     }
 
     private SessionClient client(double contactMs) {
-        return new SessionClient(loop, FleetMessages.codec(), SELF, view, new SplittableRandom(3), contactMs,
-            changes::incrementAndGet);
+        return new SessionClient(loop, new TcpTransport(loop, FleetMessages.codec()), SELF, view,
+            new SplittableRandom(3), contactMs, changes::incrementAndGet);
     }
 
     @AfterEach
--- a/messages/src/main/java/dewplank/message/FramedConnection.java
+++ b/messages/src/main/java/dewplank/message/FramedConnection.java
@@ -7,21 +7,11 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 
-/** A connection between two processes of the system that carries messages. On the loop's thread only. */
-public final class FramedConnection implements Listener.Accepted {
+/** A connection that carries messages as frames over TCP. On the loop's thread only. */
+public final class FramedConnection implements Listener.Accepted, MessageLink {
     /** Unsent bytes beyond which the peer counts as stuck, and the connection ends. */
     private static final long MOST_UNSENT_BYTES = 32L * 1024 * 1024;
 
-    /** Whoever uses the connection. */
-    public interface Handler {
-        default void opened(FramedConnection connection) { }
-
-        void received(FramedConnection connection, Object message);
-
-        /** The connection ended or could not be opened. Told once. */
-        void closed(FramedConnection connection);
-    }
-
     private final MessageCodec codec;
     private final MessageCodec.Reader reader;
     private final Handler handler;
@@ -73,7 +63,7 @@
         end();
     }
 
-    /** Sends a message; lost if the connection ends first. */
+    @Override
     public void send(Object message) {
         send(codec.encode(message));
     }
@@ -92,15 +82,17 @@
         connection.write(frame, () -> unsentBytes -= bytes);
     }
 
+    @Override
     public boolean isOpen() {
         return connection != null && !over;
     }
 
+    @Override
     public boolean isOver() {
         return over;
     }
 
-    /** Ends the connection; the handler is told. */
+    @Override
     public void end() {
         if (over) {
             return;
--- /dev/null
+++ b/messages/src/main/java/dewplank/message/TcpTransport.java
@@ -0,0 +1,30 @@
+package dewplank.message;
+
+import dewplank.net.EventLoop;
+import dewplank.net.Listener;
+import dewplank.net.ServerEndpoint;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+
+/** Messages as frames over TCP. */
+public final class TcpTransport implements MessageTransport {
+    private final EventLoop loop;
+    private final MessageCodec codec;
+
+    public TcpTransport(EventLoop loop, MessageCodec codec) {
+        this.loop = loop;
+        this.codec = codec;
+    }
+
+    @Override
+    public MessageLink open(InetSocketAddress to, double timeoutMs, MessageLink.Handler handler) {
+        return FramedConnection.open(loop, to, timeoutMs, codec, handler);
+    }
+
+    @Override
+    public ServerEndpoint listen(InetSocketAddress at, int most, Supplier<? extends MessageLink.Handler> handlers)
+            throws IOException {
+        return new Listener(loop, at, most, () -> new FramedConnection(codec, handlers.get()));
+    }
+}
--- a/messages/src/test/java/dewplank/message/FramedConnectionTest.java
+++ b/messages/src/test/java/dewplank/message/FramedConnectionTest.java
@@ -35,19 +35,19 @@
     private final Heard there = new Heard();
 
     /** What one end has heard. */
-    private static final class Heard implements FramedConnection.Handler {
+    private static final class Heard implements MessageLink.Handler {
         private final BlockingQueue<FramedConnection> opened = new LinkedBlockingQueue<>();
         private final BlockingQueue<Object> messages = new LinkedBlockingQueue<>();
         private final BlockingQueue<FramedConnection> closed = new LinkedBlockingQueue<>();
         private volatile boolean endsAtOnce;
 
         @Override
-        public void opened(FramedConnection connection) {
-            opened.add(connection);
+        public void opened(MessageLink connection) {
+            opened.add((FramedConnection) connection);
         }
 
         @Override
-        public void received(FramedConnection connection, Object message) {
+        public void received(MessageLink connection, Object message) {
             messages.add(message);
             if (endsAtOnce) {
                 connection.end();
@@ -55,8 +55,8 @@
         }
 
         @Override
-        public void closed(FramedConnection connection) {
-            closed.add(connection);
+        public void closed(MessageLink connection) {
+            closed.add((FramedConnection) connection);
         }
 
         private static <T> T next(BlockingQueue<T> from) throws InterruptedException {
--- a/shared/src/main/java/dewplank/exchange/ConnectionPool.java
+++ b/shared/src/main/java/dewplank/exchange/ConnectionPool.java
@@ -1,7 +1,7 @@
 package dewplank.exchange;
 
 import dewplank.net.Connection;
-import dewplank.net.EventLoop;
+import dewplank.net.Scheduler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -19,14 +19,14 @@
 
     private record Idle(Connection connection, InetSocketAddress to, double since, double until) { }
 
-    private final EventLoop loop;
+    private final Scheduler loop;
     private final double restMs;
     private final double mostIdleMs;
     private final Deque<Idle> idle = new ArrayDeque<>();
     private boolean closed;
 
     /** A connection is used again that has been idle for so long at the least and at the most. */
-    public ConnectionPool(EventLoop loop, double restMs, double mostIdleMs) {
+    public ConnectionPool(Scheduler loop, double restMs, double mostIdleMs) {
         this.loop = loop;
         this.restMs = restMs;
         this.mostIdleMs = mostIdleMs;
--- a/shared/src/main/java/dewplank/exchange/InboundConnection.java
+++ b/shared/src/main/java/dewplank/exchange/InboundConnection.java
@@ -14,7 +14,7 @@
 import java.util.List;
 
 /** A caller's HTTP connection: requests in, one at a time, and their answers out, whole or as a stream. */
-public final class InboundConnection implements Listener.Accepted {
+public final class InboundConnection implements Listener.Accepted, Responder {
     private static final System.Logger LOG = System.getLogger(InboundConnection.class.getName());
     private static final byte[] CRLF = {'\r', '\n'};
     private static final byte[] LAST_CHUNK = {'0', '\r', '\n', '\r', '\n'};
@@ -147,6 +147,7 @@
     }
 
     /** Answers the request that was handed over. */
+    @Override
     public void answer(int status, List<Headers.Field> headers, byte[] body) {
         if (connection.isClosed()) {
             return;
--- a/shared/src/main/java/dewplank/net/EventLoop.java
+++ b/shared/src/main/java/dewplank/net/EventLoop.java
@@ -10,7 +10,7 @@
  * The one thread that owns all state: completion handlers, timers and whatever else is to touch it run there.
  * Its clock counts milliseconds, starts at the Unix time and never goes back.
  */
-public final class EventLoop {
+public final class EventLoop implements Scheduler {
     private static final System.Logger LOG = System.getLogger(EventLoop.class.getName());
     private static final long TICK_MS = 5;
     private static final long STOP_MS = 1_000;
@@ -52,10 +52,12 @@
         }
     }
 
+    @Override
     public double now() {
         return unixAtStart + (System.nanoTime() - nanosAtStart) / 1e6;
     }
 
+    @Override
     public Wheel.Timer after(double ms, Runnable task) {
         return wheel.add(now() + ms, task);
     }
@@ -69,6 +71,7 @@
     }
 
     /** Runs the task on the loop's thread, soon. */
+    @Override
     public void execute(Runnable task) {
         executor.execute(() -> guarded(task));
     }
--- a/shared/src/main/java/dewplank/net/Listener.java
+++ b/shared/src/main/java/dewplank/net/Listener.java
@@ -10,7 +10,7 @@
 import java.util.function.Supplier;
 
 /** Accepts connections, up to a bound on those open at once; further ones wait in the system's queue. */
-public final class Listener {
+public final class Listener implements ServerEndpoint {
     private static final System.Logger LOG = System.getLogger(Listener.class.getName());
     private static final int BACKLOG = 512;
     private static final double RETRY_MS = 20;
@@ -53,6 +53,7 @@
         return open >= most;
     }
 
+    @Override
     public void accept() {
         if (closed || accepting || full()) {
             return;
@@ -100,6 +101,7 @@
         }
     }
 
+    @Override
     public void close() {
         closed = true;
         Connection.closeQuietly(channel);
--- /dev/null
+++ b/shared/src/main/java/dewplank/net/Scheduler.java
@@ -0,0 +1,22 @@
+package dewplank.net;
+
+/**
+ * The steady clock and the timers of one process, and the thread that owns its state: all tasks run there, one at a
+ * time. The event loop is one; virtual time is the other. Times in milliseconds.
+ */
+public interface Scheduler {
+    /** A task that waits for its time. */
+    interface Timer {
+        /** The task does not run any more; harmless on a timer that has fired. */
+        void cancel();
+    }
+
+    /** The steady clock, which never goes back. */
+    double now();
+
+    /** Runs the task after so long, or a little later; never earlier. */
+    Timer after(double ms, Runnable task);
+
+    /** Runs the task soon, after the one that runs now. */
+    void execute(Runnable task);
+}
--- a/shared/src/main/java/dewplank/net/Wheel.java
+++ b/shared/src/main/java/dewplank/net/Wheel.java
@@ -15,7 +15,7 @@
     private final List<List<Timer>> slots = new ArrayList<>(SLOTS);
     private long current;
 
-    public static final class Timer {
+    public static final class Timer implements Scheduler.Timer {
         private final long tick;
         private Runnable task;
 
@@ -25,6 +25,7 @@
         }
 
         /** The task does not run any more; harmless on a timer that has fired. */
+        @Override
         public void cancel() {
             task = null;
         }
--- a/store/src/main/java/dewplank/store/AcceptorStore.java
+++ b/store/src/main/java/dewplank/store/AcceptorStore.java
@@ -112,7 +112,8 @@
         keep(current.readNumbers());
     }
 
-    private static String randomIdentity() {
+    /** The identity of a disk that nobody has seen before. */
+    public static String randomIdentity() {
         return new BigInteger(IDENTITY_BITS, new SecureRandom()).toString(IDENTITY_RADIX);
     }
 
--- a/store/src/main/java/dewplank/store/DiskThread.java
+++ b/store/src/main/java/dewplank/store/DiskThread.java
@@ -7,18 +7,12 @@
 import org.slf4j.LoggerFactory;
 
 /** One thread that works on the disk in order and hands each result to the loop. */
-public final class DiskThread implements AutoCloseable {
+public final class DiskThread implements DiskExecutor {
     /** Work that may wait; whoever gets no room treats it as a failed write. */
     public static final int MOST_WAITING = 64;
 
     private static final Logger LOG = LoggerFactory.getLogger(DiskThread.class);
 
-    /** Something to do on the disk. */
-    public interface Work {
-        /** Does it; called on the disk thread. */
-        void run() throws StoreException;
-    }
-
     private record Job(Work work, Runnable done, Runnable failed) {
     }
 
@@ -35,14 +29,13 @@
         thread.start();
     }
 
-    /** Queues work; exactly one of the two runs on the loop afterwards, the second also when there is no room. */
+    @Override
     public void submit(Work work, Runnable done, Runnable failed) {
         if (closed || !jobs.offer(new Job(work, done, failed))) {
             loop.execute(failed);
         }
     }
 
-    /** Ends the thread after the work under way; what waits is dropped. */
     @Override
     public void close() {
         closed = true;
