--- a/client/src/main/java/dewplank/client/FleetText.java
+++ b/client/src/main/java/dewplank/client/FleetText.java
@@ -88,7 +88,7 @@
                 read(answers.get(address).orRefused(), fields -> {
                     String acceptors = fields.list("acceptors").stream().map(a -> a.text("address"))
                         .collect(Collectors.joining(" "));
-                    table.row(address, fields.text("node"), fields.flag("quorate") ? "yes" : "no",
+                    table.row(address, fields.text("node"), quorum(fields),
                         fields.integer("config_version"), acceptors);
                     return "";
                 });
@@ -99,6 +99,14 @@
         return table.toString();
     }
 
+    /** A control sidecar that hears a quorum and has not caught up with it yet is behind. */
+    private static String quorum(Fields status) {
+        if (!status.flag("quorate")) {
+            return "no";
+        }
+        return status.flag("current", true) ? "yes" : "behind";
+    }
+
     /** The answers of several as one JSON object by address; null for one without. */
     public static String json(List<String> addresses, Map<String, Answer> answers) {
         return addresses.stream()
--- a/client/src/test/java/dewplank/client/RouteExplanationTest.java
+++ b/client/src/test/java/dewplank/client/RouteExplanationTest.java
@@ -109,6 +109,13 @@
             10.0.0.9:1  core-1           yes     7              10.0.0.9:2
             10.0.0.8:1  no clear answer
             """, FleetText.status(asked, Map.of("10.0.0.9:1", status)));
+        Answer behind = answer("{\"node\":\"core-2\",\"quorate\":true,\"current\":false,\"config_version\":5,"
+            + "\"acceptors\":[]}");
+        Answer cutOff = answer("{\"node\":\"core-3\",\"quorate\":false,\"current\":false,\"config_version\":5,"
+            + "\"acceptors\":[]}");
+        String both = FleetText.status(asked, Map.of("10.0.0.9:1", behind, "10.0.0.8:1", cutOff));
+        assertTrue(both.contains("core-2  behind  5"), both);
+        assertTrue(both.contains("core-3  no      5"), both);
         Answer duties = answer("{\"answered_by\":\"core-1\",\"list\":{\"held_here\":true,\"fencing_number\":3}}");
         assertTrue(FleetText.duties(asked, Map.of("10.0.0.9:1", duties)).contains(
             "core-1           list  yes         3"));
