--- a/controlplane/src/test/java/dewplank/controlplane/OperatorRequestsTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/OperatorRequestsTest.java
@@ -76,9 +76,9 @@
     @BeforeEach
     void start() throws IOException {
         loop = new EventLoop();
-        OperatorApi api = new OperatorApi(loop, new StandInRegister(), new InContact(), new NoViews());
+        OperatorApi api = new OperatorApi(new StandInRegister(), new InContact(), new NoViews());
         listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 64,
-            api::connection);
+            () -> api.connection(loop));
         loop.execute(listener::accept);
     }
 
