Keep to the platform's rate with many pages, and give up callers that went without a word

The list's holder asked every 0.4 s and for each page at once, whatever rate_per_s says: at 50 servers a page and a rate of 44, more than 880 servers would have met 429 on every reading, and with it no drain would have been told. Calls of one second are now bounded by half the rate (two may ask for a moment). Readings of few pages are as often as before.

Connections to the readiness and the operators' interface were held for ever where the other end's close never came; at 64 and 1,024 of them nobody else was let in. They are given up after 30 s and 60 s without a request.

The two times themselves are not played.

--- a/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
@@ -24,6 +24,8 @@
     private static final double LARGE_CHANGE_MS = 1_500;
     private static final int LARGE_BYTES = 64 * 1024;
     private static final double READ_MS = 850;
+    /** Also for a body of 4 MiB over a slow link. */
+    static final double MOST_IDLE_MS = 60_000;
     private static final int MOST_BODY_BYTES = 4 * 1024 * 1024 + 64 * 1024;
     private interface Call {
         void run(InboundConnection.Request request, Responder caller, List<String> parameters);
@@ -266,6 +268,11 @@
         }
     }
 
+    /** Gives up connections whose other end has said nothing for long: behind a cut its close may never come. */
+    void sweep() {
+        List.copyOf(connections).forEach(c -> c.giveUpAfter(MOST_IDLE_MS));
+    }
+
     /** Takes no further calls; whether none is under way any more. */
     boolean close() {
         closing = true;
--- a/controlplane/src/main/java/dewplank/controlplane/PlatformList.java
+++ b/controlplane/src/main/java/dewplank/controlplane/PlatformList.java
@@ -12,6 +12,7 @@
 import dewplank.net.Wheel;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import dewplank.message.ServerEntry;
@@ -21,15 +22,21 @@
     private static final double CALL_TIMEOUT_MS = 1_000;
     private static final double CONNECT_TIMEOUT_MS = 500;
     private static final int MOST_PAGES = 1_000;
+    /** Of the rate that the platform allows: for a moment two holders may ask, when in doubt. */
+    private static final double RATE_PART = 0.5;
+    private static final double SECOND_MS = 1_000;
 
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final ConnectionPool pool;
+    private final int mostPerSecond;
+    private final ArrayDeque<Double> lately = new ArrayDeque<>();
     private long calls;
 
-    PlatformList(EventLoop loop, InetSocketAddress address) {
+    PlatformList(EventLoop loop, InetSocketAddress address, double callsPerSecond) {
         this.loop = loop;
         this.address = address;
+        this.mostPerSecond = (int) Math.max(1, RATE_PART * callsPerSecond);
         this.pool = new ConnectionPool(loop, 0, Double.POSITIVE_INFINITY);
     }
 
@@ -56,7 +63,21 @@
             this.ended = ended;
         }
 
+        /** Asks for the page as soon as the rate allows: a refused page would cost the whole reading. */
         void page(String token) {
+            double now = loop.now();
+            while (!lately.isEmpty() && lately.peekFirst() <= now - SECOND_MS) {
+                lately.removeFirst();
+            }
+            if (lately.size() >= mostPerSecond) {
+                loop.after(lately.peekFirst() + SECOND_MS - now, () -> page(token));
+                return;
+            }
+            lately.addLast(now);
+            call(token);
+        }
+
+        private void call(String token) {
             calls++;
             pages++;
             body.reset();
--- a/controlplane/src/main/java/dewplank/controlplane/SystemEnvironment.java
+++ b/controlplane/src/main/java/dewplank/controlplane/SystemEnvironment.java
@@ -20,6 +20,8 @@
 
 /** The machine's own clock, sockets and disk. */
 final class SystemEnvironment implements ControlEnvironment {
+    private static final double SWEEP_MS = 1_000;
+
     private final NodeSettings settings;
     private final EventLoop loop;
     private final RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
@@ -71,7 +73,7 @@
 
     @Override
     public PlatformApi platform() {
-        return new PlatformList(loop, settings.platform().address());
+        return new PlatformList(loop, settings.platform().address(), settings.platform().callsPerSecond());
     }
 
     @Override
@@ -81,9 +83,15 @@
 
     @Override
     public ServerEndpoint operators(OperatorApi api) throws IOException {
+        loop.execute(() -> sweep(api));
         return new Listener(loop, settings.control(), ControlPlane.MOST_CONNECTIONS, () -> api.connection(loop));
     }
 
+    private void sweep(OperatorApi api) {
+        api.sweep();
+        loop.after(SWEEP_MS, () -> sweep(api));
+    }
+
     @Override
     public void stop() {
         loop.stop();
--- /dev/null
+++ b/controlplane/src/test/java/dewplank/controlplane/PlatformListTest.java
@@ -0,0 +1,108 @@
+package dewplank.controlplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dewplank.exchange.OnLoop;
+import dewplank.exchange.ScriptedServer;
+import dewplank.exchange.ScriptedServer.Call;
+import dewplank.exchange.Wire;
+import dewplank.message.ServerEntry;
+import dewplank.net.EventLoop;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The platform's list, page by page, within the rate that the platform allows. */
+class PlatformListTest {
+    private static final double RATE = 4;   // of which half is used
+    private static final double SECOND_MS = 1_000;
+
+    private EventLoop loop;
+    private ScriptedServer platform;
+    private PlatformList list;
+
+    @BeforeEach
+    void begin() throws IOException {
+        loop = new EventLoop();
+        platform = new ScriptedServer();
+        list = new PlatformList(loop, platform.address(), RATE);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        loop.stop();
+        platform.close();
+    }
+
+    private CompletableFuture<List<ServerEntry>> ask() throws Exception {
+        CompletableFuture<List<ServerEntry>> done = new CompletableFuture<>();
+        OnLoop.run(loop, () -> list.ask(new PlatformList.Ended() {
+            @Override
+            public void listed(List<ServerEntry> servers) {
+                done.complete(servers);
+            }
+
+            @Override
+            public void failed(String why) {
+                done.completeExceptionally(new IOException(why));
+            }
+        }));
+        return done;
+    }
+
+    private static void page(Call call, int number, String next) throws IOException {
+        call.wire().answer("200 OK", "", "{\"instances\":[{\"instance_id\":\"i-" + number + "\",\"service\":\"s\","
+            + "\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slot_count\":4,\"state\":\"ready\"}],\"next_token\":"
+            + (next == null ? "null" : "\"" + next + "\"") + "}");
+    }
+
+    /** Five pages at two calls a second: the third waits for the first to be a second old, and so on. */
+    @Test
+    void pagesAreAskedForWithinTheRate() throws Exception {
+        double begun = loop.now();
+        CompletableFuture<List<ServerEntry>> servers = ask();
+        for (int i = 0; i < 5; i++) {
+            Call call = platform.next();
+            assertEquals(i == 0 ? "/instances" : "/instances?page_token=p" + i, call.message().target());
+            assertTrue(loop.now() - begun >= i / 2 * SECOND_MS, "page " + i + " after " + (loop.now() - begun));
+            page(call, i, i < 4 ? "p" + (i + 1) : null);
+        }
+        assertEquals(List.of("i-0", "i-1", "i-2", "i-3", "i-4"),
+            servers.get(Wire.PATIENCE_S, TimeUnit.SECONDS).stream().map(s -> s.instanceId).toList());
+    }
+
+    /** Readings in a row share the rate. */
+    @Test
+    void theNextReadingWaitsForTheRateToo() throws Exception {
+        double begun = loop.now();
+        for (int i = 0; i < 3; i++) {
+            CompletableFuture<List<ServerEntry>> servers = ask();
+            page(platform.next(), i, null);
+            servers.get(Wire.PATIENCE_S, TimeUnit.SECONDS);
+        }
+        assertTrue(loop.now() - begun >= SECOND_MS);
+    }
+
+    @Test
+    void aRefusalFailsTheReadingAndNamesItsStatus() throws Exception {
+        CompletableFuture<List<ServerEntry>> servers = ask();
+        platform.next().wire().answer("429 Too Many Requests", "", "");
+        String why = null;
+        try {
+            servers.get(Wire.PATIENCE_S, TimeUnit.SECONDS);
+        } catch (ExecutionException e) {
+            why = e.getCause().getMessage();
+        }
+        assertEquals("status 429", why);
+        CompletableFuture<List<ServerEntry>> again = ask();
+        page(platform.next(), 7, null);
+        assertNull(again.get(Wire.PATIENCE_S, TimeUnit.SECONDS).get(0).stage);
+    }
+}
--- a/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
@@ -47,6 +47,7 @@
     private final Counters counters = new Counters();
     private final ClientLimits limits;
     private final Listener front;
+    private final Readiness readinessCalls;
     private final Listener readiness;
     private final CountDownLatch drained = new CountDownLatch(1);
     private boolean draining;
@@ -71,7 +72,8 @@
         sessions.seeds(controlAddresses(settings));
         int clients = Math.max(64, (settings.resources().fileDescriptors() - SPARE_DESCRIPTORS) / 2);
         front = new Listener(loop, settings.front(), clients, forwarder::connection);
-        readiness = new Listener(loop, settings.readiness(), 64, new Readiness(loop, this::ready)::connection);
+        readinessCalls = new Readiness(loop, this::ready);
+        readiness = new Listener(loop, settings.readiness(), 64, readinessCalls::connection);
     }
 
     /** Control sidecars listen for the system's own messages on the first internal port. */
@@ -111,6 +113,7 @@
                 c.giveUp();
             }
         }
+        readinessCalls.sweep();
         fleet.allServers().forEach(s -> s.pool.closeOld());
         loop.after(SWEEP_MS, this::sweep);
     }
--- a/dataplane/src/main/java/dewplank/dataplane/Readiness.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Readiness.java
@@ -3,13 +3,20 @@
 import dewplank.exchange.CallTree;
 import dewplank.exchange.InboundConnection;
 import dewplank.net.EventLoop;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 
 /** Says whether this data plane takes clients' connections. */
 final class Readiness implements InboundConnection.Service {
+    /** The platform asks each second; only so many connections are taken at once. */
+    static final double MOST_IDLE_MS = 30_000;
+
     private final EventLoop loop;
     private final CallTree<Integer> calls = new CallTree<>();
     private final BooleanSupplier ready;
+    private final Set<InboundConnection> connections = new HashSet<>();
 
     Readiness(EventLoop loop, BooleanSupplier ready) {
         this.loop = loop;
@@ -18,7 +25,19 @@
     }
 
     InboundConnection connection() {
-        return new InboundConnection(loop, this);
+        InboundConnection connection = new InboundConnection(loop, this);
+        connections.add(connection);
+        return connection;
+    }
+
+    /** Gives up connections whose other end has said nothing for long: behind a cut its close may never come. */
+    void sweep() {
+        List.copyOf(connections).forEach(c -> c.giveUpAfter(MOST_IDLE_MS));
+    }
+
+    @Override
+    public void left(InboundConnection caller) {
+        connections.remove(caller);
     }
 
     @Override
--- a/shared/src/main/java/dewplank/exchange/InboundConnection.java
+++ b/shared/src/main/java/dewplank/exchange/InboundConnection.java
@@ -245,6 +245,13 @@
         return waitsSince;
     }
 
+    /** Gives the connection up if a whole request has been waited for longer than that. */
+    public void giveUpAfter(double ms) {
+        if (!busy && loop.now() - waitsSince > ms) {
+            giveUp();
+        }
+    }
+
     /** No request became whole in time; one that has begun is owed its error. */
     public void giveUp() {
         if (parser.begun()) {
--- a/shared/src/test/java/dewplank/exchange/InboundConnectionTest.java
+++ b/shared/src/test/java/dewplank/exchange/InboundConnectionTest.java
@@ -277,6 +277,23 @@
         assertNotNull(service.left.poll(Wire.PATIENCE_S, TimeUnit.SECONDS));
     }
 
+    @Test
+    void aConnectionThatRestsIsGivenUpOnceItHasRestedLongEnough() throws Exception {
+        Wire caller = caller();
+        InboundConnection connection = accepted();
+        OnLoop.run(loop, () -> connection.giveUpAfter(60_000));
+        caller.send(request("/", "", ""));
+        Handed handed = service.next();
+        OnLoop.pass(loop, 20);
+        onLoop(handed, c -> c.giveUpAfter(0));
+        answer(handed, 200, "still served");
+        assertEquals("still served", caller.read().body());
+        OnLoop.pass(loop, 20);
+        OnLoop.run(loop, () -> connection.giveUpAfter(10));
+        assertNull(caller.read());
+        assertNotNull(service.left.poll(Wire.PATIENCE_S, TimeUnit.SECONDS));
+    }
+
     // ---- callers that leave ---------------------------------------------------------------------------
 
     @Test
