Keep the addresses of the first acceptors on the disk

Cause: a control sidecar that restarted before anything was chosen took the seeds of its settings at that moment for the first acceptors. Settings may name other seeds after a restart, so two processes could have gathered majorities of different sets, each with identities that exist. Ruled out: asking others for the first set, who may have restarted with other seeds themselves. Change: store.Founders writes them before the acceptor's file is created and reads them at each start.

--- a/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
@@ -7,7 +7,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -85,11 +84,12 @@
         address = settings.address() + ":" + settings.internalPorts()[0];
         RandomGenerator random = environment.random();
         storage = new Storage(settings, settings.initialStart() ? founder(address) : environment.newIdentity(),
-            environment.files(), environment.disk(), codec);
+            seeds(settings), environment.files(), environment.disk(), codec);
         Member self = new Member(settings.node(), Member.CONTROL, address, settings.zone(), environment.wallClockMs());
         mesh = new ControlMesh(loop, environment.transport(), new ControlHello(self, storage.identity()),
             new MeshHandler());
-        List<Acceptor> initial = storage.identity().equals(founder(address)) ? founders(settings) : List.of();
+        List<Acceptor> initial = storage.identity().equals(founder(address)) ? founders(storage.founders())
+            : List.of();
         configuration = new ConfigurationStore(loop, address, initial, storage.recovered(), storage, random,
             new RegisterSurroundings());
         sessions = new Sessions(loop, table, new UpdateSource());
@@ -105,13 +105,14 @@
     }
 
     /** The acceptors at the very first start, when nothing is known but the seeds. */
-    private static List<Acceptor> founders(NodeSettings settings) {
-        List<Acceptor> founders = new ArrayList<>();
-        for (InetSocketAddress seed : settings.seeds()) {
-            String at = seed.getAddress().getHostAddress() + ":" + settings.internalPorts()[0];
-            founders.add(new Acceptor(at, founder(at)));
-        }
-        return founders;
+    private static List<Acceptor> founders(List<String> addresses) {
+        return addresses.stream().map(a -> new Acceptor(a, founder(a))).toList();
+    }
+
+    /** Where the settings' seeds listen to other control sidecars. */
+    private static List<String> seeds(NodeSettings settings) {
+        return settings.seeds().stream()
+            .map(s -> s.getAddress().getHostAddress() + ":" + settings.internalPorts()[0]).toList();
     }
 
     /** The identity of a disk that was empty when the whole system started for the first time. */
@@ -138,7 +139,7 @@
         loop.execute(() -> {
             internal.accept();
             control.accept();
-            seeds = addresses(founders(settings));
+            seeds = Set.copyOf(seeds(settings));
             mesh.learn(seeds);
             storage.savedList().ifPresent(lister::told);
             configuration.start();
@@ -171,7 +172,7 @@
     /** The settings file has changed: new seeds are learned, all else waits for the next start. */
     public void reload(NodeSettings next) {
         loop.execute(() -> {
-            seeds = addresses(founders(next));
+            seeds = Set.copyOf(seeds(next));
             mesh.learn(seeds);
         });
     }
--- a/controlplane/src/main/java/dewplank/controlplane/Storage.java
+++ b/controlplane/src/main/java/dewplank/controlplane/Storage.java
@@ -3,11 +3,13 @@
 import dewplank.config.BadInput;
 import dewplank.config.NodeSettings;
 import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import dewplank.store.AcceptorStore;
 import dewplank.store.DiskExecutor;
+import dewplank.store.Founders;
 import dewplank.store.SmallFile;
 import dewplank.store.StoreException;
 import dewplank.store.StoreFiles;
@@ -23,6 +25,7 @@
     private final SmallFile serverList;
     private final MessageCodec codec;
     private final boolean firstStart;
+    private final List<String> founders;
     private ServerList unsaved;
     private boolean savingList;
 
@@ -30,14 +33,16 @@
      * Opens what is there.
      *
      * @param identityIfNew the identity that an empty disk gets
+     * @param seeds addresses of the first acceptors as the settings name them now
      */
-    Storage(NodeSettings settings, String identityIfNew, StoreFiles files, DiskExecutor executor, MessageCodec codec)
-            throws StoreException {
+    Storage(NodeSettings settings, String identityIfNew, List<String> seeds, StoreFiles files, DiskExecutor executor,
+            MessageCodec codec) throws StoreException {
         this.executor = executor;
         this.codec = codec;
         if (settings.dataDirectory() == null) {
             throw new BadInput("data_directory is null: the control plane needs a disk");
         }
+        founders = new Founders(files, settings.dataDirectory()).load(seeds, settings.initialStart());
         store = AcceptorStore.open(settings.dataDirectory(), files, settings.resources().diskBytes(), identityIfNew);
         firstStart = settings.initialStart() && store.createdNow();
         serverList = new SmallFile(files, settings.dataDirectory(), "servers");
@@ -51,6 +56,11 @@
         return store.recovered().identity();
     }
 
+    /** Addresses of the acceptors that the fleet began with. */
+    List<String> founders() {
+        return founders;
+    }
+
     /** Whether the whole system starts for the first time: nothing can have been promised before. */
     boolean firstStart() {
         return firstStart;
