--- a/shared/src/main/java/dewplank/exchange/InboundConnection.java
+++ b/shared/src/main/java/dewplank/exchange/InboundConnection.java
@@ -19,6 +19,8 @@
     private static final byte[] CRLF = {'\r', '\n'};
     private static final byte[] LAST_CHUNK = {'0', '\r', '\n', '\r', '\n'};
     private static final byte[] NOTHING = new byte[0];
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
 
     /** Whoever serves the requests of a listener. */
     public interface Service {
@@ -56,7 +58,9 @@
     private Request taken;   // whole, and not handed over yet
     private boolean handed;
     private boolean keepAlive;
+    private boolean headOnly;   // the request is a HEAD: a body would be taken for the next answer
     private boolean streaming;
+    private boolean bodiless;   // the answer that was begun has no body
     private boolean answered;
     private double waitsSince;
 
@@ -94,6 +98,7 @@
     private void take() {
         busy = true;
         keepAlive = parser.keepAlive();
+        headOnly = parser.method().equals("HEAD");
         Request request = new Request(parser.method(), parser.target(), parser.headers(), parser.takeBody());
         taken = request;
         // The caller's end may lie right behind its request. The next read comes after this, and what it finds at once
@@ -154,7 +159,7 @@
         }
         boolean last = last();
         MessageWriter head = MessageWriter.response(status).headers(headers).header("Connection", last ? "close" : null);
-        connection.write(head.body(body), () -> { });
+        connection.write(bodyless(status) ? head.noBody() : head.body(body), () -> { });
         over(last);
     }
 
@@ -162,6 +167,11 @@
         answer(status, List.of(), NOTHING);
     }
 
+    /** Whether the caller takes the answer to end with its head (RFC 9112, 6.3). */
+    private boolean bodyless(int status) {
+        return headOnly || status == NO_CONTENT || status == NOT_MODIFIED;
+    }
+
     /** Begins an answer whose body comes in pieces. */
     public void begin(int status, List<Headers.Field> headers) {
         if (connection.isClosed()) {
@@ -169,13 +179,15 @@
         }
         streaming = true;
         keepAlive = !last();
-        connection.write(MessageWriter.response(status).headers(headers).header("Transfer-Encoding", "chunked")
+        bodiless = bodyless(status);
+        connection.write(MessageWriter.response(status).headers(headers)
+            .header("Transfer-Encoding", bodiless ? null : "chunked")
             .header("Connection", keepAlive ? null : "close").noBody(), () -> { });
     }
 
     /** The next piece of a body that has begun. */
     public void piece(byte[] bytes) {
-        if (bytes.length > 0 && !connection.isClosed()) {
+        if (bytes.length > 0 && !bodiless && !connection.isClosed()) {
             byte[] size = Integer.toHexString(bytes.length).getBytes(StandardCharsets.US_ASCII);
             connection.write(ByteBuffer.allocate(size.length + bytes.length + 2 * CRLF.length)
                 .put(size).put(CRLF).put(bytes).put(CRLF).flip(), () -> { });
@@ -185,7 +197,9 @@
     /** The body is whole. */
     public void end() {
         if (!connection.isClosed()) {
-            connection.write(ByteBuffer.wrap(LAST_CHUNK), () -> { });
+            if (!bodiless) {
+                connection.write(ByteBuffer.wrap(LAST_CHUNK), () -> { });
+            }
             over(!keepAlive);
         }
     }
@@ -203,6 +217,7 @@
 
     private void over(boolean last) {
         handed = false;
+        headOnly = false;
         streaming = false;
         answered = true;
         waitsSince = loop.now();
--- a/shared/src/test/java/dewplank/exchange/InboundConnectionTest.java
+++ b/shared/src/test/java/dewplank/exchange/InboundConnectionTest.java
@@ -161,6 +161,49 @@
         }
     }
 
+    /** A caller takes the answer to a HEAD to end with its head: a body would stand where its next answer is due. */
+    @Test
+    void anAnswerToAHeadHasNoBodyAndTheNextAnswerFollows() throws Exception {
+        Wire caller = caller();
+        caller.send("HEAD /1 HTTP/1.1\r\nHost: h\r\n\r\n" + request("/2", "", ""));
+        answer(service.next(), 200, "not for a HEAD");
+        assertEquals(200, caller.readHead().status());
+        answer(service.next(), 201, "own");
+        Wire.Message next = caller.read();
+        assertEquals(201, next.status());
+        assertEquals("own", next.body());
+    }
+
+    @Test
+    void aStreamedAnswerToAHeadHasNoBodyEither() throws Exception {
+        Wire caller = caller();
+        caller.send("HEAD /1 HTTP/1.1\r\nHost: h\r\n\r\n" + request("/2", "", ""));
+        Handed handed = service.next();
+        onLoop(handed, c -> {
+            c.begin(200, List.of());
+            c.piece(bytes("event"));
+            c.end();
+        });
+        Wire.Message head = caller.readHead();
+        assertEquals(200, head.status());
+        assertNull(head.header("Transfer-Encoding"));
+        answer(service.next(), 201, "own");
+        assertEquals(201, caller.read().status());
+    }
+
+    /** RFC 9110, 8.6: such an answer has no length. */
+    @Test
+    void anAnswerWithoutContentEndsWithItsHead() throws Exception {
+        Wire caller = caller();
+        caller.send(request("/1", "", "") + request("/2", "", ""));
+        answer(service.next(), 204, "");
+        Wire.Message empty = caller.read();
+        assertEquals(204, empty.status());
+        assertNull(empty.header("Content-Length"));
+        answer(service.next(), 200, "own");
+        assertEquals("own", caller.read().body());
+    }
+
     @Test
     void aCallerThatHoldsItsBodyBackIsToldToGoOnOnce() throws Exception {
         Wire caller = caller();
--- a/shared/src/test/java/dewplank/exchange/Wire.java
+++ b/shared/src/test/java/dewplank/exchange/Wire.java
@@ -156,6 +156,20 @@
         return line.toString();
     }
 
+    /** Whether bytes have come that were not read yet. */
+    public boolean hasBytes() throws IOException {
+        return in.available() > 0;
+    }
+
+    /** The next so many bytes, whatever they are. */
+    public String readBytes(int count) throws IOException {
+        byte[] bytes = in.readNBytes(count);
+        if (bytes.length < count) {
+            throw new EOFException("cut off after " + bytes.length + " bytes");
+        }
+        return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+
     /** All that comes until the other side ends or breaks the connection. */
     public String readToEnd() throws IOException {
         ByteArrayOutputStream all = new ByteArrayOutputStream();
