--- a/dataplane/src/main/java/dewplank/dataplane/Counters.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Counters.java
@@ -24,6 +24,10 @@
         changed = true;
     }
 
+    long of(Count count) {
+        return counts.getOrDefault(count, 0L);
+    }
+
     void log() {
         if (changed) {
             changed = false;
--- /dev/null
+++ b/dataplane/src/main/java/dewplank/dataplane/DecodeStep.java
@@ -0,0 +1,296 @@
+package dewplank.dataplane;
+
+import dewplank.exchange.HttpCall;
+import dewplank.http.Headers;
+import dewplank.net.Wheel;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import dewplank.dataplane.Counters.Count;
+import dewplank.routing.EventSplitter;
+import dewplank.routing.PairChoice;
+import dewplank.routing.ServerState;
+
+/**
+ * Has a decode server run the request and passes its stream on by whole events; continues it at another server where
+ * the route allows that and nothing would be repeated.
+ */
+final class DecodeStep {
+    private static final double PATIENCE = 2;       // times the expected time
+    private static final double SILENCE_MS = 700;   // of a stream that may be continued elsewhere
+
+    private final GenerationExchange exchange;
+    private final EventSplitter events = new EventSplitter();
+    private ServerCall call;
+    private Wheel.Timer patience;
+    private boolean begun;
+
+    DecodeStep(GenerationExchange exchange) {
+        this.exchange = exchange;
+    }
+
+    /** Whether a part of the stream has gone to the client. */
+    boolean begun() {
+        return begun;
+    }
+
+    /** Sends the request to a decode server, or gives it up where none is there or none may be sent to. */
+    void begin() {
+        if (exchange.over()) {
+            return;
+        }
+        Server server = choose();
+        if (server == null || !exchange.takeSend()) {
+            giveUp();
+            return;
+        }
+        begin(server);
+    }
+
+    private void begin(Server server) {
+        exchange.sends++;
+        List<Headers.Field> further = new ArrayList<>();
+        further.add(GenerationExchange.priority(exchange.route.priority()));
+        KvHandle given = exchange.handover.offer();
+        if (given != null) {
+            further.add(new Headers.Field(WireNames.KV_FROM, given.location()));
+        } else {
+            exchange.forwarder.counters().add(Count.DIRECT);
+        }
+        if (events.lastId() != null) {
+            further.add(new Headers.Field(WireNames.LAST_EVENT_ID, events.lastId()));
+        }
+        long tokens = given == null ? exchange.ownTokens() : 0;
+        call = exchange.callTo(server, tokens, further, new Stream(server, given != null));
+        call.start(Exchange.CONNECT_TIMEOUT_MS);
+        watchSilence();
+    }
+
+    private Server choose() {
+        Forwarder forwarder = exchange.forwarder;
+        List<ServerState> servers = forwarder.fleet().servers(exchange.service.name(), ServerState.Stage.DECODE);
+        boolean mayTry = exchange.repeatable() && exchange.sends + 1 < exchange.route.maxAttempts();
+        ServerState picked = forwarder.pairs().decode(exchange.loop.now(), servers, exchange.prefix,
+            exchange.handover.zone(), exchange::untried, mayTry);
+        return picked == null ? null : forwarder.fleet().server(picked);
+    }
+
+    /** Whether another server may continue, or begin, the stream. */
+    private boolean repeatable() {
+        return exchange.repeatable() && events.resumable();
+    }
+
+    private boolean mayResume() {
+        return repeatable() && exchange.sends < exchange.route.maxAttempts();
+    }
+
+    private void watchSilence() {
+        stopPatience();
+        if (repeatable()) {
+            double expected = begun ? 0 : PATIENCE * PairChoice.readingMs(exchange.prefix.tokens());
+            patience = exchange.loop.after(SILENCE_MS + expected, this::silent);
+        }
+    }
+
+    private void stopPatience() {
+        if (patience != null) {
+            patience.cancel();
+        }
+    }
+
+    /** Nothing has come for long, and the stream may be continued elsewhere. */
+    private void silent() {
+        if (exchange.over() || call.over()) {
+            return;
+        }
+        Server other = choose();
+        if (other == null || other == call.server() || !exchange.takeSend()) {
+            return;   // nobody else may go on: it is waited for
+        }
+        exchange.forwarder.counters().add(Count.TIMEOUTS);
+        exchange.mayHaveRun |= call.mayBeRead();
+        call.cancel();
+        exchange.observe(call.server(), false);
+        restart();
+        begin(other);
+    }
+
+    /** Whether the request has begun to be sent and is not answered. */
+    boolean underWay() {
+        return call != null && !call.over() && call.mayBeRead();
+    }
+
+    /** Continues behind the last whole event at another server. */
+    private void resume() {
+        restart();
+        begin();
+    }
+
+    private void restart() {
+        exchange.handover.free();
+        events.restart();
+        if (begun) {
+            exchange.forwarder.counters().add(Count.STREAMS_RESUMED);
+        }
+    }
+
+    private void giveUp() {
+        stopPatience();
+        exchange.handover.free();
+        if (begun) {
+            exchange.breakOff();
+        } else if (exchange.mayHaveRun) {
+            exchange.fail(502);
+        } else {
+            exchange.refuse();
+        }
+    }
+
+    /** Ends the call under way. */
+    void cancel() {
+        stopPatience();
+        if (call != null) {
+            call.cancel();
+        }
+    }
+
+    private final class Stream implements HttpCall.Listener {
+        private final Server server;
+        private final boolean handedOver;
+        private final ByteArrayOutputStream failure = new ByteArrayOutputStream();
+        private int status;
+        private Headers headers;
+
+        Stream(Server server, boolean handedOver) {
+            this.server = server;
+            this.handedOver = handedOver;
+        }
+
+        private boolean streams() {
+            return Exchange.wholeSuccess(status, headers);
+        }
+
+        @Override
+        public boolean head(int answerStatus, Headers answerHeaders) {
+            if (!exchange.isOwn(answerHeaders)) {
+                return false;
+            }
+            status = answerStatus;
+            headers = answerHeaders;
+            if (streams()) {
+                exchange.handover.taken();
+            }
+            return true;
+        }
+
+        @Override
+        public void body(byte[] piece) {
+            if (!streams()) {
+                failure.writeBytes(piece);
+                return;
+            }
+            exchange.mayHaveRun = true;
+            pieces(events.feed(piece));
+            watchSilence();
+        }
+
+        private void pieces(byte[] whole) {
+            if (whole.length == 0) {
+                return;
+            }
+            if (!begun) {
+                begun = true;
+                call.promptRead();
+                exchange.client.begin(status, headers.endToEnd());
+            }
+            exchange.client.piece(whole);
+        }
+
+        @Override
+        public void complete() {
+            stopPatience();
+            if (Exchange.notRun(status, headers)) {
+                rejected();
+                return;
+            }
+            exchange.mayHaveRun = true;
+            if (!streams()) {
+                failedAnswer();
+            } else if (isCutOff()) {
+                exchange.observe(server, false);
+                broken();
+            } else {
+                exchange.observe(server, true);
+                pieces(events.takeUnfinished());
+                endStream();
+            }
+        }
+
+        /**
+         * Whether the connection's end, which is the only end of an answer without a length, came in the middle of an
+         * event or before the first: then it is a break.
+         */
+        private boolean isCutOff() {
+            boolean framed = headers.get("Content-Length") != null || headers.get("Transfer-Encoding") != null;
+            return !framed && (!begun || events.midEvent());
+        }
+
+        private void failedAnswer() {
+            exchange.observe(server, status >= 300 && status < 500);
+            boolean last = Exchange.finalFailure(status);
+            if (!last && mayResume()) {
+                resume();
+            } else if (begun) {
+                exchange.breakOff();
+            } else if (last || status == 500 || status == 504) {
+                exchange.pass(status, headers.endToEnd(), failure.toByteArray());
+            } else {
+                exchange.fail(502);
+            }
+        }
+
+        private void endStream() {
+            if (!begun) {
+                exchange.pass(status, headers.endToEnd(), new byte[0]);
+                return;
+            }
+            exchange.client.end();
+            exchange.finished();
+        }
+
+        private void rejected() {
+            exchange.turnedAway(server, status);
+            if (handedOver) {
+                exchange.forwarder.counters().add(Count.HANDOVER_FAILURES);
+            }
+            exchange.handover.free();
+            if (exchange.sends < exchange.route.maxAttempts()) {
+                begin();
+            } else {
+                giveUp();
+            }
+        }
+
+        @Override
+        public void failed(HttpCall.Failure how) {
+            stopPatience();
+            boolean ran = exchange.failed(server, how);
+            exchange.mayHaveRun |= ran;
+            if (ran) {
+                broken();
+                return;
+            }
+            exchange.sends--;
+            exchange.handover.notSent();
+            begin();
+        }
+
+        private void broken() {
+            if (mayResume()) {
+                resume();
+            } else {
+                exchange.fail(502);   // or breaks off what has begun
+            }
+        }
+    }
+}
--- a/dataplane/src/main/java/dewplank/dataplane/Exchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Exchange.java
@@ -39,7 +39,8 @@
     final Service service;
     final double arrivedAt;
     final double deadline;
-    final Set<String> tried = new HashSet<>();
+    private final String attemptId;
+    private final Set<String> tried = new HashSet<>();
     /** Servers sent to, as the route's limit and the budget count them. */
     int sends;
     /** Whether the request may have run at a server. */
@@ -56,6 +57,7 @@
         this.route = route;
         this.service = service;
         this.arrivedAt = arrivedAt;
+        this.attemptId = request.headers().get(WireNames.ATTEMPT_ID);
         this.deadline = arrivedAt + Math.min(clientWaits(), route.timeoutMs()) - DEADLINE_SPARE_MS;
     }
 
@@ -74,7 +76,7 @@
         send();
     }
 
-    /** Whether a call that may run the request has been sent and not been answered yet. */
+    /** Whether a call that may run the request has begun to be sent and has not been answered yet. */
     abstract boolean runMayBeUnderWay();
 
     /** Begins the first send. */
@@ -206,8 +208,25 @@
 
     // ---- calls ----------------------------------------------------------------------------------------
 
+    /**
+     * A call that brings the request to a server, with further fields. A server that has had it before gets it on a
+     * connection of its own: a second answer to the first send bears the same id, and would be taken for the answer to
+     * the next one, as would one to a request without an id.
+     */
+    final ServerCall callTo(Server server, long tokens, List<Headers.Field> further, HttpCall.Listener listener) {
+        boolean again = !tried.add(server.state.instanceId());
+        ServerCall call = new ServerCall(loop, server, tokens, message(server, further), listener);
+        if (again || attemptId == null) {
+            call.alone();
+        }
+        if (request.method().equals("HEAD")) {
+            call.expectHead();
+        }
+        return call;
+    }
+
     /** The request as it is sent to a server, with further fields. */
-    final ByteBuffer message(Server server, List<Headers.Field> further) {
+    private ByteBuffer message(Server server, List<Headers.Field> further) {
         List<Headers.Field> fields = new ArrayList<>();
         for (Headers.Field f : request.headers().endToEnd()) {
             boolean replaced = WireNames.systems(f.name())
@@ -225,11 +244,12 @@
             .body(request.body());
     }
 
-    /** Whether the answer belongs to this request. */
+    /**
+     * Whether the answer belongs to this request. Servers echo the id, so an answer without one is another's, of the
+     * freeing of a handle say; where the request has none its connection carries no other call.
+     */
     final boolean isOwn(Headers headers) {
-        String id = headers.get(WireNames.ATTEMPT_ID);
-        String own = request.headers().get(WireNames.ATTEMPT_ID);
-        return id == null || id.equals(own);
+        return attemptId == null || attemptId.equals(headers.get(WireNames.ATTEMPT_ID));
     }
 
     /** Whether the answer says that the server did not run the request. */
--- a/dataplane/src/main/java/dewplank/dataplane/PlainExchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/PlainExchange.java
@@ -39,8 +39,7 @@
 
     private void send(Server server) {
         sends++;
-        tried.add(server.state.instanceId());
-        call = new ServerCall(loop, server, 0, message(server, List.of()), new Answer(server));
+        call = callTo(server, 0, List.of(), new Answer(server));
         call.start(CONNECT_TIMEOUT_MS);
         if (repeatable()) {
             patience = loop.after(PATIENCE * route.targetLatencyMs(), this::overdue);
@@ -75,7 +74,7 @@
             return;
         }
         forwarder.counters().add(Count.TIMEOUTS);
-        mayHaveRun |= call.sent();
+        mayHaveRun |= call.mayBeRead();
         call.cancel();
         observe(call.server(), false);
         send(other);
@@ -83,7 +82,7 @@
 
     @Override
     boolean runMayBeUnderWay() {
-        return call != null && !call.over() && call.sent();
+        return call != null && !call.over() && call.mayBeRead();
     }
 
     @Override
--- /dev/null
+++ b/dataplane/src/main/java/dewplank/dataplane/PrefillStep.java
@@ -0,0 +1,151 @@
+package dewplank.dataplane;
+
+import dewplank.exchange.HttpCall;
+import dewplank.http.Headers;
+import dewplank.net.Wheel;
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import java.util.Optional;
+import dewplank.dataplane.Counters.Count;
+import dewplank.routing.PairChoice;
+import dewplank.routing.ServerState;
+
+/** Has a prompt read by a prefill server; ends with the KV cache's handle, or without one where none can take it. */
+final class PrefillStep {
+    private static final double PATIENCE_MS = 300;   // beyond the expected time, before another server is asked
+    private static final double PATIENCE = 2;        // times the expected time
+    private static final long TOKENS_PER_PRIORITY = 400;
+
+    private final GenerationExchange exchange;
+    private ServerCall call;
+    private Wheel.Timer patience;
+    private int prefills;
+
+    PrefillStep(GenerationExchange exchange) {
+        this.exchange = exchange;
+    }
+
+    /** Asks a server, or goes on without where none is there or none may be asked. */
+    void begin() {
+        Server server = choose();
+        boolean free = prefills == 0;
+        if (server == null || !free && !mayRepeat()) {
+            exchange.decode();
+            return;
+        }
+        prefills++;
+        exchange.sends += free ? 0 : 1;
+        exchange.forwarder.counters().add(Count.PREFILLS);
+        List<Headers.Field> further = List.of(new Headers.Field(WireNames.STAGE, "prefill"), priority());
+        call = exchange.callTo(server, exchange.ownTokens(), further, new Answer(server, free));
+        call.start(Exchange.CONNECT_TIMEOUT_MS);
+        double expected = PairChoice.readingMs(exchange.prefix.tokens())
+            + PairChoice.prefillWait(exchange.loop.now(), server.state);
+        patience = exchange.loop.after(PATIENCE_MS + PATIENCE * expected, this::overdue);
+    }
+
+    private boolean mayRepeat() {
+        return exchange.sends + 1 < exchange.route.maxAttempts()
+            && exchange.forwarder.mayRepeat(exchange.service.name());
+    }
+
+    private Server choose() {
+        Forwarder forwarder = exchange.forwarder;
+        List<ServerState> servers = forwarder.fleet().servers(exchange.service.name(), ServerState.Stage.PREFILL);
+        ServerState picked = forwarder.pairs().prefill(exchange.loop.now(), servers, exchange.prefix,
+            exchange::untried);
+        return picked == null ? null : forwarder.fleet().server(picked);
+    }
+
+    /** Short prompts are read first: they wait for little, and long ones hardly notice them. */
+    private Headers.Field priority() {
+        return GenerationExchange.priority((int) (exchange.ownTokens() / TOKENS_PER_PRIORITY));
+    }
+
+    private void overdue() {
+        if (exchange.over() || call.over()) {
+            return;
+        }
+        exchange.forwarder.counters().add(Count.TIMEOUTS);
+        call.cancel();
+        exchange.observe(call.server(), false);
+        again();
+    }
+
+    private void again() {
+        exchange.forwarder.counters().add(Count.PREFILL_FAILURES);
+        begin();
+    }
+
+    /** Ends the call under way. */
+    void cancel() {
+        if (call != null) {
+            patience.cancel();
+            call.cancel();
+        }
+    }
+
+    private final class Answer implements HttpCall.Listener {
+        private final Server server;
+        private final boolean free;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private int status;
+        private Headers headers;
+
+        Answer(Server server, boolean free) {
+            this.server = server;
+            this.free = free;
+        }
+
+        @Override
+        public boolean head(int answerStatus, Headers answerHeaders) {
+            status = answerStatus;
+            headers = answerHeaders;
+            return exchange.isOwn(answerHeaders);
+        }
+
+        @Override
+        public void body(byte[] piece) {
+            body.writeBytes(piece);
+        }
+
+        @Override
+        public void complete() {
+            patience.cancel();
+            if (Exchange.notRun(status, headers)) {
+                rejected();
+                return;
+            }
+            Optional<HandleAnswer> answer = status == 200 ? HandleAnswer.parse(body.toByteArray()) : Optional.empty();
+            exchange.observe(server, answer.isPresent());
+            if (answer.isEmpty()) {
+                again();
+                return;
+            }
+            double expected = PairChoice.readingMs(exchange.ownTokens());
+            server.state.queued(exchange.loop.now(), call.took() - expected);
+            exchange.handover.keep(new KvHandle(server, answer.get().handle()));
+            exchange.decode();
+        }
+
+        private void rejected() {
+            exchange.turnedAway(server, status);
+            if (free) {   // one that is rejected counts
+                exchange.sends++;
+                exchange.forwarder.countRepeat(exchange.service.name());
+            }
+            again();
+        }
+
+        @Override
+        public void failed(HttpCall.Failure failure) {
+            patience.cancel();
+            boolean taken = exchange.failed(server, failure);
+            if (!taken) {
+                prefills--;
+                exchange.sends -= free ? 0 : 1;
+            }
+            again();
+        }
+    }
+}
--- a/dataplane/src/main/java/dewplank/dataplane/ServerCall.java
+++ b/dataplane/src/main/java/dewplank/dataplane/ServerCall.java
@@ -22,6 +22,16 @@
         this.call = new HttpCall(loop, server.address, server.pool, message, new Counting(listener));
     }
 
+    /** The call shares its connection with no other one. */
+    void alone() {
+        call.alone();
+    }
+
+    /** The request is a HEAD. */
+    void expectHead() {
+        call.expectHead();
+    }
+
     void start(double connectTimeoutMs) {
         startedAt = loop.now();
         flight = server.state.began(startedAt, tokens);
@@ -36,9 +46,12 @@
         return call.over();
     }
 
-    /** Whether the whole request has been handed over, so that it may run. */
-    boolean sent() {
-        return call.sent();
+    /**
+     * Whether the server may have read of the request, so that it may run: a server may begin before it has read a long
+     * body.
+     */
+    boolean mayBeRead() {
+        return call.connected();
     }
 
     /** The prompt has been read: its tokens weigh on the server no more. */
--- /dev/null
+++ b/dataplane/src/test/java/dewplank/dataplane/CallCrossingTest.java
@@ -0,0 +1,557 @@
+package dewplank.dataplane;
+
+import static dewplank.dataplane.TestFleet.NOT_EXECUTED;
+import static dewplank.dataplane.TestFleet.PLAIN;
+import static dewplank.dataplane.TestFleet.SEAL;
+import static dewplank.dataplane.TestFleet.answer;
+import static dewplank.dataplane.TestFleet.idOf;
+import static dewplank.dataplane.TestFleet.request;
+import static dewplank.dataplane.TestFleet.route;
+import static dewplank.dataplane.TestFleet.serve;
+import static dewplank.dataplane.TestFleet.target;
+import static dewplank.dataplane.TestFleet.timeout;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dewplank.exchange.OnLoop;
+import dewplank.exchange.ScriptedServer;
+import dewplank.exchange.ScriptedServer.Call;
+import dewplank.exchange.Wire;
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Two events that meet on the connections of plain routes, in either order: each caller gets the answer to its own
+ * request or none, and what may run once is never sent again after a server can have read of it.
+ */
+class CallCrossingTest {
+    private static final double RESTED_MS = 30;   // a connection rests 10 ms before it is used again
+    private static final int TIMEOUT_MS = 150;
+    private static final int LONG_TIMEOUT_MS = 2_500;   // for a long body to come in
+    private static final int PATIENCE_MS = 500;   // two and a half times the target
+    private static final int LONG_BODY = 16 << 20;   // more than the system holds
+    private static final String[] BOTH = {"/safe/", "/once/"};
+
+    private TestFleet net;
+
+    @BeforeEach
+    void begin() throws Exception {
+        net = new TestFleet().routes(4 * LONG_BODY, route("safe", "safe", PLAIN, 3),
+            route("once", "unsafe", PLAIN, 3),
+            route("quick", "safe", PLAIN, 2, target(PATIENCE_MS * 2 / 5)),
+            route("brief", "unsafe", PLAIN, 3, timeout(TIMEOUT_MS)),
+            route("half", "unsafe", PLAIN, 3, timeout(LONG_TIMEOUT_MS)),
+            route("briefly", "safe", PLAIN, 3, timeout(TIMEOUT_MS)));
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        net.close();
+    }
+
+    /** A connection to the server, used once and rested, with the client that used it. */
+    private record Rested(Wire client, Call first) { }
+
+    private Rested rested(String target) throws Exception {
+        Wire client = net.ask(target);
+        Call first = net.next();
+        serve(first, "first");
+        assertEquals("first", client.read().body());
+        OnLoop.pass(net.loop, RESTED_MS);
+        return new Rested(client, first);
+    }
+
+    private Call againOnTheSameWire(Rested rested, String target) throws Exception {
+        rested.client().send(request(target, "", "second"));
+        Call second = net.next();
+        assertSame(rested.first().wire(), second.wire());
+        return second;
+    }
+
+    private void assertServes(Wire client, String target) throws Exception {
+        client.send(request(target, "", ""));
+        Call call = net.next();
+        serve(call, "next");
+        assertEquals("next", client.read().body());
+        net.assertQuiet();
+    }
+
+    // ---- two answers where one was due ----------------------------------------------------------------
+
+    @Test
+    void aLateAnswerOnAReusedConnectionIsNobodysWhateverItSays() throws Exception {
+        net.plain();
+        for (String target : BOTH) {
+            for (String status : new String[] {"200 OK", "404 Not Found", "500 Internal Server Error"}) {
+                Rested rested = rested(target);
+                Call second = againOnTheSameWire(rested, target);
+                answer(rested.first(), status, SEAL, "the first one's");
+                answer(second, "200 OK", SEAL, "own");
+                assertEquals("own", rested.client().read().body(), target + status);
+                net.assertQuiet();
+            }
+        }
+    }
+
+    /** Its promise is the first request's: the second one may run, and is neither refused nor sent elsewhere. */
+    @Test
+    void aLateRejectionOnAReusedConnectionRejectsNothing() throws Exception {
+        net.plain();
+        for (String target : BOTH) {
+            Rested rested = rested(target);
+            Call second = againOnTheSameWire(rested, target);
+            answer(rested.first(), "503 Service Unavailable", NOT_EXECUTED, "");
+            answer(rested.first(), "421 Misdirected Request", "", "");
+            serve(second, "own");
+            assertEquals("own", rested.client().read().body());
+            net.assertQuiet();
+        }
+    }
+
+    /** Servers echo the id; what has none is another's, of the freeing of a handle say. */
+    @Test
+    void anAnswerWithoutAnIdIsNobodys() throws Exception {
+        net.plain();
+        for (String target : BOTH) {
+            Rested rested = rested(target);
+            Call second = againOnTheSameWire(rested, target);
+            second.wire().answer("404 Not Found", "", "nobody's");
+            second.wire().answer("200 OK", SEAL, "nobody's");
+            second.wire().answer("503 Service Unavailable", NOT_EXECUTED, "");
+            serve(second, "own");
+            assertEquals("own", rested.client().read().body());
+            net.assertQuiet();
+        }
+    }
+
+    @Test
+    void ofTwoAnswersInOnePieceTheFirstCountsAndTheConnectionEnds() throws Exception {
+        net.plain();
+        for (String target : BOTH) {
+            Wire client = net.ask(target);
+            Call call = net.next();
+            String own = "HTTP/1.1 200 OK\r\n" + idOf(call) + SEAL + "Content-Length: 1\r\n\r\n";
+            call.wire().send(own + "1" + own + "2");
+            assertEquals("1", client.read().body());
+            call.wire().awaitEnd();
+            assertServes(client, target);
+        }
+    }
+
+    /** The bytes of the second answer form none with those of the first one's. */
+    @Test
+    void bytesBehindAnAnswerAreNoPartOfTheNext() throws Exception {
+        net.plain();
+        for (String target : BOTH) {
+            Rested rested = rested(target);
+            Call second = againOnTheSameWire(rested, target);
+            second.wire().send("surplus\r\n");
+            if (target.equals("/once/")) {
+                assertEquals(502, rested.client().read().status());
+            } else {
+                Call third = net.next();
+                assertNotSame(second.wire(), third.wire());
+                serve(third, "own");
+                assertEquals("own", rested.client().read().body());
+            }
+            net.assertQuiet();
+        }
+    }
+
+    /**
+     * The request itself is sent to the same server again: a second answer to the first send has the same id, and must
+     * not be taken for the answer to the next one, which may run.
+     */
+    @Test
+    void aRequestSentAgainToItsServerGoesByAConnectionOfItsOwn() throws Exception {
+        ScriptedServer one = net.plain();
+        Wire warm = net.ask("/once/");
+        Call earlier = net.next();
+        Wire client = net.ask("/once/");
+        Call first = net.next();
+        serve(earlier, "");   // its connection rests, ready for whoever comes next
+        warm.read();
+        OnLoop.pass(net.loop, RESTED_MS);
+        answer(first, "421 Misdirected Request", "", "");
+        Call again = net.next();
+        assertSame(one, again.server());
+        assertNotSame(first.wire(), again.wire());
+        assertNotSame(earlier.wire(), again.wire(), "a connection that has carried another call");
+        answer(first, "421 Misdirected Request", "", "");
+        serve(again, "own");
+        assertEquals("own", client.read().body());
+        net.assertQuiet();
+    }
+
+    // ---- resets ---------------------------------------------------------------------------------------
+
+    @Test
+    void aResetOfAnIdleConnectionThatIsKnownCostsNothing() throws Exception {
+        net.plain();
+        for (String target : BOTH) {
+            Rested rested = rested(target);
+            rested.first().wire().reset();
+            OnLoop.await(net.loop, () -> net.view.allServers().iterator().next().pool.size() == 0);
+            rested.client().send(request(target, "", ""));
+            Call second = net.next();
+            assertNotSame(rested.first().wire(), second.wire());
+            serve(second, "own");
+            assertEquals("own", rested.client().read().body());
+            net.assertQuiet();
+            OnLoop.pass(net.loop, RESTED_MS);   // so that no further connection is opened
+        }
+    }
+
+    @Test
+    void aResetAfterTheRequestWasReadEndsAnUnsafeOne() throws Exception {
+        net.plain();
+        net.plain();
+        Rested rested = rested("/once/");
+        rested.client().send(request("/once/", "", ""));
+        net.next().wire().reset();
+        assertEquals(502, rested.client().read().status());
+        net.assertQuiet();
+        assertServes(rested.client(), "/once/");
+    }
+
+    /**
+     * The reset and the request are there at once. If the connection took no byte, the request goes by another one or
+     * is refused; if it did, nobody can tell whether it was read, and it is neither refused nor sent again.
+     */
+    @Test
+    void aResetThatMeetsAnUnsafeRequestSendsItOnceAtMost() throws Exception {
+        net.plain();
+        for (boolean resetFirst : new boolean[] {true, false}) {
+            Rested rested = rested("/once/");
+            OnLoop.run(net.loop, () -> {
+                if (resetFirst) {
+                    rested.first().wire().reset();
+                }
+                rested.client().send(request("/once/", "", "meets"));
+                if (!resetFirst) {
+                    rested.first().wire().reset();
+                }
+            });
+            OnLoop.await(net.loop, () -> !net.calls.isEmpty() || rested.client().hasBytes());
+            Call sent = net.calls.poll();
+            boolean read = sent != null && sent.wire() == rested.first().wire();
+            boolean elsewhere = sent != null && !read;
+            if (elsewhere) {
+                serve(sent, "own");
+            }
+            Wire.Message got = rested.client().read();
+            boolean refused = sent == null && got.status() == 503;   // true, as no server has read of it or ever will
+            assertEquals(elsewhere ? 200 : refused ? 503 : 502, got.status());
+            assertEquals(elsewhere ? "own" : "", got.body());
+            net.assertQuiet();
+            OnLoop.pass(net.loop, 2 * RESTED_MS);   // a server that broke a connection is spared for 40 ms
+        }
+    }
+
+    @Test
+    void anInterimAnswerIsNoPromiseThatTheRequestIsStillUnread() throws Exception {
+        net.plain();
+        net.plain();
+        Wire client = net.ask("/once/");
+        Call call = net.next();
+        call.wire().send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n" + idOf(call) + "\r\n");
+        call.wire().reset();
+        assertEquals(502, client.read().status());
+        net.assertQuiet();
+    }
+
+    /** Without a length the connection's end ends the answer, and a reset does not. */
+    @Test
+    void anAnswerWithoutALengthIsWholeAtItsEndAndNotAtAReset() throws Exception {
+        net.plain();
+        net.plain();
+        for (String target : BOTH) {
+            for (boolean whole : new boolean[] {true, false}) {
+                Wire client = net.ask(target);
+                Call call = net.next();
+                call.wire().send("HTTP/1.1 200 OK\r\n" + idOf(call) + SEAL + "\r\nhalf");
+                if (whole) {
+                    call.wire().close();
+                    assertEquals("half", client.read().body());
+                } else if (target.equals("/safe/")) {
+                    call.wire().reset();
+                    serve(net.next(), "own");
+                    assertEquals("own", client.read().body());
+                } else {
+                    call.wire().reset();
+                    assertEquals(502, client.read().status());
+                }
+                net.assertQuiet();
+                OnLoop.pass(net.loop, RESTED_MS);
+            }
+        }
+    }
+
+    // ---- early answers --------------------------------------------------------------------------------
+
+    private Wire askLong(String target) throws IOException {
+        Wire client = net.client();
+        client.send(request(target, "", "x".repeat(LONG_BODY)));
+        return client;
+    }
+
+    /** The server reads on: only the rest of the body may come where it is due. */
+    @Test
+    void anEarlyAnswerIsPassedOnAndItsConnectionCarriesNothingElse() throws Exception {
+        try (ScriptedServer raw = ScriptedServer.raw()) {
+            net.list(raw, PLAIN, null);
+            for (String target : BOTH) {
+                Wire client = askLong(target);
+                Wire wire = raw.nextConnection();
+                String id = wire.readHead().header("X-Dewplank-Request-Attempt-Id");
+                wire.answer("200 OK", "X-Dewplank-Request-Attempt-Id: " + id + "\r\n" + SEAL, "early");
+                assertEquals("early", client.read().body());
+                client.send(request(target, "", ""));
+                Wire next = raw.nextConnection();
+                assertNotSame(wire, next);
+                assertTrue(wire.readToEnd().chars().allMatch(c -> c == 'x'), "other bytes where the body is due");
+                id = next.read().header("X-Dewplank-Request-Attempt-Id");
+                next.answer("200 OK", "X-Dewplank-Request-Attempt-Id: " + id + "\r\nConnection: close\r\n" + SEAL,
+                    "own");
+                assertEquals("own", client.read().body());
+                net.assertQuiet();
+            }
+        }
+    }
+
+    /** Long requests are turned away before they are in: the next server gets all of it, once. */
+    @Test
+    void aRequestThatIsTurnedAwayEarlyGoesWholeToAnotherServer() throws Exception {
+        try (ScriptedServer raw = ScriptedServer.raw()) {
+            for (String target : BOTH) {
+                net.list(raw, PLAIN, null);
+                Wire client = askLong(target);
+                Wire wire = raw.nextConnection();
+                String id = wire.readHead().header("X-Dewplank-Request-Attempt-Id");
+                ScriptedServer other = net.plain();
+                wire.answer("503 Service Unavailable", "X-Dewplank-Request-Attempt-Id: " + id + "\r\n" + NOT_EXECUTED,
+                    "");
+                Call call = net.next();
+                assertSame(other, call.server());
+                assertEquals(id, call.message().header("X-Dewplank-Request-Attempt-Id"));
+                assertEquals(LONG_BODY, call.message().body().length());
+                serve(call, "own");
+                assertEquals("own", client.read().body());
+                net.assertQuiet();
+                net.remove(raw);
+                net.remove(other);
+            }
+        }
+    }
+
+    /** The deadline comes while the body is still going out: the server may have begun, so nothing is promised. */
+    @Test
+    void anUnsafeRequestThatIsHalfSentAtItsDeadlineIsNotRefused() throws Exception {
+        try (ScriptedServer raw = ScriptedServer.raw()) {
+            net.list(raw, PLAIN, null);
+            Wire client = askLong("/half/");   // its time counts from its first byte
+            raw.nextConnection().readHead();
+            assertEquals(504, client.read().status());
+            net.assertQuiet();
+        }
+    }
+
+    // ---- time-outs ------------------------------------------------------------------------------------
+
+    /** Keeps the loop from looking until the deadline has passed, so that both events are there. */
+    private void withTheDeadlinePast(OnLoop.Task event) throws Exception {
+        withTimePast(2 * TIMEOUT_MS, event);
+    }
+
+    private void withTimePast(double ms, OnLoop.Task event) throws Exception {
+        OnLoop.run(net.loop, () -> {
+            event.run();
+            double until = net.loop.now() + ms;
+            while (net.loop.now() < until) {
+                Thread.onSpinWait();
+            }
+        });
+    }
+
+    /** Whichever is looked at first: one answer, and the next request of the connection gets its own. */
+    @Test
+    void anAnswerThatMeetsTheDeadlineIsOneAnswer() throws Exception {
+        net.plain();
+        for (String target : new String[] {"/brief/", "/briefly/"}) {
+            Wire client = net.ask(target);
+            Call call = net.next();
+            withTheDeadlinePast(() -> serve(call, "just in time"));
+            Wire.Message got = client.read();
+            assertTrue(got.status() == 200 && got.body().equals("just in time") || got.status() == 504,
+                got.startLine());
+            assertServes(client, "/safe/");
+        }
+    }
+
+    @Test
+    void anAnswerAfterTheDeadlineIsNobodys() throws Exception {
+        net.plain();
+        for (String target : new String[] {"/brief/", "/briefly/"}) {
+            Wire client = net.ask(target);
+            Call call = net.next();
+            assertEquals(504, client.read().status());
+            call.wire().awaitEnd();
+            client.send(request("/safe/", "", ""));
+            Call next = net.next();
+            assertNotSame(call.wire(), next.wire());
+            serve(next, "own");
+            assertEquals("own", client.read().body());
+            net.assertQuiet();
+        }
+    }
+
+    /** A reset at the deadline: a request that may have run is not refused, in either order. */
+    @Test
+    void aResetThatMeetsTheDeadlineIsNoRefusal() throws Exception {
+        net.plain();
+        Wire client = net.ask("/brief/");
+        Call call = net.next();
+        withTheDeadlinePast(() -> call.wire().reset());
+        int status = client.read().status();
+        assertTrue(status == 502 || status == 504, "status " + status);
+        net.assertQuiet();
+        assertServes(client, "/once/");
+    }
+
+    // ---- silence --------------------------------------------------------------------------------------
+
+    /** The silent server is left when another one is asked: its connection has ended, and its answer with it. */
+    @Test
+    void theAnswerOfAServerThatWasLeftIsNobodys() throws Exception {
+        net.plain();
+        net.plain();
+        Wire client = net.ask("/quick/");
+        Call first = net.next();
+        Call second = net.next();
+        assertEquals(first.message().header("X-Dewplank-Request-Attempt-Id"),
+            second.message().header("X-Dewplank-Request-Attempt-Id"));
+        first.wire().awaitEnd();
+        serve(second, "second");
+        assertEquals("second", client.read().body());
+        assertServes(client, "/once/");
+    }
+
+    /** Patience ends and the answer comes, at once: one answer, and the other server's is never seen. */
+    @Test
+    void silenceThatMeetsAnAnswerIsOneAnswer() throws Exception {
+        net.plain();
+        net.plain();
+        Wire client = net.ask("/quick/");
+        Call first = net.next();
+        withTimePast(2 * PATIENCE_MS, () -> serve(first, "first"));
+        OnLoop.await(net.loop, () -> !net.calls.isEmpty() || client.hasBytes());
+        Call second = net.calls.poll();
+        if (second != null) {
+            serve(second, "second");
+        }
+        assertEquals(second == null ? "first" : "second", client.read().body());
+        assertServes(client, "/once/");
+    }
+
+    /** Patience ends and the connection breaks, at once: the request goes to one other server, not to two. */
+    @Test
+    void silenceThatMeetsAResetIsOneRepeat() throws Exception {
+        net.plain();
+        net.plain();
+        net.plain();
+        Wire client = net.ask("/quick/");
+        Call first = net.next();
+        withTimePast(2 * PATIENCE_MS, () -> first.wire().reset());
+        Call second = net.next();
+        assertNotSame(first.server(), second.server());
+        serve(second, "own");
+        assertEquals("own", client.read().body());
+        net.assertQuiet();
+    }
+
+    @Test
+    void anUnsafeRequestIsNotRepeatedAfterSilenceWithAnEnd() throws Exception {
+        net.plain();
+        net.plain();
+        Wire client = net.ask("/once/");
+        Call call = net.next();
+        OnLoop.pass(net.loop, RESTED_MS);
+        call.wire().close();
+        assertEquals(502, client.read().status());
+        net.assertQuiet();
+    }
+
+    // ---- callers --------------------------------------------------------------------------------------
+
+    /** A caller leaves in the middle of its answer: the rest of it is on a connection that nobody uses. */
+    @Test
+    void theRestOfAnAnswerWhoseCallerHasLeftIsNobodys() throws Exception {
+        net.plain();
+        for (String target : BOTH) {
+            Wire leaves = net.ask(target);
+            Call call = net.next();
+            call.wire().send("HTTP/1.1 200 OK\r\n" + idOf(call) + SEAL + "Content-Length: 8\r\n\r\nhalf");
+            leaves.close();
+            call.wire().awaitEnd();
+            Wire stays = net.ask(target);
+            Call next = net.next();
+            assertNotSame(call.wire(), next.wire());
+            serve(next, "own");
+            assertEquals("own", stays.read().body());
+            net.assertQuiet();
+        }
+    }
+
+    /** Requests sent ahead: what becomes of one doesn't touch the next one's answer. */
+    @Test
+    void requestsSentAheadGetTheirOwnAnswersAlsoBehindAFailure() throws Exception {
+        net.plain();
+        net.plain();
+        Wire client = net.client();
+        client.send(request("/once/1", "", "") + request("/safe/2", "", "") + request("/none/3", "", "")
+            + request("/once/4", "", ""));
+        Call one = net.next();
+        assertEquals("/once/1", one.message().target());
+        one.wire().reset();
+        assertEquals(502, client.read().status());
+        Call two = net.next();
+        assertEquals("/safe/2", two.message().target());
+        two.wire().reset();
+        Call again = net.next();
+        assertEquals("/safe/2", again.message().target());
+        serve(again, "2");
+        assertEquals("2", client.read().body());
+        assertEquals(404, client.read().status());
+        Call four = net.next();
+        assertEquals("/once/4", four.message().target());
+        assertNotEquals(again.message().header("X-Dewplank-Request-Attempt-Id"),
+            four.message().header("X-Dewplank-Request-Attempt-Id"));
+        serve(four, "4");
+        assertEquals("4", client.read().body());
+        net.assertQuiet();
+    }
+
+    /** The length of an answer to a HEAD is that of a body which does not come. */
+    @Test
+    void theAnswerToAHeadEndsWithItsHeadOnBothSides() throws Exception {
+        net.plain();
+        Wire client = net.client();
+        client.send("HEAD /safe/ HTTP/1.1\r\nHost: " + TestFleet.HOST + "\r\nX-Dewplank-Request-Attempt-Id: h1\r\n\r\n"
+            + request("/once/", "", ""));
+        Call head = net.next();
+        assertEquals("HEAD", head.message().method());
+        head.wire().send("HTTP/1.1 200 OK\r\n" + idOf(head) + SEAL + "Content-Length: 5\r\n\r\n");
+        Wire.Message got = client.readHead();
+        assertEquals(200, got.status());
+        assertEquals("h1", got.header("X-Dewplank-Request-Attempt-Id"));
+        Call next = net.next();
+        serve(next, "own");
+        assertEquals("own", client.read().body());
+        net.assertQuiet();
+    }
+}
--- a/dataplane/src/test/java/dewplank/dataplane/GenerationTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/GenerationTest.java
@@ -31,6 +31,8 @@
 
 /** Prompts read at one server and streams sent by another: what each is sent, and what becomes of the handles. */
 class GenerationTest {
+    private static final int MOST_TRIES = 20;
+
     private TestFleet net;
 
     @BeforeEach
@@ -63,6 +65,7 @@
     private void assertIsFreed(Call call, ScriptedServer at, String handle) {
         assertEquals("DELETE", call.message().method());
         assertEquals("/kv-handle/" + handle, call.message().target());
+        assertEquals(net.id(at), call.message().header("X-Dewplank-Target-Instance"));
         assertSame(at, call.server());
         assertEquals(net.id(at), call.message().header("X-Dewplank-Target-Instance"));
     }
@@ -179,6 +182,27 @@
         streamOut(run, client);
     }
 
+    /** What the stage is and whose prompt is handed over is the system's to say, whatever a client sent. */
+    @Test
+    void aClientsOwnWordsOnStageAndHandleAreNotPassedOn() throws Exception {
+        ScriptedServer prefill = net.prefill();
+        net.decode();
+        String fields = "X-Dewplank-Processing-Stage: prefill\r\nkv-from: 127.0.0.1:9/another\r\n";
+        Wire client = net.ask("/gen/", PROMPT + fields);
+        Call read = net.next();
+        assertIsPrefill(read);
+        assertEquals(1, read.message().count("X-Dewplank-Processing-Stage"));
+        handOver(read, "own");
+        Call run = net.next();
+        assertIsDecode(run, prefill.addressText() + "/own");
+        streamOut(run, client);
+        Wire direct = net.ask("/gen/", fields);
+        Call alone = net.next();
+        assertIsDecode(alone, null);
+        streamOut(alone, direct);
+        net.assertQuiet();
+    }
+
     // ---- no prefill -----------------------------------------------------------------------------------
 
     @Test
@@ -468,12 +492,18 @@
     void aHandleThatWasNotSentYetIsFreedAtTheDeadline() throws Exception {
         ScriptedServer prefill = net.prefill();
         net.list(ScriptedServer.late(net.calls), MODEL, "decode");
-        Wire client = net.ask("/brief/", PROMPT);   // its 200 ms are over before the 250 ms of a connection
-        handOver(net.next(), "h1");
-        assertEquals(503, client.read().status(), "nothing can have run");
+        for (int tries = 0; tries < MOST_TRIES && freed() == 0; tries++) {
+            Wire client = net.ask("/brief/", PROMPT);   // its 200 ms are over before the 250 ms of a connection
+            handOver(net.next(), "h1");   // on a busy machine that may be after the deadline: then once more
+            assertEquals(503, client.read().status(), "nothing can have run");
+        }
         assertIsFreed(net.next(), prefill, "h1");
     }
 
+    private long freed() throws Exception {
+        return OnLoop.get(net.loop, () -> net.forwarder.counters().of(Counters.Count.FREED));
+    }
+
     // ---- decode servers that turn it away -------------------------------------------------------------
 
     @Test
--- /dev/null
+++ b/dataplane/src/test/java/dewplank/dataplane/StreamCrossingTest.java
@@ -0,0 +1,440 @@
+package dewplank.dataplane;
+
+import static dewplank.dataplane.TestFleet.MODEL;
+import static dewplank.dataplane.TestFleet.NOT_EXECUTED;
+import static dewplank.dataplane.TestFleet.PLAIN;
+import static dewplank.dataplane.TestFleet.PROMPT;
+import static dewplank.dataplane.TestFleet.SEAL;
+import static dewplank.dataplane.TestFleet.SHORT_PROMPT;
+import static dewplank.dataplane.TestFleet.answer;
+import static dewplank.dataplane.TestFleet.beginStream;
+import static dewplank.dataplane.TestFleet.event;
+import static dewplank.dataplane.TestFleet.handOver;
+import static dewplank.dataplane.TestFleet.idOf;
+import static dewplank.dataplane.TestFleet.request;
+import static dewplank.dataplane.TestFleet.resumable;
+import static dewplank.dataplane.TestFleet.route;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dewplank.exchange.OnLoop;
+import dewplank.exchange.ScriptedServer;
+import dewplank.exchange.ScriptedServer.Call;
+import dewplank.exchange.Wire;
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Two events that meet in a stream or in a hand-over, in either order: no event comes twice or is missing, no stream
+ * seems whole that isn't, and a handle goes to one run of its own request.
+ */
+class StreamCrossingTest {
+    private static final double RESTED_MS = 30;
+    private static final double PAST_SILENCE_MS = 800;   // a resumable stream that has begun is moved after 700 ms
+    private static final double PAST_PREFILL_MS = 400;    // a short prompt is waited for 300 ms
+    private static final int LONG_BODY = 16 << 20;        // more than the system holds
+    private static final String[] BOTH = {"/gen/", "/res/"};
+
+    private TestFleet net;
+
+    @BeforeEach
+    void begin() throws Exception {
+        net = new TestFleet().routes(4 * LONG_BODY, route("gen", "streaming", MODEL, 2),
+            resumable(route("res", "streaming", MODEL, 2)), route("plain", "unsafe", PLAIN, 1));
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        net.close();
+    }
+
+    /** A stream whose first event has reached the client. */
+    private record Begun(Wire client, Call run) { }
+
+    private Begun begun(String target, String prompt) throws Exception {
+        Wire client = net.ask(target, prompt);
+        Call run = net.next();
+        beginStream(run);
+        run.wire().chunk(event(1));
+        assertEquals(200, client.readHead().status());
+        assertEquals(event(1), client.readChunk());
+        return new Begun(client, run);
+    }
+
+    /** What comes before the connection ends is no end of the body and no second head. */
+    private static void assertCut(Wire client, String rest) throws IOException {
+        String came = client.readToEnd();
+        assertEquals(rest, came);
+    }
+
+    private static void goOn(Call call, Wire client, int id) throws IOException {
+        beginStream(call);
+        call.wire().chunk(event(id));
+        call.wire().lastChunk();
+        assertEquals(event(id), client.readChunk());
+        assertEquals("", client.readChunk());
+    }
+
+    private void withTimePast(double ms, OnLoop.Task event) throws Exception {
+        OnLoop.run(net.loop, () -> {
+            event.run();
+            double until = net.loop.now() + ms;
+            while (net.loop.now() < until) {
+                Thread.onSpinWait();
+            }
+        });
+    }
+
+    // ---- the end of a stream --------------------------------------------------------------------------
+
+    /** The end was sent before the reset; which of them is seen decides, and either way nothing is missing or twice. */
+    @Test
+    void anEndThatMeetsAResetIsWholeOrIsContinued() throws Exception {
+        net.decode();
+        net.decode();
+        Begun stream = begun("/res/", PROMPT);
+        OnLoop.run(net.loop, () -> {
+            stream.run().wire().chunk(event(2));
+            stream.run().wire().lastChunk();
+            stream.run().wire().reset();
+        });
+        OnLoop.await(net.loop, () -> !net.calls.isEmpty() || net.forwarder.openRequests() == 0);
+        Call next = net.calls.poll();
+        if (next == null) {
+            assertEquals(event(2), stream.client().readChunk());
+            assertEquals("", stream.client().readChunk());
+        } else {
+            boolean second = "2".equals(next.message().header("Last-Event-Id"));
+            beginStream(next);
+            if (second) {
+                assertEquals(event(2), stream.client().readChunk());
+            } else {
+                assertEquals("1", next.message().header("Last-Event-Id"));
+                next.wire().chunk(event(2));
+                assertEquals(event(2), stream.client().readChunk());
+            }
+            next.wire().lastChunk();
+            assertEquals("", stream.client().readChunk());
+        }
+        net.assertQuiet();
+    }
+
+    @Test
+    void aResetAfterTheEndChangesNothing() throws Exception {
+        net.decode();
+        net.decode();
+        for (String target : BOTH) {
+            Begun stream = begun(target, PROMPT);
+            stream.run().wire().lastChunk();
+            assertEquals("", stream.client().readChunk());
+            stream.run().wire().reset();
+            net.assertQuiet();
+        }
+    }
+
+    /** Without a length the connection's end ends a stream, but not in the middle of an event. */
+    @Test
+    void anEndInTheMiddleOfAnEventIsABreak() throws Exception {
+        net.decode();
+        net.decode();
+        for (String target : BOTH) {
+            Wire client = net.ask(target, PROMPT);
+            Call run = net.next();
+            run.wire().send("HTTP/1.1 200 OK\r\n" + idOf(run) + SEAL + "\r\n" + event(1) + "id: 2\ndata: half");
+            assertEquals(200, client.readHead().status());
+            assertEquals(event(1), client.readChunk());
+            run.wire().close();
+            if (target.equals("/res/")) {
+                Call next = net.next();
+                assertEquals("1", next.message().header("Last-Event-Id"));
+                goOn(next, client, 2);
+            } else {
+                assertCut(client, "");
+            }
+            net.assertQuiet();
+        }
+    }
+
+    @Test
+    void anEndBeforeTheFirstEventIsABreak() throws Exception {
+        net.decode();
+        net.decode();
+        for (String target : BOTH) {
+            Wire client = net.ask(target, PROMPT);
+            Call run = net.next();
+            run.wire().send("HTTP/1.1 200 OK\r\n" + idOf(run) + SEAL + "\r\n");
+            run.wire().close();
+            if (target.equals("/res/")) {
+                Call next = net.next();
+                assertNull(next.message().header("Last-Event-Id"));
+                beginStream(next);
+                next.wire().chunk(event(1));
+                next.wire().lastChunk();
+                assertEquals(event(1), client.read().body());
+            } else {
+                assertEquals(502, client.read().status());
+            }
+            net.assertQuiet();
+        }
+    }
+
+    /** Without an id nobody can say where the stream is to go on: it would repeat what was passed on. */
+    @Test
+    void aStreamIsNotContinuedBehindAnEventWithoutAnId() throws Exception {
+        net.decode();
+        net.decode();
+        Begun stream = begun("/res/", SHORT_PROMPT);
+        stream.run().wire().chunk("data: nameless\n\n");
+        assertEquals("data: nameless\n\n", stream.client().readChunk());
+        stream.run().wire().reset();
+        assertCut(stream.client(), "");
+        net.assertQuiet();
+    }
+
+    @Test
+    void aSecondAnswerBehindAStreamIsNobodys() throws Exception {
+        net.decode();
+        for (String target : BOTH) {
+            Begun stream = begun(target, PROMPT);
+            stream.run().wire().send("0\r\n\r\nHTTP/1.1 200 OK\r\n" + idOf(stream.run()) + SEAL
+                + "Content-Length: 2\r\n\r\nho");
+            assertEquals("", stream.client().readChunk());
+            stream.run().wire().awaitEnd();
+            net.assertQuiet();
+        }
+    }
+
+    /** The rest of a stream whose client has left, and the next stream: they never share a connection. */
+    @Test
+    void theRestOfAStreamWhoseClientHasLeftIsNobodys() throws Exception {
+        net.decode();
+        for (String target : BOTH) {
+            Begun left = begun(target, PROMPT);
+            left.client().close();
+            left.run().wire().awaitEnd();
+            Begun next = begun(target, PROMPT);
+            assertNotSame(left.run().wire(), next.run().wire());
+            next.run().wire().lastChunk();
+            assertEquals("", next.client().readChunk());
+            net.assertQuiet();
+            OnLoop.pass(net.loop, RESTED_MS);
+        }
+    }
+
+    @Test
+    void aLateStreamOnAReusedConnectionIsNobodys() throws Exception {
+        net.decode();
+        for (String target : BOTH) {
+            Begun first = begun(target, PROMPT);
+            first.run().wire().lastChunk();
+            assertEquals("", first.client().readChunk());
+            OnLoop.pass(net.loop, RESTED_MS);
+            first.client().send(request(target, PROMPT, ""));
+            Call second = net.next();
+            assertSame(first.run().wire(), second.wire());
+            beginStream(first.run());
+            second.wire().chunk("id: 9\ndata: the first one's\n\n");
+            second.wire().lastChunk();
+            answer(first.run(), "503 Service Unavailable", NOT_EXECUTED, "");
+            second.wire().answer("200 OK", SEAL, "id: 9\ndata: without an id\n\n");
+            beginStream(second);
+            second.wire().chunk(event(1));
+            second.wire().lastChunk();
+            assertEquals(event(1), first.client().read().body());
+            net.assertQuiet();
+            OnLoop.pass(net.loop, RESTED_MS);
+        }
+    }
+
+    // ---- silence --------------------------------------------------------------------------------------
+
+    /** The stream is moved and its first server speaks on: its connection has ended, so no event comes twice. */
+    @Test
+    void whatASilentServerSendsAfterItsStreamWasMovedIsNobodys() throws Exception {
+        net.decode();
+        net.decode();
+        Begun stream = begun("/res/", SHORT_PROMPT);
+        Call next = net.next();
+        stream.run().wire().awaitEnd();
+        assertEquals("1", next.message().header("Last-Event-Id"));
+        goOn(next, stream.client(), 2);
+        net.assertQuiet();
+    }
+
+    /** The silence ends and is over, at once: event 2 comes once, by the one server or by the other. */
+    @Test
+    void anEventThatMeetsTheEndOfPatienceComesOnce() throws Exception {
+        net.decode();
+        net.decode();
+        Begun stream = begun("/res/", SHORT_PROMPT);
+        withTimePast(PAST_SILENCE_MS, () -> stream.run().wire().chunk(event(2)));
+        OnLoop.await(net.loop, () -> !net.calls.isEmpty() || stream.client().hasBytes());
+        Call next = net.calls.poll();
+        if (next == null) {
+            assertEquals(event(2), stream.client().readChunk());
+            stream.run().wire().lastChunk();
+            assertEquals("", stream.client().readChunk());
+        } else {
+            String last = next.message().header("Last-Event-Id");
+            if (last.equals("2")) {
+                assertEquals(event(2), stream.client().readChunk());
+            }
+            goOn(next, stream.client(), last.equals("2") ? 3 : 2);
+        }
+        net.assertQuiet();
+    }
+
+    // ---- hand-overs -----------------------------------------------------------------------------------
+
+    private static boolean isFree(Call call) {
+        return call.message().method().equals("DELETE");
+    }
+
+    /** The prompt's handle and the end of patience are there at once: one run, with the handle or without it. */
+    @Test
+    void aHandleThatMeetsTheEndOfPatienceLeadsToOneRun() throws Exception {
+        ScriptedServer prefill = net.prefill();
+        net.decode();
+        for (String target : BOTH) {
+            Wire client = net.ask(target, SHORT_PROMPT);
+            Call read = net.next();
+            withTimePast(PAST_PREFILL_MS, () -> handOver(read, "h1"));
+            Call run = net.next();
+            String from = run.message().header("Kv-From");
+            assertTrue(from == null || from.equals(prefill.addressText() + "/h1"), from);
+            beginStream(run);
+            run.wire().chunk(event(1));
+            run.wire().lastChunk();
+            assertEquals(event(1), client.read().body());
+            net.assertQuiet();
+            OnLoop.pass(net.loop, RESTED_MS);
+        }
+    }
+
+    @Test
+    void twoAnswersToOnePrefillLeadToOneRun() throws Exception {
+        ScriptedServer prefill = net.prefill();
+        net.decode();
+        for (String target : BOTH) {
+            Wire client = net.ask(target, PROMPT);
+            Call read = net.next();
+            handOver(read, "h1");
+            Call run = net.next();
+            assertEquals(prefill.addressText() + "/h1", run.message().header("Kv-From"));
+            handOver(read, "h2");
+            read.wire().awaitEnd();
+            beginStream(run);
+            run.wire().chunk(event(1));
+            run.wire().lastChunk();
+            assertEquals(event(1), client.read().body());
+            net.assertQuiet();
+        }
+    }
+
+    /** A late answer to an earlier prefill, on the connection that carries the next one, in the next one's place. */
+    @Test
+    void anEarlierRequestsHandleOnAReusedConnectionIsNotTaken() throws Exception {
+        ScriptedServer prefill = net.prefill();
+        net.decode();
+        Call earlier = null;
+        for (String handle : new String[] {"h1", "h2"}) {
+            Wire client = net.ask("/gen/", PROMPT);
+            Call read = net.next();
+            if (earlier != null) {
+                assertSame(earlier.wire(), read.wire());
+                handOver(earlier, "late");
+                read.wire().answer("200 OK", "", "{\"context_handle\":\"nobodys\",\"token_count\":60}");
+            }
+            handOver(read, handle);
+            Call run = net.next();
+            assertEquals(prefill.addressText() + "/" + handle, run.message().header("Kv-From"));
+            beginStream(run);
+            run.wire().chunk(event(1));
+            run.wire().lastChunk();
+            assertEquals(event(1), client.read().body());
+            earlier = read;
+            OnLoop.pass(net.loop, RESTED_MS);
+        }
+        net.assertQuiet();
+    }
+
+    /** The decode server may have taken it: it is given back once and nobody else is told of it. */
+    @Test
+    void aHandleWhoseRunFallsSilentIsFreedOnceAndNotGivenAgain() throws Exception {
+        ScriptedServer prefill = net.prefill();
+        net.decode();
+        net.decode();
+        Wire client = net.ask("/res/", SHORT_PROMPT);
+        handOver(net.next(), "h1");
+        Call silent = net.next();
+        assertEquals(prefill.addressText() + "/h1", silent.message().header("Kv-From"));
+        int frees = 0;
+        Call run = net.next();
+        for (; isFree(run); run = net.next()) {
+            assertEquals("/kv-handle/h1", run.message().target());
+            run.wire().answer("200 OK", "", "");
+            frees++;
+        }
+        assertNull(run.message().header("Kv-From"));
+        beginStream(run);
+        run.wire().chunk(event(1));
+        run.wire().lastChunk();
+        assertEquals(event(1), client.read().body());
+        silent.wire().awaitEnd();
+        OnLoop.await(net.loop, () -> net.forwarder.openRequests() == 0);
+        Call late = frees == 0 ? net.next() : null;   // the free may come behind the run
+        assertTrue(late == null || isFree(late));
+        net.assertQuiet();
+    }
+
+    /** Half of the request was sent: the decode server may have come for the handle already. */
+    @Test
+    void aHandleOfARunThatBrokeWithinItsRequestIsNotGivenAgain() throws Exception {
+        ScriptedServer prefill = net.prefill();
+        try (ScriptedServer raw = ScriptedServer.raw()) {
+            net.list(raw, MODEL, "decode");
+            Wire client = net.client();
+            client.send(request("/gen/", PROMPT, "x".repeat(LONG_BODY)));
+            handOver(net.next(), "h1");
+            Wire wire = raw.nextConnection();
+            assertEquals(prefill.addressText() + "/h1", wire.readHead().header("Kv-From"));
+            wire.reset();
+            assertEquals(502, client.read().status());
+            Call free = net.next();
+            assertTrue(isFree(free));
+            assertEquals("/kv-handle/h1", free.message().target());
+            assertEquals(0, raw.connectionsWaiting(), "sent again");
+            net.assertQuiet();
+        }
+    }
+
+    /** The answer to a free bears no id: its connection carries nothing else, before or after. */
+    @Test
+    void theAnswerToAFreeReachesNoOtherRequest() throws Exception {
+        net.prefill();
+        Wire client = net.ask("/gen/", PROMPT);   // no decode server is there
+        Call read = net.next();
+        handOver(read, "h1");
+        Call free = net.next();
+        assertTrue(isFree(free));
+        assertNotSame(read.wire(), free.wire());
+        assertEquals(503, client.read().status());
+        free.wire().answer("404 Not Found", "", "gone");
+        free.wire().awaitEnd();
+        OnLoop.pass(net.loop, RESTED_MS);
+        Wire next = net.ask("/gen/", PROMPT);
+        Call readNext = net.next();
+        assertNotSame(free.wire(), readNext.wire());
+        handOver(readNext, "h2");
+        assertTrue(isFree(net.next()));
+        assertEquals(503, next.read().status());
+        assertFalse(next.hasBytes());
+        net.assertQuiet();
+    }
+}
--- a/fleet/src/main/java/dewplank/routing/EventSplitter.java
+++ b/fleet/src/main/java/dewplank/routing/EventSplitter.java
@@ -15,6 +15,8 @@
     private final ByteArrayOutputStream unfinished = new ByteArrayOutputStream();
     private String lastId;
     private String unfinishedId;
+    private boolean unfinishedData;
+    private boolean beyondId;
     private int lineLength;
     private boolean carriageReturn;
     private final StringBuilder line = new StringBuilder();
@@ -33,6 +35,7 @@
         }
         unfinished.write(bytes, start, bytes.length - start);
         if (unfinished.size() > MOST_UNFINISHED) {
+            beyondId = true;
             whole.writeBytes(takeUnfinished());
         }
         return whole.toByteArray();
@@ -42,9 +45,8 @@
         if (b == '\n') {
             boolean blank = lineLength == 0 || lineLength == 1 && carriageReturn;
             endLine();
-            if (blank && unfinishedId != null) {
-                lastId = unfinishedId;
-                unfinishedId = null;
+            if (blank) {
+                endEvent();
             }
             return blank;
         }
@@ -56,8 +58,20 @@
         return false;
     }
 
+    private void endEvent() {
+        if (unfinishedId != null) {
+            lastId = unfinishedId;
+            beyondId = false;
+        } else {
+            beyondId |= unfinishedData;
+        }
+        unfinishedId = null;
+        unfinishedData = false;
+    }
+
     private void endLine() {
         String text = line.toString();
+        unfinishedData |= text.startsWith("data");
         if (text.startsWith("id:")) {
             unfinishedId = text.substring("id:".length()).strip();
         }
@@ -77,11 +91,25 @@
     public void restart() {
         unfinished.reset();
         unfinishedId = null;
+        unfinishedData = false;
         line.setLength(0);
         lineLength = 0;
         carriageReturn = false;
     }
 
+    /** Whether an event has begun and is not whole. */
+    public boolean midEvent() {
+        return unfinished.size() > 0;
+    }
+
+    /**
+     * Whether the stream can be continued behind {@link #lastId} with nothing repeated: no event without an id, and no
+     * part of one, has been passed on since.
+     */
+    public boolean resumable() {
+        return !beyondId;
+    }
+
     /** The id of the last whole event, as the server wrote it; null before the first. */
     public String lastId() {
         return lastId;
--- a/fleet/src/test/java/dewplank/routing/EventSplitterTest.java
+++ b/fleet/src/test/java/dewplank/routing/EventSplitterTest.java
@@ -1,7 +1,9 @@
 package dewplank.routing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -55,6 +57,35 @@
         assertEquals(line.length + 1, events.feed(bytes("x")).length);
     }
 
+    /** What was passed on behind the last id would come twice. */
+    @Test
+    void aStreamIsResumableOnlyBehindAllThatWasPassedOn() {
+        EventSplitter events = new EventSplitter();
+        assertTrue(events.resumable());
+        events.feed(bytes("id: 1\ndata: a\n\nid: 2\ndata: b"));
+        assertTrue(events.resumable() && events.midEvent(), "what is unfinished has not been passed on");
+        events.feed(bytes("\n\n: a comment\n\n"));
+        assertTrue(events.resumable() && !events.midEvent());
+        events.feed(bytes("data: without an id\n\n"));
+        assertFalse(events.resumable());
+        events.restart();
+        assertFalse(events.resumable());
+        events.feed(bytes("id: 3\ndata: c\n\n"));
+        assertTrue(events.resumable());
+    }
+
+    @Test
+    void aPartOfAnEndlessEventThatWasPassedOnCannotBeRepeated() {
+        EventSplitter events = new EventSplitter();
+        events.feed(bytes("id: 1\ndata: a\n\n"));
+        byte[] line = new byte[EventSplitter.MOST_UNFINISHED + 1];
+        java.util.Arrays.fill(line, (byte) 'x');
+        events.feed(line);
+        assertFalse(events.resumable());
+        events.feed(bytes("\nid: 2\n\n"));
+        assertTrue(events.resumable());
+    }
+
     /** However a stream is cut into pieces, the same bytes come out in the same order. */
     @Property(tries = 300)
     void nothingIsLostOrReordered(@ForAll @Size(max = 12) java.util.List<@IntRange(min = 1, max = 40) Integer> cuts) {
