End a session whose lease is over instead of telling it more

A data plane that lost power or was cut off for good closes nothing: its session stayed in the list for ever, and every update was queued for it, up to 32 MiB a session in a heap of 96. The push that follows the end of its lease now ends the connection. Ruled out: relying on the bound of unsent bytes, which three such sessions would not have reached in time.

--- a/controlplane/src/main/java/dewplank/controlplane/Sessions.java
+++ b/controlplane/src/main/java/dewplank/controlplane/Sessions.java
@@ -62,7 +62,7 @@
 
     /** Something has changed: whoever holds older is told. */
     void push() {
-        open.forEach(Session::tell);
+        List.copyOf(open).forEach(Session::tellOrEnd);
     }
 
     int size() {
@@ -74,15 +74,18 @@
         private final MessageLink connection;
         private final Member member;
         private final Held held = new Held();
+        private double askedAt;
         private boolean asked;
 
         Session(MessageLink connection, Member member) {
             this.connection = connection;
             this.member = member;
+            this.askedAt = loop.now();
         }
 
         void question(SessionQuestion question) {
-            table.renew(loop.now(), member);
+            askedAt = loop.now();
+            table.renew(askedAt, member);
             if (!asked) {
                 asked = true;
                 held.configurationVersion = question.configurationVersion;
@@ -93,6 +96,15 @@
             tell();
         }
 
+        /** One whose lease is over may be gone for good without a word: what it is told would pile up. */
+        private void tellOrEnd() {
+            if (loop.now() - askedAt > table.leaseMs()) {
+                connection.end();
+            } else {
+                tell();
+            }
+        }
+
         private void tell() {
             if (!asked) {
                 return;
--- a/controlplane/src/test/java/dewplank/controlplane/SessionsTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/SessionsTest.java
@@ -8,6 +8,7 @@
 import dewplank.exchange.OnLoop;
 import dewplank.net.EventLoop;
 import dewplank.net.Listener;
+import dewplank.net.Scheduler;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -30,21 +31,24 @@
 
 /** Sessions of data planes here: what they are told, when, and by what they are known to hold. */
 class SessionsTest {
+    /** Longer than any test takes. */
+    private static final double LEASE_MS = 60_000;
     private static final Member DATA = new Member("n1", Member.DATA, "10.0.0.9:1", "z", 17);
 
     private final EventLoop loop;
-    private final SessionTable table = new SessionTable(60_000);
+    private final SessionTable table = new SessionTable(LEASE_MS);
     private final Sessions sessions;
     private final Listener listener;
     private final FramedPeer dataPlane;
     /** What the source was asked with: version, list, members; and what it has to say. */
     private final List<String> asked = new ArrayList<>();
     private Update news;
+    private double ahead;
 
     SessionsTest() throws IOException {
         loop = new EventLoop();
         dataPlane = new FramedPeer();
-        sessions = new Sessions(loop, table, new Sessions.Source() {
+        sessions = new Sessions(new ShiftedClock(), table, new Sessions.Source() {
             @Override
             public Update newerThan(Sessions.Held held) {
                 asked.add(held.configurationVersion + " " + held.listVersion + " " + held.membersDigest);
@@ -66,6 +70,24 @@
             () -> new FramedConnection(FleetMessages.codec(), new Serving()));
     }
 
+    /** The loop, whose clock a test may set ahead. */
+    private final class ShiftedClock implements Scheduler {
+        @Override
+        public double now() {
+            return loop.now() + ahead;
+        }
+
+        @Override
+        public Timer after(double ms, Runnable task) {
+            return loop.after(ms, task);
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            loop.execute(task);
+        }
+    }
+
     /** Hands what comes to the sessions, as the control plane does. */
     private final class Serving implements MessageLink.Handler {
         private Sessions.Session session;
@@ -189,6 +211,20 @@
         assertEquals(1, OnLoop.get(loop, asked::size));
     }
 
+    /** It lost power, say, and nothing tells: what is sent to it would pile up. */
+    @Test
+    void aSessionWhoseLeaseIsOverEndsInsteadOfBeingTold() throws Exception {
+        MessageLink connection = opened();
+        dataPlane.send(connection, new SessionQuestion(1, 0, ListVersion.NONE, 0));
+        dataPlane.nextIs(SessionAnswer.class);
+        push(configuration(8));
+        dataPlane.nextIs(Update.class);
+        OnLoop.run(loop, () -> ahead = LEASE_MS + 1);
+        push(configuration(9));
+        assertEquals(connection, dataPlane.ended());
+        assertEquals(0, OnLoop.get(loop, sessions::size));
+    }
+
     @Test
     void whereThereIsNoRoomTheConnectionEnds() throws Exception {
         OnLoop.run(loop, () -> {
--- a/fleet/src/main/java/dewplank/membership/SessionTable.java
+++ b/fleet/src/main/java/dewplank/membership/SessionTable.java
@@ -27,6 +27,11 @@
         this.leaseMs = leaseMs;
     }
 
+    /** How long a session lasts without being renewed. */
+    public double leaseMs() {
+        return leaseMs;
+    }
+
     /** Opens or renews a session here; false where there is no room. */
     public boolean renew(double now, Member member) {
         if (own.size() >= MOST_SESSIONS && !own.containsKey(member)) {
