Model the register exhaustively: all orders of messages, losses, kills, failed stores, a wipe

States are hashed; their number and the depth are printed. Of any two values chosen one must extend the other, what is confirmed must be chosen, what is refused must be in no chosen value.

--- /dev/null
+++ b/fleet/src/test/java/dewplank/register/RegisterImage.java
@@ -0,0 +1,192 @@
+package dewplank.register;
+
+import java.lang.reflect.Field;
+import java.lang.reflect.Modifier;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Copies, compares and prints the state of a register by reflection, so that a model can branch at any step. Clocks
+ * and the numbers of questions are set back after each step: the model lets every timeout come at any time.
+ */
+final class RegisterImage {
+    /** The parts of a register that change; everything else is immutable or a collection. */
+    private static final Set<Class<?>> PARTS = Set.of(Register.class, Voter.class, Learner.class, Proposer.class,
+        Reader.class, Sweep.class, Questions.class, Round.class);
+
+    /** Without influence on messages or votes: the tally of the sweeps, and what only says how to reach the rest. */
+    private static final Set<String> LEFT_OUT = Set.of("Sweep.question", "Sweep.answered", "Sweep.newestReported",
+        "Sweep.newestOfQuorum", "Questions.last", "Proposer.attempts", "Voter.ticket", "ChangeTask.change");
+
+    private static final Map<Class<?>, List<Field>> FIELDS = new HashMap<>();
+
+    private RegisterImage() {
+    }
+
+    static Register copy(Register register, Register.Settings settings, FixedRandom random) {
+        Register copy = new Register(settings, DurableState.fresh(""), random);
+        copyInto(register, copy, new IdentityHashMap<>());
+        return copy;
+    }
+
+    static String print(Object object) {
+        StringBuilder text = new StringBuilder();
+        print(object, text, new IdentityHashMap<>());
+        return text.toString();
+    }
+
+    /** The value of a field found by its path. */
+    static Object at(Object from, String... path) {
+        Object found = from;
+        for (String name : path) {
+            Object next = null;
+            for (Field field : fields(found.getClass())) {
+                next = field.getName().equals(name) ? get(field, found) : next;
+            }
+            if (next == null) {
+                return null;
+            }
+            found = next;
+        }
+        return found;
+    }
+
+    /** Sets the clocks and tallies back. */
+    static void forgetClocks(Register register) {
+        forget(register, new IdentityHashMap<>());
+    }
+
+    private static void forget(Object part, Map<Object, Object> seen) {
+        if (seen.put(part, part) != null) {
+            return;
+        }
+        for (Field field : fields(part.getClass())) {
+            Object value = get(field, part);
+            if (field.getType() == double.class) {
+                boolean late = Set.of("nextAt", "fetchedAt").contains(field.getName());
+                set(field, part, late ? Double.NEGATIVE_INFINITY : 0.0);
+            } else if (nameOf(field).equals("Questions.last") || nameOf(field).equals("Sweep.question")) {
+                set(field, part, 0L);
+            } else if (nameOf(field).equals("Proposer.attempts")) {
+                set(field, part, 1);
+            } else if (nameOf(field).equals("Sweep.answered")) {
+                ((Collection<?>) value).clear();
+            } else if (value != null && PARTS.contains(value.getClass())) {
+                forget(value, seen);
+            }
+        }
+    }
+
+    private static void copyInto(Object from, Object to, Map<Object, Object> seen) {
+        if (seen.put(from, to) != null) {
+            return;
+        }
+        for (Field field : fields(from.getClass())) {
+            Object value = get(field, from);
+            if (value instanceof Round) {
+                Round round = new Round(Ballot.NONE, Ballot.NONE, null, 0);
+                copyInto(value, round, seen);
+                set(field, to, round);
+            } else if (value != null && PARTS.contains(value.getClass())) {
+                copyInto(value, get(field, to), seen);
+            } else if (value instanceof Collection) {
+                copyElements(field, (Collection<?>) value, to);
+            } else {
+                set(field, to, value);
+            }
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    private static void copyElements(Field field, Collection<?> elements, Object to) {
+        if (Modifier.isFinal(field.getModifiers())) {
+            Collection<Object> target = (Collection<Object>) get(field, to);
+            target.clear();
+            target.addAll(elements);
+        } else {
+            set(field, to, new ArrayList<>(elements));
+        }
+    }
+
+    private static void print(Object object, StringBuilder text, Map<Object, Object> seen) {
+        if (object == null || object instanceof String || object instanceof Number || object instanceof Boolean) {
+            text.append(object);
+        } else if (object instanceof byte[]) {
+            text.append(VersionHistory.read((byte[]) object));
+        } else if (object instanceof Ballot || object instanceof Acceptor || object instanceof Enum) {
+            text.append(object);
+        } else if (object instanceof Collection) {
+            printElements((Collection<?>) object, text);
+        } else if (PARTS.contains(object.getClass()) && seen.put(object, object) != null) {
+            text.append('^');
+        } else if (object.getClass().getPackage() == Register.class.getPackage()
+            && !(object instanceof FixedRandom) && !(object instanceof Register.Settings)) {
+            printFields(object, text, seen);
+        }
+    }
+
+    private static void printFields(Object object, StringBuilder text, Map<Object, Object> seen) {
+        text.append(object.getClass().getSimpleName()).append('(');
+        for (Field field : fields(object.getClass())) {
+            if (field.getType() != double.class && !LEFT_OUT.contains(nameOf(field))) {
+                print(get(field, object), text, seen);
+                text.append(';');
+            }
+        }
+        text.append(')');
+    }
+
+    private static void printElements(Collection<?> elements, StringBuilder text) {
+        List<String> printed = new ArrayList<>();
+        for (Object element : elements) {
+            printed.add(print(element));
+        }
+        if (elements instanceof Set) {
+            Collections.sort(printed);
+        }
+        text.append(printed);
+    }
+
+    private static String nameOf(Field field) {
+        return field.getDeclaringClass().getSimpleName() + "." + field.getName();
+    }
+
+    private static List<Field> fields(Class<?> type) {
+        return FIELDS.computeIfAbsent(type, RegisterImage::findFields);
+    }
+
+    private static List<Field> findFields(Class<?> type) {
+        List<Field> found = new ArrayList<>();
+        for (Class<?> each = type; each != Object.class && each != Record.class; each = each.getSuperclass()) {
+            for (Field field : each.getDeclaredFields()) {
+                if (!Modifier.isStatic(field.getModifiers())) {
+                    field.setAccessible(true);
+                    found.add(field);
+                }
+            }
+        }
+        return found;
+    }
+
+    private static Object get(Field field, Object object) {
+        try {
+            return field.get(object);
+        } catch (IllegalAccessException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    private static void set(Field field, Object object, Object value) {
+        try {
+            field.set(object, value);
+        } catch (IllegalAccessException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/dewplank/register/RegisterModel.java
@@ -0,0 +1,397 @@
+package dewplank.register;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+
+/** Plays every order of the steps of a scenario, breadth first, and checks each state. */
+final class RegisterModel {
+    private static final int CHOSEN = -1;
+    private static final int TIMEOUT = 0;
+    private static final int STORED = -1;
+    private static final int STORE_FAILED = -2;
+
+    private record Key(int process, int action, ModelProcess.Disk disk) {
+    }
+
+    /** A result by the numbers of its parts; null in its place means that the step does not exist. */
+    private record Effect(int process, int[] kept, int perhaps, int[] proposals, int[] sent,
+                          List<ModelStep.Answer> answers) {
+    }
+
+    private record Outgoing(int recipient, String identity, RegisterMessage message) {
+    }
+
+    private final ModelScenario scenario;
+    private final boolean traced;
+    private final Interner<ModelProcess> processes = new Interner<>();
+    private final Interner<DurableState> disks = new Interner<>();
+    private final Interner<Outgoing> messages = new Interner<>();
+    private final Interner<ModelProposal> proposals = new Interner<>();
+    private final Interner<Acceptor> acceptors = new Interner<>();
+    private final Map<Key, Effect> effects = new HashMap<>();
+    private final Set<Long> seen = new HashSet<>();
+    private List<ModelState> frontier = new ArrayList<>();
+    private List<ModelState> following = new ArrayList<>();
+    private int depth;
+    private int chosenAtMost;
+
+    RegisterModel(ModelScenario scenario, boolean traced) {
+        this.scenario = scenario;
+        this.traced = traced;
+        ModelState first = new ModelState();
+        int size = scenario.processes.size();
+        first.processes = new int[size];
+        first.disks = new int[size];
+        first.perhaps = new int[size];
+        first.timeouts = new int[size];
+        for (int index = 0; index < size; index++) {
+            ModelProcess process = scenario.processes.get(index);
+            first.processes[index] = processes.number(process.print(), process);
+            first.disks[index] = number(scenario.disks.get(index));
+            first.timeouts[index] = scenario.timeouts;
+        }
+        first.kills = scenario.kills;
+        first.failures = scenario.failures;
+        first.wipes = scenario.wipes;
+        frontier.add(first);
+        seen.add(first.hash());
+    }
+
+    String name() {
+        return scenario.name;
+    }
+
+    int states() {
+        return seen.size();
+    }
+
+    int depth() {
+        return depth;
+    }
+
+    /** The most proposals that are chosen in one state. */
+    int chosenAtMost() {
+        return chosenAtMost;
+    }
+
+    /** Whether there is no further state at any depth. */
+    boolean isExhausted() {
+        return frontier.isEmpty();
+    }
+
+    /** Runs a step at a process in the state to begin with. */
+    RegisterModel begin(int process, ModelProcess.Action action) {
+        ModelState state = frontier.get(0);
+        ModelProcess before = processes.get(state.processes[process]);
+        ModelState next = next(state, () -> "begin at " + process);
+        apply(next, process, effect(before.step(action, ModelProcess.Disk.WORKS)));
+        restart(next);
+        return this;
+    }
+
+    /** Plays one order of steps without trouble until a state is as wanted; what is on its way then is lost. */
+    RegisterModel playUntil(Predicate<List<Register>> wanted) {
+        ModelState state = frontier.get(0);
+        Set<Long> played = new HashSet<>(List.of(state.hash()));
+        while (!wanted.test(registers(state))) {
+            ModelState next = null;
+            for (int index = 0; index < state.messages.length && next == null; index++) {
+                next = received(state, state.messages[index], ModelProcess.Disk.WORKS);
+                next = next == null || played.contains(next.hash()) ? null : next;
+            }
+            if (next == null) {
+                throw new IllegalStateException("the state wanted is not reached");
+            }
+            played.add(next.hash());
+            state = next;
+        }
+        state.messages = new int[0];
+        restart(state);
+        return this;
+    }
+
+    private void restart(ModelState state) {
+        frontier = new ArrayList<>(List.of(state));
+        seen.clear();
+        seen.add(state.hash());
+        following.clear();
+    }
+
+    private List<Register> registers(ModelState state) {
+        List<Register> registers = new ArrayList<>();
+        for (int process : state.processes) {
+            registers.add(processes.get(process).register());
+        }
+        return registers;
+    }
+
+    /** Explores to this depth, or to the end. */
+    RegisterModel explore(int mostDepth) {
+        while (depth < mostDepth && !frontier.isEmpty()) {
+            for (ModelState state : frontier) {
+                expand(state);
+            }
+            frontier = following;
+            following = new ArrayList<>();
+            depth++;
+        }
+        return this;
+    }
+
+    private void expand(ModelState state) {
+        ModelProcess.Disk usual = scenario.slowDisks ? ModelProcess.Disk.LATER : ModelProcess.Disk.WORKS;
+        for (int message : state.messages) {
+            add(received(state, message, usual));
+            if (!scenario.slowDisks) {
+                add(state.failures > 0 ? received(state, message, ModelProcess.Disk.FAILS) : null);
+                add(state.kills > 0 ? received(state, message, ModelProcess.Disk.KILLED_AFTER_WRITE) : null);
+            }
+        }
+        for (int process = 0; process < state.processes.length; process++) {
+            expand(state, process, usual);
+        }
+    }
+
+    private void expand(ModelState state, int process, ModelProcess.Disk usual) {
+        if (state.timeouts[process] > 0) {
+            add(timeout(state, process, usual));
+        }
+        if (scenario.slowDisks && processes.get(state.processes[process]).storing() != null) {
+            add(stored(state, process, true));
+            add(state.failures > 0 ? stored(state, process, false) : null);
+        }
+        if (state.kills > 0) {
+            kill(state, process);
+        }
+        if (state.wipes > 0 && process == scenario.wiped) {
+            wipe(state, process);
+        }
+    }
+
+    private void add(ModelState state) {
+        if (state != null && seen.add(state.hash())) {
+            following.add(state);
+        }
+    }
+
+    private ModelState received(ModelState state, int message, ModelProcess.Disk disk) {
+        Outgoing outgoing = messages.get(message);
+        int process = outgoing.recipient;
+        ModelProcess before = processes.get(state.processes[process]);
+        String identity = disks.get(state.disks[process]).identity();
+        if (!outgoing.identity.isEmpty() && !outgoing.identity.equals(identity)) {
+            return null;
+        }
+        Effect effect = effects.computeIfAbsent(new Key(state.processes[process], message, disk),
+            key -> effect(before.receive(outgoing.message, disk)));
+        boolean fails = disk == ModelProcess.Disk.FAILS;
+        boolean killed = disk == ModelProcess.Disk.KILLED_AFTER_WRITE;
+        if (fails && effect.perhaps == 0 || killed && effect.kept.length == 0 || skips(state, effect, outgoing)) {
+            return null;
+        }
+        ModelState next = next(state, () -> disk + ": " + process + " gets " + print(outgoing));
+        next.failures -= fails ? 1 : 0;
+        next.kills -= killed ? 1 : 0;
+        apply(next, process, effect);
+        return next;
+    }
+
+    /**
+     * A step that changes nothing is none. Answers that do not complete a quorum are taken in the order of their
+     * senders only: they change nothing but the proposer's tally, so that one can wait for the other.
+     */
+    private boolean skips(ModelState state, Effect effect, Outgoing outgoing) {
+        int process = outgoing.recipient;
+        if (effect.process == state.processes[process] && effect.sent.length == 0 && effect.kept.length == 0) {
+            return true;
+        }
+        RegisterMessage message = outgoing.message;
+        boolean tallied = message instanceof Promise || message instanceof Accepted;
+        if (!tallied || effect.sent.length > 0 || !effect.answers.isEmpty()) {
+            return false;
+        }
+        String tally = message instanceof Promise ? "promised" : "accepted";
+        Register register = processes.get(state.processes[process]).register();
+        Set<?> counted = (Set<?>) RegisterImage.at(register, "proposer", "round", tally);
+        return counted != null && counted.stream().map(each -> ((Acceptor) each).address())
+            .anyMatch(address -> !address.equals(ModelScenario.address(process))
+                && address.compareTo(message.sender()) > 0);
+    }
+
+    private ModelState timeout(ModelState state, int process, ModelProcess.Disk disk) {
+        ModelProcess before = processes.get(state.processes[process]);
+        Effect effect = effects.computeIfAbsent(new Key(state.processes[process], TIMEOUT, disk),
+            key -> effect(before.timeout(disk)));
+        ModelState next = next(state, () -> "timeout at " + process);
+        next.timeouts = ModelState.with(state.timeouts, process, state.timeouts[process] - 1);
+        apply(next, process, effect);
+        return next;
+    }
+
+    private ModelState stored(ModelState state, int process, boolean works) {
+        ModelProcess before = processes.get(state.processes[process]);
+        int action = works ? STORED : STORE_FAILED;
+        Effect effect = effects.computeIfAbsent(
+            new Key(state.processes[process], action, ModelProcess.Disk.LATER), key -> effect(before.stored(works)));
+        ModelState next = next(state, () -> (works ? "stored at " : "store failed at ") + process);
+        next.failures -= works ? 0 : 1;
+        apply(next, process, effect);
+        return next;
+    }
+
+    /** Kills and restarts it: the disk holds what is certain, what a failed store left, or what is under way. */
+    private void kill(ModelState state, int process) {
+        ModelProcess before = processes.get(state.processes[process]);
+        List<Integer> possible = new ArrayList<>(List.of(state.disks[process]));
+        if (state.perhaps[process] != 0) {
+            possible.add(state.perhaps[process]);
+        }
+        if (before.storing() != null) {
+            possible.add(number(before.storing()));
+        }
+        for (int disk : possible) {
+            DurableState found = disks.get(disk);
+            ModelState next = next(state, () -> "killed " + process + " with " + RegisterImage.print(found));
+            next.kills--;
+            apply(next, process, begun(before.restarted(found), found));
+            add(next);
+        }
+    }
+
+    private void wipe(ModelState state, int process) {
+        String identity = ModelScenario.identity(process, scenario.wipedKeepsIdentity ? 0 : 1);
+        ModelState next = next(state, () -> "wiped " + process);
+        next.wipes--;
+        ModelProcess wiped = processes.get(state.processes[process]).wiped(identity);
+        apply(next, process, begun(wiped, DurableState.fresh(identity)));
+        add(next);
+    }
+
+    private ModelState next(ModelState state, Supplier<String> step) {
+        return state.next(traced ? step.get() : null, traced);
+    }
+
+    private Effect begun(ModelProcess process, DurableState found) {
+        return new Effect(processes.number(process.print(), process), new int[] {number(found)}, 0, new int[0],
+            new int[0], List.of());
+    }
+
+    private Effect effect(ModelProcess.Result result) {
+        return new Effect(processes.number(result.process().print(), result.process()),
+            result.kept().stream().mapToInt(this::number).toArray(),
+            result.perhaps() == null ? 0 : number(result.perhaps()),
+            result.proposals().stream().mapToInt(this::number).toArray(),
+            result.output().sent.stream().mapToInt(this::number).toArray(), result.output().answers);
+    }
+
+    private void apply(ModelState next, int process, Effect effect) {
+        next.processes = ModelState.with(next.processes, process, effect.process);
+        for (int proposal : effect.proposals) {
+            next.propose(proposal);
+        }
+        for (int kept : effect.kept) {
+            next.disks = ModelState.with(next.disks, process, kept);
+            next.perhaps = ModelState.with(next.perhaps, process, 0);
+            DurableState state = disks.get(kept);
+            vote(next, new Acceptor(ModelScenario.address(process), state.identity()), state);
+        }
+        if (effect.perhaps != 0) {
+            next.perhaps = ModelState.with(next.perhaps, process, effect.perhaps);
+        }
+        for (int message : effect.sent) {
+            next.send(message);
+        }
+        for (ModelStep.Answer answer : effect.answers) {
+            answered(next, answer);
+        }
+    }
+
+    private void vote(ModelState state, Acceptor voter, DurableState kept) {
+        int bit = 1 << acceptors.number(voter.identity(), voter);
+        for (int at = 0; at < state.votes.length; at += 2) {
+            ModelProposal proposal = proposals.get(state.votes[at]);
+            int voters = state.votes[at + 1];
+            if (voters != CHOSEN && proposal.ballot().equals(kept.accepted()) && (voters & bit) == 0) {
+                state.votes = ModelState.with(state.votes, at + 1, voters | bit);
+                if (proposal.isChosenBy(voters(voters | bit))) {
+                    state.votes = ModelState.with(state.votes, at + 1, CHOSEN);
+                    checkChosen(state, proposal);
+                }
+            }
+        }
+    }
+
+    private Set<Acceptor> voters(int bits) {
+        Set<Acceptor> voters = new HashSet<>();
+        for (int number = 1; number <= acceptors.size(); number++) {
+            if ((bits & 1 << number) != 0) {
+                voters.add(acceptors.get(number));
+            }
+        }
+        return voters;
+    }
+
+    private List<ModelProposal> chosen(ModelState state) {
+        List<ModelProposal> chosen = new ArrayList<>();
+        for (int at = 0; at < state.votes.length; at += 2) {
+            if (state.votes[at + 1] == CHOSEN) {
+                chosen.add(proposals.get(state.votes[at]));
+            }
+        }
+        return chosen;
+    }
+
+    private void checkChosen(ModelState state, ModelProposal proposal) {
+        List<ModelProposal> chosen = chosen(state);
+        chosenAtMost = Math.max(chosenAtMost, chosen.size());
+        for (ModelProposal other : chosen) {
+            check(state, proposal.agreesWith(other), "chosen are " + proposal + " and " + other);
+        }
+        for (int version = 0; version < Integer.SIZE; version++) {
+            boolean isRefused = (state.refused & 1 << version) != 0;
+            check(state, !isRefused || !proposal.holds(version), "version " + version + " was refused and is chosen");
+        }
+    }
+
+    private void answered(ModelState state, ModelStep.Answer answer) {
+        RegisterValue value = answer.outcome().value();
+        List<ModelProposal> chosen = chosen(state);
+        check(state, chosen.stream().anyMatch(each -> each.value().equals(value)), "confirmed but not chosen");
+        boolean isRefused = VersionHistory.REFUSED.equals(answer.outcome().answer());
+        if (isRefused) {
+            int version = (int) answer.request();
+            state.refused |= 1 << version;
+            check(state, chosen.stream().noneMatch(each -> each.holds(version)), "refused though it is chosen");
+        }
+    }
+
+    private static void check(ModelState state, boolean holds, String rule) {
+        if (!holds) {
+            throw new AssertionError(rule + "\n" + state.trace());
+        }
+    }
+
+    private int number(DurableState state) {
+        return disks.number(RegisterImage.print(state), state);
+    }
+
+    private int number(ModelProposal proposal) {
+        return proposals.number(RegisterImage.print(proposal), proposal);
+    }
+
+    private int number(ModelStep.Sent sent) {
+        int recipient = sent.address().charAt(0) - 'a';
+        Outgoing outgoing = new Outgoing(recipient, sent.message().recipientIdentity(), sent.message());
+        return messages.number(print(outgoing), outgoing);
+    }
+
+    private static String print(Outgoing outgoing) {
+        return outgoing.recipient + " " + RegisterImage.print(outgoing.message);
+    }
+}
