--- a/store/src/main/java/dewplank/store/AcceptorStore.java
+++ b/store/src/main/java/dewplank/store/AcceptorStore.java
@@ -106,10 +106,16 @@
         broken = true;
     }
 
+    /**
+     * Takes what the file holds, and makes it last before anyone rests on it: after a kill the system may still hold a
+     * save that was cut short, which a later loss of power would take back.
+     */
     private void recover() throws IOException {
         current = new StateFile(files, directory.resolve(NAME));
         state = current.read();
         keep(current.readNumbers());
+        current.sync();
+        files.syncDirectory(directory);
     }
 
     /** The identity of a disk that nobody has seen before. */
--- a/store/src/main/java/dewplank/store/StateFile.java
+++ b/store/src/main/java/dewplank/store/StateFile.java
@@ -96,6 +96,11 @@
         }
     }
 
+    /** Makes last what was found in the file. */
+    void sync() throws IOException {
+        file.sync();
+    }
+
     long length() throws IOException {
         return file.size();
     }
