--- a/fleet/src/test/java/dewplank/register/RegisterModelTest.java
+++ b/fleet/src/test/java/dewplank/register/RegisterModelTest.java
@@ -74,7 +74,7 @@
     @Test
     void aReplacementThatIsBegunAgain() {
         explore(changeAndReplacement(new ModelScenario("replacement with timeouts", 4, 3, HINTS).with(1, 0, 0),
-            A, B, D), 8, 2);
+            A, B, D), 10, 2);
     }
 
     @Test
