--- a/dataplane/src/test/java/dewplank/dataplane/ControlStandIn.java
+++ b/dataplane/src/test/java/dewplank/dataplane/ControlStandIn.java
@@ -90,6 +90,12 @@
             socket.getOutputStream().write(frame.array(), 0, frame.limit());
         }
 
+        /** The first half of the message's bytes. */
+        synchronized void sendHalf(Object message) throws IOException {
+            ByteBuffer frame = codec.encode(message);
+            socket.getOutputStream().write(frame.array(), 0, frame.limit() / 2);
+        }
+
         SessionOpen open() throws InterruptedException {
             return next(opened);
         }
