--- a/dataplane/src/main/java/dewplank/dataplane/DecodeStep.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DecodeStep.java
@@ -232,7 +232,7 @@
          */
         private boolean isCutOff() {
             boolean framed = headers.get("Content-Length") != null || headers.get("Transfer-Encoding") != null;
-            return !framed && (!begun || events.midEvent());
+            return !framed && !exchange.isHead() && (!begun || events.midEvent());
         }
 
         private void failedAnswer() {
--- a/dataplane/src/main/java/dewplank/dataplane/Exchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Exchange.java
@@ -219,12 +219,17 @@
         if (again || attemptId == null) {
             call.alone();
         }
-        if (request.method().equals("HEAD")) {
+        if (isHead()) {
             call.expectHead();
         }
         return call;
     }
 
+    /** Whether its answers have no body, whatever their fields say. */
+    final boolean isHead() {
+        return request.method().equals("HEAD");
+    }
+
     /** The request as it is sent to a server, with further fields. */
     private ByteBuffer message(Server server, List<Headers.Field> further) {
         List<Headers.Field> fields = new ArrayList<>();
@@ -257,10 +262,10 @@
         return headers.get(WireNames.NOT_EXECUTED) != null || status == 421;
     }
 
-    /** Whether the answer is a server's success as it left the server. */
+    /** Whether the answer is a server's success as it left the server; not of one that says that it did not run. */
     static boolean wholeSuccess(int status, Headers headers) {
         return status >= 200 && status < 300 && headers.get(WireNames.SEAL) != null
-            && headers.get("Content-Encoding") == null;
+            && headers.get("Content-Encoding") == null && headers.get(WireNames.NOT_EXECUTED) == null;
     }
 
     /**
--- a/dataplane/src/test/java/dewplank/dataplane/TestFleet.java
+++ b/dataplane/src/test/java/dewplank/dataplane/TestFleet.java
@@ -42,6 +42,8 @@
     static final String PROMPT = prompt("aa:30000,bb:20000,c0:30000");
     /** The same, but read within milliseconds. */
     static final String SHORT_PROMPT = prompt("aa:30,bb:20,c0:10");
+    /** Read in a second: overdue after two and a half, and a silent run of it after three. */
+    static final String MEDIUM_PROMPT = prompt("aa:20000,c0:20000");
     /** Enough for any test. */
     static final Forwarder.RetryLimits AMPLE = new Forwarder.RetryLimits(100, 10_000, 1_000);
     static final Forwarder.RetryLimits NONE = new Forwarder.RetryLimits(0, 10_000, 0);
