--- a/fleet/src/test/java/dewplank/routing/EventSplitterTest.java
+++ b/fleet/src/test/java/dewplank/routing/EventSplitterTest.java
@@ -41,6 +41,15 @@
         assertEquals("2", events.lastId());
     }
 
+    /** The first line of an event at which the version of the weights changes. */
+    @Test
+    void aLineThatTellsOfAVersionPassesUnchanged() {
+        EventSplitter events = new EventSplitter();
+        String event = "versions: 3\nid: 4\ndata: a\n\n";
+        assertEquals(event, text(events.feed(bytes(event))));
+        assertEquals("4", events.lastId());
+    }
+
     @Test
     void linesMayEndWithCarriageReturns() {
         EventSplitter events = new EventSplitter();
