--- a/fleet/src/main/java/dewplank/register/Sweep.java
+++ b/fleet/src/main/java/dewplank/register/Sweep.java
@@ -29,6 +29,7 @@
     private double lastQuorumAt = Double.NEGATIVE_INFINITY;
     private Ballot newestReported = Ballot.NONE;
     private Ballot newestOfQuorum = Ballot.NONE;
+    private long sweptGeneration;
     private Ballot watched = Ballot.NONE;
     private double finishAt;
 
@@ -56,12 +57,18 @@
         return newestOfQuorum.isAfter(learner.chosenBallot()) ? Double.NEGATIVE_INFINITY : lastQuorumAt;
     }
 
-    /** Sweeps when it is time; returns whether it did. */
+    /**
+     * Sweeps when it is time, and at the first tick after the set of acceptors changed, so that a newcomer that missed
+     * the value gets it at once; returns whether it did. A newcomer lacks the value for at most the time to the next
+     * tick and two ways, and for one period and three ways when all that is lost.
+     */
     boolean tick(double now, Register.Output out) {
         finishIfStuck(now, out);
-        if (now < nextAt) {
+        long generation = learner.acceptors().generation();
+        if (now < nextAt && generation == sweptGeneration) {
             return false;
         }
+        sweptGeneration = generation;
         nextAt = now + settings.sweepMs() * (STEADY_PART + DRAWN_PART * random.nextDouble());
         ask(now, out);
         return true;
