Serve repairs before orders, and finish a joint set under constant load

Ruled out: more than one round of a process at a time, which would only duel with itself.

Replacements and finishes have a queue of their own (four at most) that goes first; an order whose round was lost gives way.

--- a/fleet/src/main/java/dewplank/register/FinishTask.java
+++ b/fleet/src/main/java/dewplank/register/FinishTask.java
@@ -30,6 +30,11 @@
         return !proposal.value().acceptors().isJoint();
     }
 
+    @Override
+    public boolean isRepair() {
+        return true;
+    }
+
     @Override
     public double deadline() {
         return deadline;
--- a/fleet/src/main/java/dewplank/register/Proposer.java
+++ b/fleet/src/main/java/dewplank/register/Proposer.java
@@ -8,7 +8,10 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
-/** The proposer of one process: one task at a time, each by rounds with jittered backoff until it is done. */
+/**
+ * The proposer of one process: one task at a time, each by rounds with jittered backoff until it is done. Repairs go
+ * before orders: they wait for one round of an order at most, whatever orders are queued.
+ */
 final class Proposer {
     /** A round that got no quorum gets up to this many times the first round's time, so that slow disks suffice. */
     static final int LONGEST_ROUND = 4;
@@ -16,12 +19,16 @@
     /** Doublings of the shortest pause; beyond, the longest pause rules anyway. */
     private static final int MOST_DOUBLINGS = 10;
 
+    /** A repair pauses for four times the shortest pause at most, so that it soon falls into the orders' pauses. */
+    private static final int MOST_REPAIR_DOUBLINGS = 2;
+
     private final Register.Settings settings;
     private final Acceptor self;
     private final Learner learner;
     private final RandomGenerator random;
     private final String name;
-    private final Deque<Task> queue = new ArrayDeque<>();
+    private final Deque<Task> repairs = new ArrayDeque<>();
+    private final Deque<Task> orders = new ArrayDeque<>();
     private Task active;
     private Round round;
     private int attempts;
@@ -37,9 +44,14 @@
         this.name = self.identity() + "." + Long.toHexString(random.nextLong());
     }
 
-    /** Tasks that wait or are under way. */
-    int pending() {
-        return queue.size() + (active == null ? 0 : 1);
+    /** Orders that wait or are under way. */
+    int pendingOrders() {
+        return orders.size() + (active == null || active.isRepair() ? 0 : 1);
+    }
+
+    /** Repairs that wait or are under way. */
+    int pendingRepairs() {
+        return repairs.size() + (active != null && active.isRepair() ? 1 : 0);
     }
 
     double lastQuorumAt() {
@@ -55,7 +67,7 @@
     }
 
     void add(double now, Task task, Register.Output out) {
-        queue.add(task);
+        (task.isRepair() ? repairs : orders).add(task);
         startIfIdle(now, out);
     }
 
@@ -64,6 +76,7 @@
         if (round != null && now - round.phaseStartedAt() >= timeout()) {
             lose(now);
         }
+        giveWay();
         if (active != null && round == null && now >= retryAt) {
             begin(now, out);
         }
@@ -108,14 +121,22 @@
     }
 
     private void startIfIdle(double now, Register.Output out) {
-        if (active != null || queue.isEmpty()) {
+        if (active != null || repairs.isEmpty() && orders.isEmpty()) {
             return;
         }
-        active = queue.poll();
+        active = repairs.isEmpty() ? orders.poll() : repairs.poll();
         attempts = 0;
         begin(now, out);
     }
 
+    /** An order whose round got no quorum goes on after the repairs that wait. */
+    private void giveWay() {
+        if (active != null && round == null && !active.isRepair() && !repairs.isEmpty()) {
+            orders.addFirst(active);
+            active = null;
+        }
+    }
+
     private void begin(double now, Register.Output out) {
         attempts++;
         Ballot ballot = new Ballot(learner.highestRound() + 1, name);
@@ -181,7 +202,8 @@
 
     private void lose(double now) {
         round = null;
-        double growing = settings.retryMinimumMs() * (1 << Math.min(attempts, MOST_DOUBLINGS));
+        int doublings = active.isRepair() ? MOST_REPAIR_DOUBLINGS : MOST_DOUBLINGS;
+        double growing = settings.retryMinimumMs() * (1 << Math.min(attempts, doublings));
         double longest = Math.min(settings.retryMaximumMs(), growing);
         double spread = Math.max(0, longest - settings.retryMinimumMs());
         retryAt = now + settings.retryMinimumMs() + random.nextDouble() * spread;
@@ -190,12 +212,14 @@
     /** Gives up what is late; the callers, who may ask anew at once, hear of it when the queue is in order again. */
     private void dropLate(double now, Register.Output out) {
         List<Task> late = new ArrayList<>();
-        for (Task task : queue) {
-            if (now >= task.deadline()) {
-                late.add(task);
+        for (Deque<Task> queue : List.of(repairs, orders)) {
+            for (Task task : queue) {
+                if (now >= task.deadline()) {
+                    late.add(task);
+                }
             }
+            queue.removeAll(late);
         }
-        queue.removeAll(late);
         if (active != null && now >= active.deadline()) {
             late.add(active);
             active = null;
--- a/fleet/src/main/java/dewplank/register/Register.java
+++ b/fleet/src/main/java/dewplank/register/Register.java
@@ -13,6 +13,9 @@
     /** Requests that may wait or be under way at one process; more only wait out their callers' patience. */
     public static final int MOST_PENDING = 64;
 
+    /** Replacements that may wait besides: one duty holder asks for one at a time, and asks anew when it ends. */
+    static final int MOST_REPAIRS = 4;
+
     /**
      * What does not change during a life.
      *
@@ -110,7 +113,7 @@
                                  double deadline, Output out) {
         if (wanted.isEmpty()) {
             out.completed(request, new Outcome.Unknown("no acceptors wanted"));
-        } else if (admits(request, out)) {
+        } else if (admits(proposer.pendingRepairs(), MOST_REPAIRS, request, out)) {
             proposer.add(now, new ReplaceTask(request, expectedGeneration, wanted, deadline), out);
         }
     }
@@ -162,7 +165,11 @@
     }
 
     private boolean admits(long request, Output out) {
-        if (proposer.pending() + reader.pending() < MOST_PENDING) {
+        return admits(proposer.pendingOrders() + reader.pending(), MOST_PENDING, request, out);
+    }
+
+    private static boolean admits(int pending, int most, long request, Output out) {
+        if (pending < most) {
             return true;
         }
         out.completed(request, new Outcome.Unknown("too many requests are pending"));
--- a/fleet/src/main/java/dewplank/register/ReplaceTask.java
+++ b/fleet/src/main/java/dewplank/register/ReplaceTask.java
@@ -44,6 +44,11 @@
         return proposal.answer() != null;
     }
 
+    @Override
+    public boolean isRepair() {
+        return true;
+    }
+
     @Override
     public double deadline() {
         return deadline;
--- a/fleet/src/main/java/dewplank/register/Sweep.java
+++ b/fleet/src/main/java/dewplank/register/Sweep.java
@@ -6,8 +6,7 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Asks all members from time to time how far they are, tells those that lack the newest chosen value, and has finished
- * what stays unfinished for longer than a round takes.
+ * Asks all members from time to time how far they are and tells those that lack the newest chosen value.
  */
 final class Sweep {
     /** The least part of the period between two sweeps; the rest is drawn, lest all processes sweep together. */
@@ -19,7 +18,7 @@
     private final Register.Settings settings;
     private final Acceptor self;
     private final Learner learner;
-    private final Proposer proposer;
+    private final Finisher finisher;
     private final Questions questions;
     private final RandomGenerator random;
     private final Set<Acceptor> answered = new HashSet<>();
@@ -30,15 +29,13 @@
     private Ballot newestReported = Ballot.NONE;
     private Ballot newestOfQuorum = Ballot.NONE;
     private long sweptGeneration;
-    private Ballot watched = Ballot.NONE;
-    private double finishAt;
 
     Sweep(Register.Settings settings, Acceptor self, Learner learner, Proposer proposer, Questions questions,
           RandomGenerator random) {
         this.settings = settings;
         this.self = self;
         this.learner = learner;
-        this.proposer = proposer;
+        this.finisher = new Finisher(settings, learner, proposer, random);
         this.questions = questions;
         this.random = random;
         this.nextAt = Double.NEGATIVE_INFINITY;
@@ -63,7 +60,7 @@
      * tick and two ways, and for one period and three ways when all that is lost.
      */
     boolean tick(double now, Register.Output out) {
-        finishIfStuck(now, out);
+        finisher.tick(now, out);
         long generation = learner.acceptors().generation();
         if (now < nextAt && generation == sweptGeneration) {
             return false;
@@ -109,34 +106,4 @@
                 question, learner.chosenBallot(), false));
         }
     }
-
-    private void finishIfStuck(double now, Register.Output out) {
-        Ballot stuck = stuck();
-        if (stuck.isNone()) {
-            watched = Ballot.NONE;
-            return;
-        }
-        if (!stuck.equals(watched)) {
-            watch(now, stuck);
-            return;
-        }
-        if (now >= finishAt && proposer.pending() == 0) {
-            proposer.add(now, new FinishTask(now + settings.roundTimeoutMs() * Proposer.LONGEST_ROUND), out);
-            watch(now, stuck);
-        }
-    }
-
-    /** The ballot that waits to be finished, or {@link Ballot#NONE}. */
-    private Ballot stuck() {
-        if (!learner.unfinished().isNone()) {
-            return learner.unfinished();
-        }
-        return learner.acceptors().isJoint() ? learner.chosenBallot() : Ballot.NONE;
-    }
-
-    private void watch(double now, Ballot stuck) {
-        watched = stuck;
-        double drawn = random.nextDouble() * (settings.roundTimeoutMs() + settings.retryMaximumMs());
-        finishAt = now + settings.roundTimeoutMs() + drawn;
-    }
 }
--- a/fleet/src/main/java/dewplank/register/Task.java
+++ b/fleet/src/main/java/dewplank/register/Task.java
@@ -13,6 +13,11 @@
     /** Whether it is done once this proposal is chosen. */
     boolean isDoneWith(Proposal proposal);
 
+    /** Whether it repairs the set of acceptors or what others left, and so goes before what callers ordered. */
+    default boolean isRepair() {
+        return false;
+    }
+
     /** When it is given up. */
     double deadline();
 
--- a/fleet/src/test/java/dewplank/register/RegisterImage.java
+++ b/fleet/src/test/java/dewplank/register/RegisterImage.java
@@ -18,7 +18,7 @@
 final class RegisterImage {
     /** The parts of a register that change; everything else is immutable or a collection. */
     private static final Set<Class<?>> PARTS = Set.of(Register.class, Voter.class, Learner.class, Proposer.class,
-        Reader.class, Sweep.class, Questions.class, Round.class);
+        Reader.class, Sweep.class, Finisher.class, Questions.class, Round.class);
 
     /** Without influence on messages or votes: the tally of the sweeps, and what only says how to reach the rest. */
     private static final Set<String> LEFT_OUT = Set.of("Sweep.question", "Sweep.answered", "Sweep.newestReported",
