--- a/fleet/src/main/java/dewplank/register/Learner.java
+++ b/fleet/src/main/java/dewplank/register/Learner.java
@@ -7,7 +7,8 @@
     private final Voter voter;
     private Ballot chosenBallot;
     private RegisterValue chosen;
-    private Ballot fetching = Ballot.NONE;
+    private Ballot heard = Ballot.NONE;
+    private String heardFrom;
     private double fetchedAt = Double.NEGATIVE_INFINITY;
     private Ballot newestAccepted = Ballot.NONE;
     private AcceptorSet newestAcceptors;
@@ -89,20 +90,36 @@
         DurableState accepted = voter.current();
         if (accepted.accepted().equals(ballot)) {
             learn(ballot, accepted.value(), out);
-        } else {
-            fetch(now, teller, ballot, out);
+            return;
+        }
+        if (ballot.isAfter(heard)) {
+            heard = ballot;
+        }
+        heardFrom = teller.sender();
+        if (now - fetchedAt > settings.roundTimeoutMs()) {
+            fetch(now, out);
         }
     }
 
-    /** Asks the sender for the value, unless one as new is on its way. */
-    private void fetch(double now, RegisterMessage teller, Ballot ballot, Register.Output out) {
-        boolean late = now - fetchedAt > settings.roundTimeoutMs();
-        if (!late && !ballot.isAfter(fetching)) {
-            return;
+    /**
+     * A fetch was answered. If that brought a value, what was heard of meanwhile is fetched next; if not, the sender
+     * has forgotten what it told, and asking it again at once would go round in circles.
+     */
+    void fetched(double now, boolean withValue, Register.Output out) {
+        fetchedAt = Double.NEGATIVE_INFINITY;
+        if (withValue && heard.isAfter(chosenBallot)) {
+            fetch(now, out);
         }
-        fetching = ballot;
+    }
+
+    /**
+     * Asks whoever told last. One fetch at a time, so that news which come faster than the value travels do not fill
+     * the link with copies of it: each answer is as new as its sender when it is sent. An answer that does not come
+     * within the time of a round is not waited for; the next news, at the latest those of the next sweep, fetch anew.
+     */
+    private void fetch(double now, Register.Output out) {
         fetchedAt = now;
-        out.send(teller.sender(), new Query(self.address(), self.identity(), RegisterMessage.ANY,
-            Questions.FETCH, chosenBallot, true));
+        out.send(heardFrom, new Query(self.address(), self.identity(), RegisterMessage.ANY, Questions.FETCH,
+            chosenBallot, true));
     }
 }
--- a/fleet/src/main/java/dewplank/register/Register.java
+++ b/fleet/src/main/java/dewplank/register/Register.java
@@ -207,6 +207,9 @@
         } else {
             learner.hear(now, report, report.chosen(), out);
         }
+        if (report.question() == Questions.FETCH) {
+            learner.fetched(now, report.value() != null, out);
+        }
         learner.sawAccepted(report.accepted(), report.acceptors());
         reader.reported(now, report, out);
         sweep.reported(report, out);
