Let a process that is asked by one that knows more fetch the newest value

Change: a question names what its sender knows to be chosen; who is asked and knows less fetches it. Both ask when their link to the other is up, so the later of the two finds a way both ways. Ruled out: asking again on a timer, which needs a bound of its own.

--- a/fleet/src/main/java/dewplank/register/Register.java
+++ b/fleet/src/main/java/dewplank/register/Register.java
@@ -72,6 +72,7 @@
         }
         if (message instanceof Query) {
             report((Query) message, out);
+            learner.hear(now, message, ((Query) message).chosen(), out);   // who asks may know more
         } else if (message instanceof Report) {
             reported(now, (Report) message, out);
         } else if (message instanceof Chosen) {
