--- a/fleet/src/main/java/dewplank/register/Learner.java
+++ b/fleet/src/main/java/dewplank/register/Learner.java
@@ -1,6 +1,14 @@
 package dewplank.register;
 
-/** What one process knows to be chosen, and what it has seen accepted beyond that. */
+/**
+ * What one process knows to be chosen, and what it has seen accepted beyond that.
+ *
+ * <p>Chosen values are ordered by ballot, and are told on when their revision is new. Both orders are one: a value is
+ * proposed on top of the newest chosen below its ballot, as it is or with the next revision. So is the order of the
+ * configurations' versions, since a configuration is only put in place of one with a lower version: along the chain
+ * versions grow, each has one content, and one that was refused is on no chosen value, so that another change may use
+ * it later.
+ */
 final class Learner {
     private final Register.Settings settings;
     private final Acceptor self;
--- a/fleet/src/main/java/dewplank/register/Voter.java
+++ b/fleet/src/main/java/dewplank/register/Voter.java
@@ -89,7 +89,17 @@
         storeIfIdle(out);
     }
 
-    /** Forgets every vote the disk does not hold; what is chosen stays known and is saved with a later store. */
+    /**
+     * Forgets every vote the disk does not hold for certain; what is chosen stays known and is saved with a later
+     * store.
+     *
+     * <p>The failed write may yet be on the disk. That is safe: its votes were answered to nobody, so they count for
+     * nobody. If a later store succeeds it takes their place, as if their questions had been lost. If the process dies
+     * first and finds them, they are cast at that moment, synced by the store before anything rests on them, as if
+     * their questions had come only then. What was answered in between rests on the last synced state, which the found
+     * one was built on. Never going back instead would refuse lower ballots for a promise that nobody was given, and
+     * would not spare a full disk one store. RegisterModelTest forces both ends.
+     */
     void storeFailed(long failed) {
         if (storing == null || failed != ticket) {
             return;
--- a/fleet/src/test/java/dewplank/register/CatchUpTest.java
+++ b/fleet/src/test/java/dewplank/register/CatchUpTest.java
@@ -197,6 +197,18 @@
         Assertions.assertTrue(values < valuesEach, what + " is sent " + values);
     }
 
+    /** All that a process holds, printed whole: as much after thousands of changes as after the first hundred. */
+    @Test
+    void nothingGrowsInAProcess() {
+        begin(FEW_MS, 100);
+        nodes.get(2).start();
+        events.playUntil(events.now() + 1000);
+        int early = RegisterImage.print(nodes.get(0).register).length();
+        events.playUntil(events.now() + 3000 * FEW_MS);
+        int late = RegisterImage.print(nodes.get(0).register).length();
+        Assertions.assertTrue(late < early * 1.5, "grew from " + early + " to " + late);
+    }
+
     /** A sender that restarted and forgot what it told is not asked again and again. */
     @Test
     void anAnswerWithoutAValueIsNotAskedForAtOnce() {
