Let an answer tell of the time of its question; give orders connections of their own

Cause: a control sidecar's answer that was long on its way counted as heard from a quorum when it came. A late answer to a report on a reused connection could be read as an order's: nothing in either tells them apart. Both were noted by review of the crossings; neither has been seen. Ruled out: ids on reports and orders (servers echo them for requests only, as far as the pages say). Test: answersToAnOldQuestionDoNotShowAQuorumNow; without the change it is kept for ever.

--- a/controlplane/src/main/java/dewplank/controlplane/HttpServerCalls.java
+++ b/controlplane/src/main/java/dewplank/controlplane/HttpServerCalls.java
@@ -34,7 +34,7 @@
     public void report(ServerEntry server, BooleanSupplier onlyIf, Answer answer) {
         ByteBuffer message = MessageWriter.request("GET", "/report", server.address)
             .header(TARGET_INSTANCE, server.instanceId).noBody();
-        call(server, message, onlyIf, answer);
+        start(call(server, message, onlyIf, answer));
     }
 
     @Override
@@ -43,7 +43,9 @@
             .header("Content-Type", "application/json")
             .header(TARGET_INSTANCE, server.instanceId)
             .body(body);
-        call(server, message, onlyIf, answer);
+        Call call = call(server, message, onlyIf, answer);
+        call.http().alone();   // nothing in an answer tells a late one to a report from one to an order
+        start(call);
     }
 
     @Override
@@ -51,13 +53,19 @@
         pools.keySet().retainAll(addresses);
     }
 
-    private void call(ServerEntry server, ByteBuffer message, BooleanSupplier onlyIf, Answer answer) {
+    /** A call that has not begun. */
+    private record Call(HttpCall http, WholeAnswer answer) { }
+
+    private Call call(ServerEntry server, ByteBuffer message, BooleanSupplier onlyIf, Answer answer) {
         InetSocketAddress to = ControlPlane.socketAddress(server.address);
         ConnectionPool pool = pools.computeIfAbsent(server.address, a -> new ConnectionPool(loop, 0, MOST_IDLE_MS));
         WholeAnswer whole = new WholeAnswer(answer);
-        HttpCall call = new HttpCall(loop, to, pool, message, whole).onlyIf(onlyIf);
-        whole.timeout = loop.after(CALL_TIMEOUT_MS, call::cancel);
-        call.start(CONNECT_TIMEOUT_MS);
+        return new Call(new HttpCall(loop, to, pool, message, whole).onlyIf(onlyIf), whole);
+    }
+
+    private void start(Call call) {
+        call.answer().timeout = loop.after(CALL_TIMEOUT_MS, call.http()::cancel);
+        call.http().start(CONNECT_TIMEOUT_MS);
     }
 
     private static final class WholeAnswer implements HttpCall.Listener {
--- a/dataplane/src/main/java/dewplank/dataplane/SessionClient.java
+++ b/dataplane/src/main/java/dewplank/dataplane/SessionClient.java
@@ -49,6 +49,7 @@
     private static final double REST_NO_QUORUM_MS = 4_000;
     /** Part of {@code contact_ms} for which a data plane that holds nothing waits for a quorum's word. */
     private static final double KEPT_BACK_PART = 0.5;
+    private static final int MOST_ASKED = 16;             // more than are sent until silence ends the session
     private static final int MOST_KEPT_BACK = 64;         // updates; a session that tells more begins anew
     private static final int MOST_ADDRESSES = 64;
     /** An address that no control sidecar has vouched for so long is forgotten, seeds excepted. */
@@ -222,8 +223,12 @@
         return sessions.stream().anyMatch(s -> s.quorate && s.connection.isOpen());
     }
 
+    /** A question under way. */
+    private record Asked(long sequence, double at) { }
+
     private final class Session implements MessageLink.Handler {
         private final String address;
+        private final Deque<Asked> asked = new ArrayDeque<>();
         private final Deque<Update> keptBack = new ArrayDeque<>();
         private MessageLink connection;
         private double answeredAt;
@@ -251,7 +256,11 @@
         }
 
         private void ask() {
-            connection.send(new SessionQuestion(++sequence, fleet.configurationVersion(), fleet.listVersion(),
+            asked.add(new Asked(++sequence, loop.now()));
+            if (asked.size() > MOST_ASKED) {
+                asked.remove();
+            }
+            connection.send(new SessionQuestion(sequence, fleet.configurationVersion(), fleet.listVersion(),
                 fleet.membersDigest()));
         }
 
@@ -287,12 +296,20 @@
         private void answered(SessionAnswer answer) {
             answered = true;
             quorate = answer.quorate;
-            quorateAt = answer.quorate ? loop.now() : quorateAt;
+            quorateAt = answer.quorate ? askedAt(answer.sequence) : quorateAt;
             learn(answer.controlAddresses);
             takeKeptBack();
             tellMembers();
         }
 
+        /** An answer tells of the time of its question at the earliest, however long it was on its way. */
+        private double askedAt(long answered) {
+            while (!asked.isEmpty() && asked.peek().sequence() < answered) {
+                asked.remove();
+            }
+            return asked.isEmpty() ? quorateAt : Math.max(quorateAt, asked.peek().at());
+        }
+
         private boolean mustWait() {
             return holdsNothing() && !quorate && loop.now() < takesAnythingAt;
         }
--- a/dataplane/src/test/java/dewplank/dataplane/ControlStandIn.java
+++ b/dataplane/src/test/java/dewplank/dataplane/ControlStandIn.java
@@ -96,6 +96,15 @@
             socket.getOutputStream().write(frame.array(), 0, frame.limit() / 2);
         }
 
+        /** Where the other side may have ended the session just now. */
+        void sendIfOpen(Object message) {
+            try {
+                send(message);
+            } catch (IOException ended) {
+                // the reader notices the end
+            }
+        }
+
         SessionOpen open() throws InterruptedException {
             return next(opened);
         }
--- a/dataplane/src/test/java/dewplank/dataplane/SessionClientTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/SessionClientTest.java
@@ -10,6 +10,7 @@
 import dewplank.exchange.OnLoop;
 import dewplank.net.EventLoop;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
@@ -24,6 +25,7 @@
 import dewplank.message.ListVersion;
 import dewplank.message.ServerEntry;
 import dewplank.message.ServerList;
+import dewplank.message.SessionAnswer;
 import dewplank.message.SessionQuestion;
 import dewplank.message.Update;
 import dewplank.membership.Member;
@@ -304,6 +306,32 @@
         assertFalse(kept.isEnded());
     }
 
+    /** What a control sidecar said of its quorum holds for the time of the question, however late it comes. */
+    @Test
+    void answersToAnOldQuestionDoNotShowAQuorumNow() throws Exception {
+        ControlStandIn late = control().silent();
+        ControlStandIn quorate = control();
+        start(late, quorate);
+        Session left = late.session();
+        quorate.session().send(whole(configuration(3, route("a", "safe", PLAIN, 1))));
+        awaitVersion(3);
+        OnLoop.run(loop, () -> client.seeds(List.of(controlAddress())));
+        long first = left.question().sequence;
+        for (int beats = 0; !left.isEnded(); beats++) {
+            assertTrue(beats < 60, "it is kept by answers to its first question");
+            left.sendIfOpen(new SessionAnswer(first, true, List.of()));
+            OnLoop.pass(loop, 100);
+        }
+    }
+
+    private String controlAddress() {
+        try {
+            return control().address();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     @Test
     void oneWithoutAQuorumIsKeptWhereThereIsNoOther() throws Exception {
         ControlStandIn one = control().withoutQuorum();
