Count no time that a data plane did not run as silence of its control sidecars

Change: a beat that comes late by more than a beat shifts what was heard last by the pause. Ruled out: a shorter rest, which a real minority needs.

--- a/dataplane/src/main/java/dewplank/dataplane/SessionClient.java
+++ b/dataplane/src/main/java/dewplank/dataplane/SessionClient.java
@@ -66,6 +66,7 @@
     private final Map<String, Known> addresses = new LinkedHashMap<>();
     private final List<Session> sessions = new ArrayList<>();
     private double takesAnythingAt = Double.POSITIVE_INFINITY;
+    private double beatAt = Double.POSITIVE_INFINITY;
     private long sequence;
     private boolean closed;
 
@@ -152,6 +153,11 @@
         if (closed) {
             return;
         }
+        double now = loop.now();
+        if (now - beatAt > 2 * BEAT_MS) {   // this process did not run: nobody was silent to it meanwhile
+            sessions.forEach(s -> s.paused(now - beatAt - BEAT_MS));
+        }
+        beatAt = now;
         List.copyOf(sessions).forEach(Session::beat);
         forget();
         trim();
@@ -264,6 +270,12 @@
                 fleet.membersDigest()));
         }
 
+        /** Time that this process did not run counts for no silence. */
+        void paused(double ms) {
+            answeredAt += ms;
+            quorateAt += ms;
+        }
+
         void beat() {
             if (connection == null || !connection.isOpen()) {
                 return;
