--- a/cli/src/main/java/dewplank/Commands.java
+++ b/cli/src/main/java/dewplank/Commands.java
@@ -15,7 +15,7 @@
 
 /** The sub-commands. */
 final class Commands {
-    private Commands() { }
+    private Commands() {}
 
     interface Command {
         void run() throws IOException, InterruptedException;
@@ -34,14 +34,17 @@
             FileWatch file = new FileWatch(SidecarConfig.file(System.getenv()));
             SidecarConfig config = SidecarConfig.fromEnvironment(System.getenv());
             Sidecar sidecar = new Sidecar(config);
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                try {
-                    sidecar.drain();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-                Logs.end();
-            }, "drain"));
+            Runtime.getRuntime()
+                    .addShutdownHook(new Thread(
+                            () -> {
+                                try {
+                                    sidecar.drain();
+                                } catch (InterruptedException e) {
+                                    Thread.currentThread().interrupt();
+                                }
+                                Logs.end();
+                            },
+                            "drain"));
             sidecar.rehearse();
             sidecar.start();
             LOG.log(System.Logger.Level.INFO, "{0} serves on {1}", config.name(), sidecar.address());
@@ -53,7 +56,10 @@
             try {
                 sidecar.reload(SidecarConfig.again(System.getenv()));
             } catch (BadInput e) {
-                LOG.log(System.Logger.Level.WARNING, "reload refused, the old configuration stays: {0}", e.getMessage());
+                LOG.log(
+                        System.Logger.Level.WARNING,
+                        "reload refused, the old configuration stays: {0}",
+                        e.getMessage());
             }
         }
     }
@@ -77,8 +83,10 @@
     public static final class SimHost implements Command {
         @Override
         public void run() throws IOException {
-            new Wire(new InputStreamReader(System.in, StandardCharsets.UTF_8),
-                new BufferedWriter(new OutputStreamWriter(System.out, StandardCharsets.UTF_8), 1 << 16)).run();
+            new Wire(
+                            new InputStreamReader(System.in, StandardCharsets.UTF_8),
+                            new BufferedWriter(new OutputStreamWriter(System.out, StandardCharsets.UTF_8), 1 << 16))
+                    .run();
         }
     }
 
--- a/cli/src/main/java/dewplank/FleetCommands.java
+++ b/cli/src/main/java/dewplank/FleetCommands.java
@@ -3,19 +3,19 @@
 import dewplank.config.BadInput;
 import dewplank.config.FileWatch;
 import dewplank.config.NodeSettings;
+import dewplank.controlplane.ControlPlane;
+import dewplank.dataplane.DataPlane;
 import dewplank.rehearsal.FleetRehearsal;
+import dewplank.store.StoreException;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.function.Consumer;
-import dewplank.store.StoreException;
-import dewplank.dataplane.DataPlane;
-import dewplank.controlplane.ControlPlane;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** The two programs of the router fleet. */
 final class FleetCommands {
-    private FleetCommands() { }
+    private FleetCommands() {}
 
     /** Something that runs until SIGTERM. */
     private interface Ending {
@@ -83,14 +83,17 @@
     }
 
     private static void onTermination(Ending ending) {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            try {
-                ending.drain();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            Logs.end();
-        }, "drain"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            try {
+                                ending.drain();
+                            } catch (InterruptedException e) {
+                                Thread.currentThread().interrupt();
+                            }
+                            Logs.end();
+                        },
+                        "drain"));
     }
 
     /** A settings file that can't be used must not end a program that serves. */
--- a/cli/src/main/java/dewplank/Help.java
+++ b/cli/src/main/java/dewplank/Help.java
@@ -29,7 +29,7 @@
     private static final int WRONG_COMMAND_LINE = 2;
     private static final List<Class<?>> ROOTS = List.of(Main.class, OperatorMain.class, LabMain.class);
 
-    private Help() { }
+    private Help() {}
 
     /** Prints the help of the command whose words come first, or an overview of all commands. */
     static int run(List<String> args) {
@@ -41,12 +41,13 @@
         }
         String command = command(words, commands);
         if (command.isEmpty()) {
-            System.err.println("dewplank: there is no command " + words.get(0) + "\nsee: java -jar dewplank.jar "
-                + FLAG);
+            System.err.println(
+                    "dewplank: there is no command " + words.get(0) + "\nsee: java -jar dewplank.jar " + FLAG);
             return WRONG_COMMAND_LINE;
         }
-        System.out.print(usage(command, commands.get(command)) + texts().getOrDefault(command, "")
-            + flags(commands.get(command)));
+        System.out.print(usage(command, commands.get(command))
+                + texts().getOrDefault(command, "")
+                + flags(commands.get(command)));
         return DONE;
     }
 
@@ -54,8 +55,7 @@
     static String usage(List<String> args) {
         Map<String, Class<?>> commands = commands();
         String command = command(words(args), commands);
-        return usage(command, commands.get(command)) + "see: java -jar dewplank.jar "
-            + (command + " " + FLAG).strip();
+        return usage(command, commands.get(command)) + "see: java -jar dewplank.jar " + (command + " " + FLAG).strip();
     }
 
     private static List<String> words(List<String> args) {
@@ -107,7 +107,9 @@
         Map<String, String> texts = new LinkedHashMap<>();
         try (InputStream in = Help.class.getResourceAsStream(TEXTS)) {
             String command = "";
-            for (String line : new String(in.readAllBytes(), StandardCharsets.UTF_8).lines().toList()) {
+            for (String line : new String(in.readAllBytes(), StandardCharsets.UTF_8)
+                    .lines()
+                    .toList()) {
                 if (line.startsWith(HEADING)) {
                     command = line.substring(HEADING.length());
                 } else {
@@ -124,7 +126,8 @@
         StringBuilder out = new StringBuilder("usage: java -jar dewplank.jar COMMAND ...; COMMAND --help says more\n");
         Map<String, String> texts = texts();
         for (String command : commands.keySet()) {
-            String first = texts.getOrDefault(command, "").strip().lines().findFirst().orElse("");
+            String first =
+                    texts.getOrDefault(command, "").strip().lines().findFirst().orElse("");
             out.append(String.format("  %-16s %s%n", command, first));
         }
         return out.toString();
@@ -132,7 +135,8 @@
 
     private static CmdLineParser parser(Class<?> command) {
         try {
-            ParserProperties properties = ParserProperties.defaults().withShowDefaults(false).withUsageWidth(WIDTH);
+            ParserProperties properties =
+                    ParserProperties.defaults().withShowDefaults(false).withUsageWidth(WIDTH);
             return new CmdLineParser(command.getDeclaredConstructor().newInstance(), properties);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("the command line's reader makes commands the same way", e);
--- a/cli/src/main/java/dewplank/LabCommands.java
+++ b/cli/src/main/java/dewplank/LabCommands.java
@@ -29,7 +29,7 @@
 
 /** The laboratory's commands. Apart from {@link Commands}, so that the others load nothing of the laboratory. */
 final class LabCommands {
-    private LabCommands() { }
+    private LabCommands() {}
 
     /** {@code lab ...}: experiments and single runs. */
     public static final class Lab implements Commands.Command {
@@ -55,17 +55,29 @@
 
     /** How this program starts a sidecar of its own: the same JVM and class path, within the bounds of the platform's. */
     static List<String> sidecarCommand() {
-        return List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Xss512k", "-cp", System.getProperty("java.class.path"), "dewplank.Main",
-            "serve");
+        return List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xmx64m",
+                "-Xss512k",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "dewplank.Main",
+                "serve");
     }
 
     /** Plays an experiment file's runs and writes table and report. */
     public static final class Run implements Commands.Command {
         @Argument(required = true, metaVar = "FILE", usage = "the experiment")
         private Path file;
-        @Option(name = "--out", metaVar = "DIR", usage = "where the results go; default: the file's name in lab-results")
+
+        @Option(
+                name = "--out",
+                metaVar = "DIR",
+                usage = "where the results go; default: the file's name in lab-results")
         private Path out;
+
         @Option(name = "--threads", metaVar = "N", usage = "runs at the same time; default: the cores")
         private int threads = Runtime.getRuntime().availableProcessors();
 
@@ -83,21 +95,28 @@
         Path page = folder.resolve("report.html");
         Report.write(results, name, about, baseline, page);
         System.out.print(Comparison.table(Comparison.policies(results, baseline, "service"), "service"));
-        System.out.println(results.size() + " runs; " + results.stream().filter(r -> r.figure("violations") > 0).count()
-            + " broke a rule; report: " + page);
+        System.out.println(results.size() + " runs; "
+                + results.stream().filter(r -> r.figure("violations") > 0).count() + " broke a rule; report: " + page);
     }
 
     /** Plays one run and prints what clients got and what the auditor found. */
     public static final class Play implements Commands.Command {
         @Argument(required = true, metaVar = "SCENARIO", usage = "a file, or a name from 'lab list'")
         private String scenario;
+
         @Option(name = "--policy", metaVar = "NAME", usage = "default: choice")
         private String policy = "choice";
+
         @Option(name = "--seed", metaVar = "N")
         private long seed = 1;
+
         @Option(name = "--set", metaVar = "KEY=VALUE", usage = "changes one figure, such as load.share=0.7")
         private List<String> changes = new ArrayList<>();
-        @Option(name = "--rounds", metaVar = "N", usage = "plays it so often, to measure the emulator's speed when warm")
+
+        @Option(
+                name = "--rounds",
+                metaVar = "N",
+                usage = "plays it so often, to measure the emulator's speed when warm")
         private int rounds = 1;
 
         @Override
@@ -114,11 +133,17 @@
             }
             Policies.named(policy);
             long began = System.nanoTime();
-            Trial trial = Trial.play(s, policy, seed, !policy.equals("oracle"));   // its instances see what each other sent
+            Trial trial =
+                    Trial.play(s, policy, seed, !policy.equals("oracle")); // its instances see what each other sent
             tell(trial);
             double took = (System.nanoTime() - began) / 1e9;
-            System.out.printf(Locale.ROOT, "%d events, %d requests in %.1f s: %.0f requests/s%n", trial.cost().events(),
-                trial.auditor().asked(), took, trial.auditor().asked() / took);
+            System.out.printf(
+                    Locale.ROOT,
+                    "%d events, %d requests in %.1f s: %.0f requests/s%n",
+                    trial.cost().events(),
+                    trial.auditor().asked(),
+                    took,
+                    trial.auditor().asked() / took);
         }
     }
 
@@ -126,10 +151,13 @@
     public static final class Losses implements Commands.Command {
         @Argument(required = true, multiValued = true, metaVar = "SCENARIO")
         private List<String> scenarios = new ArrayList<>();
+
         @Option(name = "--policy", metaVar = "NAME", usage = "may be given several times; default: choice and oracle")
         private List<String> policies = new ArrayList<>();
+
         @Option(name = "--seed", metaVar = "N")
         private long seed = 1;
+
         @Option(name = "--set", metaVar = "KEY=VALUE", usage = "changes one figure, such as load.share=0.7")
         private List<String> changes = new ArrayList<>();
 
@@ -142,8 +170,14 @@
                 }
                 for (String policy : policies.isEmpty() ? List.of("choice", "oracle") : policies) {
                     Trial trial = Trial.split(s, policy, seed);
-                    System.out.printf(Locale.ROOT, "%s, %s: service %.3f, %s%n%s", s.name(), policy, trial.service().share(),
-                        trial.auditor().verdict(), trial.losses().table());
+                    System.out.printf(
+                            Locale.ROOT,
+                            "%s, %s: service %.3f, %s%n%s",
+                            s.name(),
+                            policy,
+                            trial.service().share(),
+                            trial.auditor().verdict(),
+                            trial.losses().table());
                 }
             }
         }
@@ -153,8 +187,10 @@
     public static final class Bench implements Commands.Command {
         @Option(name = "--forks", metaVar = "N", usage = "JVMs one after the other; default: 1")
         private int forks = 1;
+
         @Option(name = "--seconds", metaVar = "S", usage = "of each of eight rounds; default: 1")
         private int seconds = 1;
+
         @Option(name = "--out", metaVar = "FILE", usage = "a CSV table of it")
         private Path out;
 
@@ -179,8 +215,10 @@
     public static final class Live implements Commands.Command {
         @Argument(required = true, metaVar = "SCENARIO", usage = "a file, or a name from 'lab list'")
         private String scenario;
+
         @Option(name = "--seed", metaVar = "N")
         private long seed = 1;
+
         @Option(name = "--set", metaVar = "KEY=VALUE", usage = "changes one figure, such as load.share=0.7")
         private List<String> changes = new ArrayList<>();
 
@@ -196,7 +234,8 @@
 
     static void tell(Trial trial) {
         print(trial.service());
-        System.out.println("auditor: " + trial.auditor().verdict() + (trial.unsound() ? " (unsound: the emulator ran late)" : ""));
+        System.out.println(
+                "auditor: " + trial.auditor().verdict() + (trial.unsound() ? " (unsound: the emulator ran late)" : ""));
         trial.auditor().kept().stream().limit(3).forEach(LabCommands::print);
     }
 
@@ -204,27 +243,37 @@
     public static final class Twin implements Commands.Command {
         @Argument(required = true, multiValued = true, metaVar = "SCENARIO")
         private List<String> scenarios = new ArrayList<>();
+
         @Option(name = "--seeds", metaVar = "N", usage = "runs in each driver; default: 1")
         private int seeds = 1;
+
         @Option(name = "--length", metaVar = "S", usage = "seconds; default: as the scenario says")
         private double length;
+
         @Option(name = "--out", metaVar = "FILE", usage = "a CSV table of it")
         private Path out;
 
         @Override
         public void run() throws IOException, InterruptedException {
-            List<String> table = new ArrayList<>(List.of("scenario,seed,virtual,sockets,difference,virtual_broken,"
-                + "sockets_broken,unsound"));
+            List<String> table = new ArrayList<>(
+                    List.of("scenario,seed,virtual,sockets,difference,virtual_broken," + "sockets_broken,unsound"));
             for (String name : scenarios) {
                 for (long seed = 1; seed <= seeds; seed++) {
                     Scenario s = ScenarioFile.named(name);
                     s = length > 0 ? s.with("length_s", length) : s;
                     Trial virtual = Trial.play(s, "choice", seed, true);
-                    Trial sockets = LiveTrial.play(s, seed, sidecarCommand(), line -> { });
-                    table.add(String.format(Locale.ROOT, "%s,%d,%.4f,%.4f,%.4f,%d,%d,%b", s.name(), seed,
-                        virtual.service().share(), sockets.service().share(),
-                        sockets.service().share() - virtual.service().share(), virtual.auditor().violations(),
-                        sockets.auditor().violations(), sockets.unsound()));
+                    Trial sockets = LiveTrial.play(s, seed, sidecarCommand(), line -> {});
+                    table.add(String.format(
+                            Locale.ROOT,
+                            "%s,%d,%.4f,%.4f,%.4f,%d,%d,%b",
+                            s.name(),
+                            seed,
+                            virtual.service().share(),
+                            sockets.service().share(),
+                            sockets.service().share() - virtual.service().share(),
+                            virtual.auditor().violations(),
+                            sockets.auditor().violations(),
+                            sockets.unsound()));
                     System.out.println(table.get(table.size() - 1));
                     sockets.auditor().kept().stream().limit(2).forEach(LabCommands::print);
                 }
@@ -243,8 +292,8 @@
         @Override
         public void run() throws IOException, InterruptedException {
             Scenario s = ScenarioFile.named("try");
-            System.out.println(s.servers().count() + " servers, a directory and a sidecar on loopback, " + (int) (s.lengthMs() / 1000)
-                + " s of load; a server crashes and comes back cold");
+            System.out.println(s.servers().count() + " servers, a directory and a sidecar on loopback, "
+                    + (int) (s.lengthMs() / 1000) + " s of load; a server crashes and comes back cold");
             tell(LiveTrial.play(s, seed, sidecarCommand(), System.out::println));
         }
     }
@@ -259,18 +308,34 @@
     }
 
     static void print(Auditor.Violation v) {
-        System.out.printf(Locale.ROOT, "%s at %.0f ms, request %d: %s%n%s%n", v.rule(), v.at(), v.request(), v.what(), v.line());
+        System.out.printf(
+                Locale.ROOT, "%s at %.0f ms, request %d: %s%n%s%n", v.rule(), v.at(), v.request(), v.what(), v.line());
     }
 
     static void print(Service service) {
-        System.out.printf(Locale.ROOT, "service %.3f, worst class %.3f, worst tenant %.3f, worst 10 s %.3f, refused %.3f, "
-            + "failed %.3f, tries %.2f%n", service.share(), service.worstClass(), service.worstTenant(), service.worstSpell(), service.refusedShare(), service.failedShare(),
-            service.triesEach());
-        service.classes().forEach(c -> System.out.printf(Locale.ROOT, "  %-14s %6d asked, in aim %.3f, p50 %.0f ms, p99 %.0f ms%n",
-            c.name(), c.latency().getTotalCount(), c.inAimShare(), c.latency().getValueAtPercentile(50) / 1000.0,
-            c.latency().getValueAtPercentile(99) / 1000.0));
+        System.out.printf(
+                Locale.ROOT,
+                "service %.3f, worst class %.3f, worst tenant %.3f, worst 10 s %.3f, refused %.3f, "
+                        + "failed %.3f, tries %.2f%n",
+                service.share(),
+                service.worstClass(),
+                service.worstTenant(),
+                service.worstSpell(),
+                service.refusedShare(),
+                service.failedShare(),
+                service.triesEach());
+        service.classes()
+                .forEach(c -> System.out.printf(
+                        Locale.ROOT,
+                        "  %-14s %6d asked, in aim %.3f, p50 %.0f ms, p99 %.0f ms%n",
+                        c.name(),
+                        c.latency().getTotalCount(),
+                        c.inAimShare(),
+                        c.latency().getValueAtPercentile(50) / 1000.0,
+                        c.latency().getValueAtPercentile(99) / 1000.0));
         StringBuilder line = new StringBuilder("  by second:");
-        service.seconds().forEach(s -> line.append(s[0] == 0 ? " -" : String.format(Locale.ROOT, " %.0f", 100 * s[1] / s[0])));
+        service.seconds()
+                .forEach(s -> line.append(s[0] == 0 ? " -" : String.format(Locale.ROOT, " %.0f", 100 * s[1] / s[0])));
         System.out.println(line);
     }
 
@@ -278,6 +343,7 @@
     public static final class Show implements Commands.Command {
         @Argument(required = true, metaVar = "DIR")
         private Path folder;
+
         @Option(name = "--baseline", metaVar = "POLICY")
         private String baseline;
 
@@ -287,7 +353,12 @@
             if (results.isEmpty()) {
                 throw new BadInput(folder + " holds no finished run");
             }
-            report(results, folder.getFileName().toString(), "", baseline == null ? results.get(0).policy() : baseline, folder);
+            report(
+                    results,
+                    folder.getFileName().toString(),
+                    "",
+                    baseline == null ? results.get(0).policy() : baseline,
+                    folder);
         }
     }
 
@@ -295,8 +366,10 @@
     public static final class Compare implements Commands.Command {
         @Argument(index = 0, required = true, metaVar = "DIR")
         private Path first;
+
         @Argument(index = 1, required = true, metaVar = "DIR")
         private Path second;
+
         @Option(name = "--figure", metaVar = "NAME", usage = "default: service")
         private String figure = "service";
 
@@ -305,7 +378,8 @@
             if (!Result.FIGURES.contains(figure)) {
                 throw new BadInput("there is no figure " + figure + "; known: " + String.join(", ", Result.FIGURES));
             }
-            System.out.print(Comparison.table(Comparison.folders(Runner.read(first), Runner.read(second), figure), figure));
+            System.out.print(
+                    Comparison.table(Comparison.folders(Runner.read(first), Runner.read(second), figure), figure));
         }
     }
 
--- a/cli/src/main/java/dewplank/LabMain.java
+++ b/cli/src/main/java/dewplank/LabMain.java
@@ -12,7 +12,8 @@
 
 /** The laboratory's command line. Apart from {@link Main}, so that {@code serve} loads nothing of the laboratory. */
 final class LabMain {
-    private static final String USAGE = """
+    private static final String USAGE =
+            """
         usage: java -jar dewplank.jar try [--seed N]
                java -jar dewplank.jar load URL... --rate N [--shape poisson|uniform|bursts|ramp|steps] [--seconds S] ...
                java -jar dewplank.jar stand-in HOST:PORT... [--mean-ms N] [--distribution NAME] [--cv N]
@@ -33,7 +34,7 @@
     })
     private Commands.Command command;
 
-    private LabMain() { }
+    private LabMain() {}
 
     /** Exit codes as {@link Main}'s. */
     static int run(List<String> args) {
--- a/cli/src/main/java/dewplank/LoadCommands.java
+++ b/cli/src/main/java/dewplank/LoadCommands.java
@@ -20,44 +20,68 @@
 
 /** The load tool's commands. */
 final class LoadCommands {
-    private LoadCommands() { }
+    private LoadCommands() {}
 
     /** Sends an open loop of requests and prints latencies from the intended starts. */
     public static final class Load implements Commands.Command {
-        @Argument(required = true, multiValued = true, metaVar = "URL", usage = "http://host:port/path; several take turns")
+        @Argument(
+                required = true,
+                multiValued = true,
+                metaVar = "URL",
+                usage = "http://host:port/path; several take turns")
         private List<String> urls = new ArrayList<>();
+
         @Option(name = "--rate", metaVar = "N", usage = "requests a second; of a ramp, at its beginning")
         private double rate = 100;
+
         @Option(name = "--to", metaVar = "N", usage = "requests a second at the end of a ramp")
         private double to;
+
         @Option(name = "--steps", metaVar = "N,N,...", usage = "requests a second in equally long steps")
         private String steps = "";
+
         @Option(name = "--shape", metaVar = "NAME", usage = "poisson, uniform, bursts, ramp or steps")
         private String shape = "poisson";
+
         @Option(name = "--swing", metaVar = "N", usage = "of bursts: 1 for twice the rate and none in turn")
         private double swing = 1;
+
         @Option(name = "--period-s", metaVar = "S", usage = "of bursts")
         private double period = 2;
-        @Option(name = "--trace", metaVar = "FILE", usage = "start times in milliseconds, one a line, instead of a shape")
+
+        @Option(
+                name = "--trace",
+                metaVar = "FILE",
+                usage = "start times in milliseconds, one a line, instead of a shape")
         private Path trace;
+
         @Option(name = "--seconds", metaVar = "S")
         private double seconds = 10;
+
         @Option(name = "--warm-up-s", metaVar = "S", usage = "at the first rate, not counted; default: 2")
         private double warmUp = 2;
+
         @Option(name = "--connections", metaVar = "N", usage = "open at the same time, at the most")
         private int connections = 64;
+
         @Option(name = "--threads", metaVar = "N")
         private int threads = 2;
+
         @Option(name = "--sources", metaVar = "N", usage = "loopback addresses to connect from, for many connections")
         private int sources;
+
         @Option(name = "--timeout-ms", metaVar = "N")
         private double timeout = 10_000;
+
         @Option(name = "--class", metaVar = "NAME:WEIGHT[:METHOD[:BYTES]]", usage = "may be given several times")
         private List<String> kinds = new ArrayList<>();
+
         @Option(name = "--header", metaVar = "NAME: VALUE", usage = "with {id} and {class} filled in")
         private List<String> headers = new ArrayList<>();
+
         @Option(name = "--seed", metaVar = "N")
         private long seed = 1;
+
         @Option(name = "--json", metaVar = "FILE", usage = "the figures for a program")
         private Path json;
 
@@ -66,7 +90,7 @@
             LoadPlan plan = plan();
             if (warmUp > 0) {
                 System.err.println("warming up");
-                new LoadRun(plan.warmUp(1000 * warmUp), line -> { }).run();
+                new LoadRun(plan.warmUp(1000 * warmUp), line -> {}).run();
             }
             LoadRun.Outcome outcome = new LoadRun(plan, System.err::println).run();
             System.out.print(LoadReport.table(outcome));
@@ -79,15 +103,19 @@
             check(rate > 0 && rate <= 10_000_000, "--rate should be above 0 and at most 10,000,000");
             check(seconds > 0 && seconds <= 86_400, "--seconds should be above 0 and at most 86,400");
             check(threads > 0 && threads <= 256, "--threads should be from 1 to 256");
-            check(connections >= threads && connections <= 1_000_000, "--connections should be from --threads to 1,000,000");
+            check(
+                    connections >= threads && connections <= 1_000_000,
+                    "--connections should be from --threads to 1,000,000");
             check(sources >= 0 && sources <= 250, "--sources should be from 0 to 250");
             check(timeout > 0 && timeout <= 600_000, "--timeout-ms should be above 0 and at most 600,000");
             check(warmUp >= 0 && warmUp <= 3_600, "--warm-up-s should be from 0 to 3,600");
             check(swing >= 0 && period > 0, "--swing and --period-s can't be below 0");
             headers.forEach(h -> check(h.indexOf(':') > 0, "--header " + h + ": should be NAME: VALUE"));
             Arrivals.Shape form = Stream.of(Arrivals.Shape.values())
-                .filter(s -> s.name().toLowerCase(Locale.ROOT).equals(shape)).findFirst()
-                .orElseThrow(() -> new BadInput("--shape " + shape + ": should be poisson, uniform, bursts, ramp or steps"));
+                    .filter(s -> s.name().toLowerCase(Locale.ROOT).equals(shape))
+                    .findFirst()
+                    .orElseThrow(() ->
+                            new BadInput("--shape " + shape + ": should be poisson, uniform, bursts, ramp or steps"));
             List<Double> rates = new ArrayList<>();
             try {
                 for (String s : steps.isEmpty() ? new String[0] : steps.split(",")) {
@@ -98,11 +126,20 @@
             }
             check(form != Arrivals.Shape.STEPS || !rates.isEmpty(), "--shape steps needs --steps");
             check(form != Arrivals.Shape.RAMP || to > 0, "--shape ramp needs --to");
-            List<LoadPlan.Kind> classes = kinds.isEmpty() ? List.of(LoadPlan.kind("request:1"))
-                : kinds.stream().map(LoadPlan::kind).toList();
-            return new LoadPlan(urls.stream().map(LoadPlan::target).toList(),
-                new Arrivals.Plan(form, rate, to, rates, swing, 1000 * period, 1000 * seconds),
-                trace == null ? null : LoadPlan.trace(trace), classes, headers, connections, threads, timeout, sources, seed);
+            List<LoadPlan.Kind> classes = kinds.isEmpty()
+                    ? List.of(LoadPlan.kind("request:1"))
+                    : kinds.stream().map(LoadPlan::kind).toList();
+            return new LoadPlan(
+                    urls.stream().map(LoadPlan::target).toList(),
+                    new Arrivals.Plan(form, rate, to, rates, swing, 1000 * period, 1000 * seconds),
+                    trace == null ? null : LoadPlan.trace(trace),
+                    classes,
+                    headers,
+                    connections,
+                    threads,
+                    timeout,
+                    sources,
+                    seed);
         }
     }
 
@@ -116,10 +153,13 @@
     public static final class Serve implements Commands.Command {
         @Argument(required = true, multiValued = true, metaVar = "HOST:PORT", usage = "one thread an address")
         private List<String> addresses = new ArrayList<>();
+
         @Option(name = "--mean-ms", metaVar = "N", usage = "how long it takes; default: no time")
         private double mean;
+
         @Option(name = "--distribution", metaVar = "NAME", usage = "fixed, exp, lognormal or gamma")
         private String distribution = "fixed";
+
         @Option(name = "--cv", metaVar = "N", usage = "coefficient of variation")
         private double cv = 1;
 
@@ -127,9 +167,13 @@
         public void run() throws IOException, InterruptedException {
             check(mean >= 0 && cv >= 0, "--mean-ms and --cv can't be below 0");
             Distribution drawn = Stream.of(Distribution.values())
-                .filter(d -> d.name().toLowerCase(Locale.ROOT).equals(distribution)).findFirst()
-                .orElseThrow(() -> new BadInput("--distribution " + distribution + ": should be fixed, exp, lognormal or gamma"));
-            List<InetSocketAddress> at = addresses.stream().map(a -> LoadPlan.target("http://" + a).address()).toList();
+                    .filter(d -> d.name().toLowerCase(Locale.ROOT).equals(distribution))
+                    .findFirst()
+                    .orElseThrow(() -> new BadInput(
+                            "--distribution " + distribution + ": should be fixed, exp, lognormal or gamma"));
+            List<InetSocketAddress> at = addresses.stream()
+                    .map(a -> LoadPlan.target("http://" + a).address())
+                    .toList();
             try (StandIn standIn = new StandIn(at, drawn, mean, cv, 1)) {
                 System.out.println("answering on " + standIn.addresses());
                 Thread.currentThread().join();
--- a/cli/src/main/java/dewplank/Main.java
+++ b/cli/src/main/java/dewplank/Main.java
@@ -14,10 +14,10 @@
 /** The command line. Ends with 2 on a wrong command line and with 1 on wrong configuration or input. */
 public final class Main {
     private static final String USAGE = "usage: java -jar dewplank.jar serve | data-plane | control-plane | simhost"
-        + " | check-config | rehearse | version\n"
-        + "       for operators of the router fleet: fleet | check-settings\n"
-        + "       for the laboratory: try | load | stand-in | lab\n"
-        + "       COMMAND --help says what a command does";
+            + " | check-config | rehearse | version\n"
+            + "       for operators of the router fleet: fleet | check-settings\n"
+            + "       for the laboratory: try | load | stand-in | lab\n"
+            + "       COMMAND --help says what a command does";
     /** Commands that {@link LabMain} takes; no class of it is loaded for the others. */
     private static final Set<String> LABORATORY = Set.of("lab", "try", "load", "stand-in");
     /** Commands that {@link OperatorMain} takes, likewise. */
@@ -36,7 +36,7 @@
     })
     private Commands.Command command;
 
-    private Main() { }
+    private Main() {}
 
     public static void main(String[] args) {
         setUpLog();
@@ -60,8 +60,9 @@
      */
     private static void setUpLog() {
         System.setProperty("java.util.logging.manager", "dewplank.Logs");
-        System.setProperty("java.util.logging.SimpleFormatter.format",
-            "%1$tY-%1$tm-%1$tdT%1$tH:%1$tM:%1$tS.%1$tL %4$s %5$s%6$s%n");
+        System.setProperty(
+                "java.util.logging.SimpleFormatter.format",
+                "%1$tY-%1$tm-%1$tdT%1$tH:%1$tM:%1$tS.%1$tL %4$s %5$s%6$s%n");
     }
 
     private static int run(List<String> args) {
--- a/cli/src/main/java/dewplank/OperatorCommands.java
+++ b/cli/src/main/java/dewplank/OperatorCommands.java
@@ -1,8 +1,21 @@
 package dewplank;
 
+import dewplank.client.Answer;
+import dewplank.client.Change;
+import dewplank.client.ConfigurationChanges;
+import dewplank.client.ConfigurationDifference;
+import dewplank.client.ConfigurationText;
+import dewplank.client.ControlAddresses;
+import dewplank.client.ControlCall;
+import dewplank.client.ControlClient;
+import dewplank.client.FleetText;
+import dewplank.client.JsonValues;
+import dewplank.client.RouteExplanation;
+import dewplank.client.SettingsCheck;
 import dewplank.config.BadInput;
 import dewplank.config.NodeSettings;
 import dewplank.config.ResultCode;
+import dewplank.configuration.Configuration;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
@@ -21,23 +34,10 @@
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
-import dewplank.configuration.Configuration;
-import dewplank.client.Answer;
-import dewplank.client.Change;
-import dewplank.client.ConfigurationChanges;
-import dewplank.client.ConfigurationDifference;
-import dewplank.client.ConfigurationText;
-import dewplank.client.ControlAddresses;
-import dewplank.client.ControlCall;
-import dewplank.client.ControlClient;
-import dewplank.client.FleetText;
-import dewplank.client.JsonValues;
-import dewplank.client.RouteExplanation;
-import dewplank.client.SettingsCheck;
 
 /** The commands of the router fleet's operators. */
 final class OperatorCommands {
-    private OperatorCommands() { }
+    private OperatorCommands() {}
 
     /** A command line whose parts don't go together. */
     static final class WrongUseException extends RuntimeException {
@@ -77,7 +77,7 @@
         }
 
         @Override
-        @SuppressWarnings("deprecation")   // the other constructor asks for a message of a bundle
+        @SuppressWarnings("deprecation") // the other constructor asks for a message of a bundle
         protected ControlAddresses parse(String text) throws CmdLineException {
             try {
                 return ControlAddresses.parse(text);
@@ -89,16 +89,27 @@
 
     /** What the fleet's commands have in common. */
     abstract static class FleetCommand implements Commands.Command {
-        @Option(name = "--at", metaVar = "HOST:PORT[,HOST:PORT...]", handler = AddressesHandler.class,
-            usage = "the control sidecars to ask, in this order")
+        @Option(
+                name = "--at",
+                metaVar = "HOST:PORT[,HOST:PORT...]",
+                handler = AddressesHandler.class,
+                usage = "the control sidecars to ask, in this order")
         private ControlAddresses at;
-        @Option(name = "--settings", metaVar = "FILE", forbids = "--at",
-            usage = "instead of --at: a settings file, whose seed_nodes are asked")
+
+        @Option(
+                name = "--settings",
+                metaVar = "FILE",
+                forbids = "--at",
+                usage = "instead of --at: a settings file, whose seed_nodes are asked")
         private Path settings;
+
         @Option(name = "--json", usage = "prints JSON instead of text to read")
         private boolean json;
-        @Option(name = "--rounds", metaVar = "N",
-            usage = "how often all of them are asked before it gives up; default: 6")
+
+        @Option(
+                name = "--rounds",
+                metaVar = "N",
+                usage = "how often all of them are asked before it gives up; default: 6")
         private int rounds = 6;
 
         private final PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
@@ -152,12 +163,15 @@
     abstract static class FileChange extends FleetCommand {
         @Argument(required = true, metaVar = "FILE", usage = "the change, as JSON")
         private Path file;
-        @Option(name = "--on", metaVar = "VERSION",
-            usage = "the version that it builds on, 0 for the first; default: the current one, which is read first")
+
+        @Option(
+                name = "--on",
+                metaVar = "VERSION",
+                usage = "the version that it builds on, 0 for the first; default: the current one, which is read first")
         private Long on;
 
         abstract Answer send(ConfigurationChanges changes, byte[] body, Long version)
-            throws IOException, InterruptedException;
+                throws IOException, InterruptedException;
 
         @Override
         public void run() throws IOException, InterruptedException {
@@ -204,8 +218,8 @@
             changes.forEach(c -> text.append(c.line()).append('\n'));
             print(json(current, next, changes), changes.isEmpty() ? "no differences" : text.toString());
             if (current != null && next.version() <= current.version()) {
-                throw BadInput.of(ResultCode.INVALID_CONFIGURATION, "config_version: is not above "
-                    + current.version());
+                throw BadInput.of(
+                        ResultCode.INVALID_CONFIGURATION, "config_version: is not above " + current.version());
             }
         }
 
@@ -241,6 +255,7 @@
     public static final class Servers extends FleetCommand {
         @Argument(metaVar = "INSTANCE", usage = "only that one")
         private String instance;
+
         @Option(name = "--service", metaVar = "NAME", forbids = "--json", usage = "only those of that service")
         private String service;
 
@@ -270,6 +285,7 @@
     public static final class Explain extends FleetCommand {
         @Argument(index = 0, required = true, metaVar = "HOST", usage = "as in the Host header")
         private String host;
+
         @Argument(index = 1, required = true, metaVar = "PATH", usage = "of the request, from its first slash")
         private String path;
 
@@ -293,8 +309,8 @@
 
         @Override
         public void run() {
-            NodeSettings settings = file == null ? NodeSettings.fromEnvironment(System.getenv())
-                : NodeSettings.read(file);
+            NodeSettings settings =
+                    file == null ? NodeSettings.fromEnvironment(System.getenv()) : NodeSettings.read(file);
             System.out.println(SettingsCheck.of(settings));
         }
     }
--- a/cli/src/main/java/dewplank/OperatorMain.java
+++ b/cli/src/main/java/dewplank/OperatorMain.java
@@ -1,5 +1,6 @@
 package dewplank;
 
+import dewplank.client.NoAnswerException;
 import dewplank.config.BadInput;
 import java.io.IOException;
 import java.util.List;
@@ -9,7 +10,6 @@
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
-import dewplank.client.NoAnswerException;
 
 /** The operators' command line. Apart from {@link Main}, so that the programs load nothing of it. */
 final class OperatorMain {
@@ -25,7 +25,7 @@
     })
     private Commands.Command command;
 
-    private OperatorMain() { }
+    private OperatorMain() {}
 
     /** 0: done; 1: refused or not found; 2: wrong command line; 3: no control sidecar answered. */
     static int run(List<String> args) {
--- a/cli/src/main/java/dewplank/SettingsReload.java
+++ b/cli/src/main/java/dewplank/SettingsReload.java
@@ -31,7 +31,7 @@
     void run(FileWatch file, Runnable reload) throws InterruptedException {
         while (true) {
             if (hangups.tryAcquire(LOOK_MS, TimeUnit.MILLISECONDS)) {
-                hangups.drainPermits();   // several in a row are one: the file is read after the last of them
+                hangups.drainPermits(); // several in a row are one: the file is read after the last of them
                 file.reading();
                 reload.run();
             } else if (file.look()) {
@@ -43,6 +43,6 @@
     /** What the log says where the signal is ignored. */
     static String warning() {
         return "SIGHUP does not reach this program: it was started with the signal ignored, as by nohup; a new "
-            + "configuration is seen by its file's time";
+                + "configuration is seen by its file's time";
     }
 }
--- a/cli/src/main/java/dewplank/StartFault.java
+++ b/cli/src/main/java/dewplank/StartFault.java
@@ -2,12 +2,12 @@
 
 import dewplank.config.BadInput;
 import dewplank.config.ResultCode;
-import java.net.BindException;
 import dewplank.store.StoreException;
+import java.net.BindException;
 
 /** Why one of the fleet's programs could not start, as its operator is told. Loaded only then. */
 final class StartFault {
-    private StartFault() { }
+    private StartFault() {}
 
     static BadInput of(Exception failure) {
         if (failure instanceof StoreException) {
@@ -15,8 +15,10 @@
             return BadInput.of(ResultCode.DISK_NOT_USABLE, failure.getMessage() + (cause == null ? "" : ": " + cause));
         }
         if (failure instanceof BindException) {
-            return BadInput.of(ResultCode.ADDRESS_NOT_USABLE, "an address of listen_addresses, or ip_address with a"
-                + " port of internal_port_range, can't be listened on: " + failure.getMessage());
+            return BadInput.of(
+                    ResultCode.ADDRESS_NOT_USABLE,
+                    "an address of listen_addresses, or ip_address with a"
+                            + " port of internal_port_range, can't be listened on: " + failure.getMessage());
         }
         return BadInput.of(ResultCode.START_FAILED, failure.toString());
     }
--- a/client/src/main/java/dewplank/client/Answer.java
+++ b/client/src/main/java/dewplank/client/Answer.java
@@ -30,8 +30,8 @@
         try {
             return Json.object(text());
         } catch (BadInput e) {
-            throw BadInput.of(ResultCode.ANSWER_UNREADABLE, "the answer of " + address
-                + " can't be read: " + e.getMessage());
+            throw BadInput.of(
+                    ResultCode.ANSWER_UNREADABLE, "the answer of " + address + " can't be read: " + e.getMessage());
         }
     }
 
--- a/client/src/main/java/dewplank/client/Change.java
+++ b/client/src/main/java/dewplank/client/Change.java
@@ -40,11 +40,12 @@
 
     /** One line to read. */
     public String line() {
-        String values = switch (kind) {
-            case ADDED -> JsonValues.text(after);
-            case REMOVED -> JsonValues.text(before);
-            case CHANGED -> JsonValues.text(before) + " -> " + JsonValues.text(after);
-        };
+        String values =
+                switch (kind) {
+                    case ADDED -> JsonValues.text(after);
+                    case REMOVED -> JsonValues.text(before);
+                    case CHANGED -> JsonValues.text(before) + " -> " + JsonValues.text(after);
+                };
         return kind.sign + " " + path + " " + values;
     }
 }
--- a/client/src/main/java/dewplank/client/ConfigurationChanges.java
+++ b/client/src/main/java/dewplank/client/ConfigurationChanges.java
@@ -3,10 +3,10 @@
 import dewplank.config.BadInput;
 import dewplank.config.Json;
 import dewplank.config.ResultCode;
-import java.nio.charset.StandardCharsets;
-import java.util.Map;
 import dewplank.configuration.Configuration;
 import dewplank.configuration.InvalidConfigurationException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
 
 /** Reads, changes and tries out configurations by way of control sidecars. */
 public final class ConfigurationChanges {
@@ -59,8 +59,8 @@
         try {
             return Configuration.parse(answer.body());
         } catch (InvalidConfigurationException e) {
-            throw BadInput.of(ResultCode.ANSWER_UNREADABLE, "the configuration of " + answer.address() + ": "
-                + e.getMessage());
+            throw BadInput.of(
+                    ResultCode.ANSWER_UNREADABLE, "the configuration of " + answer.address() + ": " + e.getMessage());
         }
     }
 
@@ -84,7 +84,7 @@
             Map<String, Object> fields = Json.object(new String(file, StandardCharsets.UTF_8));
             return fields.containsKey("upsert") || fields.containsKey("remove");
         } catch (BadInput unreadable) {
-            return false;   // the configuration's own reader says what is wrong
+            return false; // the configuration's own reader says what is wrong
         }
     }
 }
--- a/client/src/main/java/dewplank/client/ConfigurationDifference.java
+++ b/client/src/main/java/dewplank/client/ConfigurationDifference.java
@@ -1,12 +1,12 @@
 package dewplank.client;
 
 import dewplank.config.Json;
+import dewplank.configuration.Configuration;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import dewplank.configuration.Configuration;
 
 /**
  * What differs between two configurations, key by key. Items of lists are told apart by their names; the order in which
@@ -15,7 +15,7 @@
 public final class ConfigurationDifference {
     private final List<Change> changes = new ArrayList<>();
 
-    private ConfigurationDifference() { }
+    private ConfigurationDifference() {}
 
     /** The differences; a configuration that is null has no fields. */
     public static List<Change> between(Configuration before, Configuration after) {
--- a/client/src/main/java/dewplank/client/ConfigurationText.java
+++ b/client/src/main/java/dewplank/client/ConfigurationText.java
@@ -1,39 +1,48 @@
 package dewplank.client;
 
-import java.util.List;
-import java.util.Locale;
-import java.util.stream.Collectors;
 import dewplank.configuration.Configuration;
 import dewplank.configuration.Engine;
 import dewplank.configuration.Limits;
 import dewplank.configuration.Route;
 import dewplank.configuration.Service;
 import dewplank.configuration.WeightedService;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
 
 /** A configuration as text to read. */
 public final class ConfigurationText {
-    private ConfigurationText() { }
+    private ConfigurationText() {}
 
     /** Version, routes, services and limits. */
     public static String of(Configuration configuration) {
-        TextTable routes = new TextTable("ROUTE", "HOST", "PREFIX", "TYPE", "TIMEOUT MS", "AIM MS", "PRIORITY", "TRIES",
-            "SERVICES");
+        TextTable routes = new TextTable(
+                "ROUTE", "HOST", "PREFIX", "TYPE", "TIMEOUT MS", "AIM MS", "PRIORITY", "TRIES", "SERVICES");
         for (Route r : configuration.routes()) {
-            routes.row(r.name(), r.host(), r.pathPrefix(), type(r), number(r.timeoutMs()), number(r.targetLatencyMs()),
-                r.priority(), r.maxAttempts(), split(r.split()));
+            routes.row(
+                    r.name(),
+                    r.host(),
+                    r.pathPrefix(),
+                    type(r),
+                    number(r.timeoutMs()),
+                    number(r.targetLatencyMs()),
+                    r.priority(),
+                    r.maxAttempts(),
+                    split(r.split()));
         }
         TextTable services = new TextTable("SERVICE", "HEALTH", "CONNECTIONS", "ENGINE");
         for (Service s : configuration.services().values()) {
             services.row(s.name(), s.healthPath(), s.maxConnections(), engine(s.engine()));
         }
         return "configuration " + configuration.version() + "\n\n" + routes + "\n" + services + "\n"
-            + limits(configuration.limits()) + "\n";
+                + limits(configuration.limits()) + "\n";
     }
 
     /** A number without a fraction that says nothing. */
     static String number(double value) {
         return value == Math.rint(value) && Math.abs(value) < Long.MAX_VALUE
-            ? Long.toString((long) value) : Double.toString(value);
+                ? Long.toString((long) value)
+                : Double.toString(value);
     }
 
     static String type(Route route) {
@@ -41,18 +50,22 @@
     }
 
     private static String split(List<WeightedService> split) {
-        return split.size() == 1 ? split.get(0).service()
-            : split.stream().map(s -> s.service() + ":" + number(s.weight())).collect(Collectors.joining(" "));
+        return split.size() == 1
+                ? split.get(0).service()
+                : split.stream()
+                        .map(s -> s.service() + ":" + number(s.weight()))
+                        .collect(Collectors.joining(" "));
     }
 
     private static String engine(Engine engine) {
-        return engine == null ? "" : engine.slotCount() + " slots, " + engine.kvTokens() + " tokens, "
-            + String.join(" ", engine.models());
+        return engine == null
+                ? ""
+                : engine.slotCount() + " slots, " + engine.kvTokens() + " tokens, " + String.join(" ", engine.models());
     }
 
     static String limits(Limits limits) {
         return "head up to " + limits.maxHeaderBytes() + " bytes within " + number(limits.headerTimeoutMs())
-            + " ms, body up to " + limits.maxBodyBytes() + " bytes, idle up to "
-            + number(limits.idleTimeoutMs()) + " ms";
+                + " ms, body up to " + limits.maxBodyBytes() + " bytes, idle up to "
+                + number(limits.idleTimeoutMs()) + " ms";
     }
 }
--- a/client/src/main/java/dewplank/client/ControlAddresses.java
+++ b/client/src/main/java/dewplank/client/ControlAddresses.java
@@ -33,7 +33,8 @@
 
     /** The addresses that a settings file begins with. */
     public static ControlAddresses of(List<InetSocketAddress> seeds) {
-        return new ControlAddresses(seeds.stream().map(s -> s.getHostString() + ":" + s.getPort()).toList());
+        return new ControlAddresses(
+                seeds.stream().map(s -> s.getHostString() + ":" + s.getPort()).toList());
     }
 
     private static String checked(String text) {
--- a/client/src/main/java/dewplank/client/ControlClient.java
+++ b/client/src/main/java/dewplank/client/ControlClient.java
@@ -24,9 +24,11 @@
     private static final Duration SILENCE = Duration.ofSeconds(1);
     /** A large body may take so many times as long. */
     private static final int LARGE_TIMES = 2;
+
     private static final int LARGE_BYTES = 64 * 1024;
     /** The whole of an answer whose head came in time may take so many times as long. */
     private static final int WHOLE_TIMES = 5;
+
     private static final int MOST_REDIRECTS = 2;
     private static final long FIRST_PAUSE_MS = 100;
     private static final long LONGEST_PAUSE_MS = 1_600;
@@ -65,8 +67,11 @@
         this.rounds = rounds;
         this.silence = silence;
         this.pauses = pauses;
-        this.http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-            .followRedirects(HttpClient.Redirect.NEVER).connectTimeout(silence).build();
+        this.http = HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .followRedirects(HttpClient.Redirect.NEVER)
+                .connectTimeout(silence)
+                .build();
     }
 
     /** The first clear answer. */
@@ -145,9 +150,12 @@
 
     private HttpRequest request(URI to, ControlCall call) {
         HttpRequest.Builder request = HttpRequest.newBuilder(to)
-            .timeout(call.body().length > LARGE_BYTES ? silence.multipliedBy(LARGE_TIMES) : silence)
-            .method(call.method(), call.body().length == 0 && call.on() == null
-                ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofByteArray(call.body()));
+                .timeout(call.body().length > LARGE_BYTES ? silence.multipliedBy(LARGE_TIMES) : silence)
+                .method(
+                        call.method(),
+                        call.body().length == 0 && call.on() == null
+                                ? HttpRequest.BodyPublishers.noBody()
+                                : HttpRequest.BodyPublishers.ofByteArray(call.body()));
         if (call.on() != null) {
             request.header("If-Match", Long.toString(call.on())).header("Content-Type", "application/json");
         }
@@ -156,7 +164,7 @@
 
     private HttpResponse<byte[]> exchange(HttpRequest request) throws UnclearException, InterruptedException {
         CompletableFuture<HttpResponse<byte[]>> answer =
-            http.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
+                http.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
         try {
             return answer.get(silence.multipliedBy(WHOLE_TIMES).toMillis(), TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
--- a/client/src/main/java/dewplank/client/FleetText.java
+++ b/client/src/main/java/dewplank/client/FleetText.java
@@ -11,7 +11,7 @@
 public final class FleetText {
     private static final String NO_CLEAR_ANSWER = "no clear answer";
 
-    private FleetText() { }
+    private FleetText() {}
 
     private interface Reading {
         String of(Fields fields);
@@ -21,8 +21,8 @@
         try {
             return reading.of(new Fields(answer.fields(), ""));
         } catch (BadInput e) {
-            throw BadInput.of(ResultCode.ANSWER_UNREADABLE, "the answer of " + answer.address() + ": "
-                + e.getMessage());
+            throw BadInput.of(
+                    ResultCode.ANSWER_UNREADABLE, "the answer of " + answer.address() + ": " + e.getMessage());
         }
     }
 
@@ -43,7 +43,8 @@
     public static String servers(Answer answer, String service) {
         return read(answer, fields -> {
             List<Fields> servers = fields.list("servers").stream()
-                .filter(s -> service == null || service.equals(s.text("service"))).toList();
+                    .filter(s -> service == null || service.equals(s.text("service")))
+                    .toList();
             return "list " + fields.text("version") + "\n" + table(servers);
         });
     }
@@ -56,8 +57,14 @@
     private static TextTable table(List<Fields> servers) {
         TextTable table = new TextTable("INSTANCE", "SERVICE", "ADDRESS", "ZONE", "STAGE", "SLOTS", "STATE");
         for (Fields s : servers) {
-            table.row(s.text("instance_id"), s.text("service"), s.text("address"), s.text("zone"),
-                s.text("stage", "-"), s.integer("slot_count"), s.flag("draining") ? "draining" : "ready");
+            table.row(
+                    s.text("instance_id"),
+                    s.text("service"),
+                    s.text("address"),
+                    s.text("zone"),
+                    s.text("stage", "-"),
+                    s.integer("slot_count"),
+                    s.flag("draining") ? "draining" : "ready");
         }
         return table;
     }
@@ -69,8 +76,12 @@
             if (answers.containsKey(address)) {
                 read(answers.get(address).orRefused(), fields -> {
                     Fields list = fields.needed("list");
-                    table.row(address, fields.text("answered_by", ""), "list", list.flag("held_here") ? "yes" : "no",
-                        list.integer("fencing_number"));
+                    table.row(
+                            address,
+                            fields.text("answered_by", ""),
+                            "list",
+                            list.flag("held_here") ? "yes" : "no",
+                            list.integer("fencing_number"));
                     return "";
                 });
             } else {
@@ -86,10 +97,11 @@
         for (String address : addresses) {
             if (answers.containsKey(address)) {
                 read(answers.get(address).orRefused(), fields -> {
-                    String acceptors = fields.list("acceptors").stream().map(a -> a.text("address"))
-                        .collect(Collectors.joining(" "));
-                    table.row(address, fields.text("node"), quorum(fields),
-                        fields.integer("config_version"), acceptors);
+                    String acceptors = fields.list("acceptors").stream()
+                            .map(a -> a.text("address"))
+                            .collect(Collectors.joining(" "));
+                    table.row(
+                            address, fields.text("node"), quorum(fields), fields.integer("config_version"), acceptors);
                     return "";
                 });
             } else {
@@ -110,7 +122,8 @@
     /** The answers of several as one JSON object by address; null for one without. */
     public static String json(List<String> addresses, Map<String, Answer> answers) {
         return addresses.stream()
-            .map(a -> JsonValues.text(a) + ":" + (answers.containsKey(a) ? answers.get(a).text().strip() : "null"))
-            .collect(Collectors.joining(",", "{", "}"));
+                .map(a -> JsonValues.text(a) + ":"
+                        + (answers.containsKey(a) ? answers.get(a).text().strip() : "null"))
+                .collect(Collectors.joining(",", "{", "}"));
     }
 }
--- a/client/src/main/java/dewplank/client/JsonValues.java
+++ b/client/src/main/java/dewplank/client/JsonValues.java
@@ -7,9 +7,10 @@
 
 /** JSON values as the settings' reader gives them: maps, lists, texts, longs, doubles, booleans, nulls. */
 public final class JsonValues {
-    private static final Gson GSON = new GsonBuilder().serializeNulls().disableHtmlEscaping().create();
+    private static final Gson GSON =
+            new GsonBuilder().serializeNulls().disableHtmlEscaping().create();
 
-    private JsonValues() { }
+    private JsonValues() {}
 
     /** The value as JSON in one line. */
     public static String text(Object value) {
--- a/client/src/main/java/dewplank/client/NoAnswerException.java
+++ b/client/src/main/java/dewplank/client/NoAnswerException.java
@@ -20,8 +20,9 @@
 
     /** The same for a change: how it is sent again. */
     NoAnswerException ofChange(long on) {
-        NoAnswerException named = new NoAnswerException(getMessage().substring(ResultCode.NO_ANSWER.line("").length())
-            + "; the change may have been taken: send it again unchanged with --on " + on);
+        NoAnswerException named = new NoAnswerException(
+                getMessage().substring(ResultCode.NO_ANSWER.line("").length())
+                        + "; the change may have been taken: send it again unchanged with --on " + on);
         named.initCause(this);
         return named;
     }
--- a/client/src/main/java/dewplank/client/RouteExplanation.java
+++ b/client/src/main/java/dewplank/client/RouteExplanation.java
@@ -3,15 +3,15 @@
 import dewplank.config.BadInput;
 import dewplank.config.Fields;
 import dewplank.config.ResultCode;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Locale;
-import java.util.Map;
 import dewplank.configuration.Configuration;
 import dewplank.configuration.Limits;
 import dewplank.configuration.Route;
 import dewplank.configuration.RouteTable;
 import dewplank.configuration.WeightedService;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 
 /** Where requests of a host and path go: the route, its split, its limits, and the servers listed for it. */
 public final class RouteExplanation {
@@ -32,8 +32,10 @@
     public static RouteExplanation of(Configuration configuration, Answer servers, String host, String path) {
         Route route = new RouteTable(configuration).find(host, path);
         if (route == null) {
-            throw BadInput.of(ResultCode.NO_SUCH_ROUTE, "configuration " + configuration.version()
-                + " has no route for host " + host + " and path " + path);
+            throw BadInput.of(
+                    ResultCode.NO_SUCH_ROUTE,
+                    "configuration " + configuration.version() + " has no route for host " + host + " and path "
+                            + path);
         }
         return new RouteExplanation(configuration, route, new Fields(servers.fields(), "").list("servers"));
     }
@@ -43,23 +45,45 @@
     }
 
     private double share(WeightedService part) {
-        return part.weight() / route.split().stream().mapToDouble(WeightedService::weight).sum();
+        return part.weight()
+                / route.split().stream().mapToDouble(WeightedService::weight).sum();
     }
 
     /** The explanation as text to read. */
     public String text() {
         StringBuilder out = new StringBuilder();
-        out.append("route ").append(route.name()).append(" of configuration ").append(configuration.version())
-            .append(": host ").append(route.host()).append(", paths below ").append(route.pathPrefix()).append('\n');
-        out.append("  ").append(ConfigurationText.type(route)).append(", priority ").append(route.priority())
-            .append(", at most ").append(route.maxAttempts()).append(route.maxAttempts() == 1 ? " server" : " servers")
-            .append(" a request").append(route.sticky() ? ", sticky" : "").append('\n');
-        out.append("  held up to ").append(ConfigurationText.number(route.timeoutMs())).append(" ms, in time within ")
-            .append(ConfigurationText.number(route.targetLatencyMs())).append(" ms");
+        out.append("route ")
+                .append(route.name())
+                .append(" of configuration ")
+                .append(configuration.version())
+                .append(": host ")
+                .append(route.host())
+                .append(", paths below ")
+                .append(route.pathPrefix())
+                .append('\n');
+        out.append("  ")
+                .append(ConfigurationText.type(route))
+                .append(", priority ")
+                .append(route.priority())
+                .append(", at most ")
+                .append(route.maxAttempts())
+                .append(route.maxAttempts() == 1 ? " server" : " servers")
+                .append(" a request")
+                .append(route.sticky() ? ", sticky" : "")
+                .append('\n');
+        out.append("  held up to ")
+                .append(ConfigurationText.number(route.timeoutMs()))
+                .append(" ms, in time within ")
+                .append(ConfigurationText.number(route.targetLatencyMs()))
+                .append(" ms");
         if (route.gapAimMs() > 0) {
-            out.append(", events at most ").append(ConfigurationText.number(route.gapAimMs())).append(" ms apart");
+            out.append(", events at most ")
+                    .append(ConfigurationText.number(route.gapAimMs()))
+                    .append(" ms apart");
         }
-        out.append("\n  clients: ").append(ConfigurationText.limits(configuration.limits())).append('\n');
+        out.append("\n  clients: ")
+                .append(ConfigurationText.limits(configuration.limits()))
+                .append('\n');
         route.split().forEach(part -> split(out, part));
         return out.toString();
     }
@@ -75,8 +99,12 @@
         out.append('\n');
         TextTable table = new TextTable("  INSTANCE", "ADDRESS", "ZONE", "STAGE", "STATE");
         for (Fields s : listed) {
-            table.row("  " + s.text("instance_id"), s.text("address"), s.text("zone"), s.text("stage", "-"),
-                s.flag("draining") ? "draining: gets nothing new" : "ready");
+            table.row(
+                    "  " + s.text("instance_id"),
+                    s.text("address"),
+                    s.text("zone"),
+                    s.text("stage", "-"),
+                    s.flag("draining") ? "draining: gets nothing new" : "ready");
         }
         out.append(table);
     }
@@ -121,7 +149,11 @@
         Map<String, Object> out = new LinkedHashMap<>();
         out.put("service", part.service());
         out.put("share", share(part));
-        out.put("servers", servers(part.service()).stream().map(RouteExplanation::serverFields).toList());
+        out.put(
+                "servers",
+                servers(part.service()).stream()
+                        .map(RouteExplanation::serverFields)
+                        .toList());
         return out;
     }
 
--- a/client/src/main/java/dewplank/client/SettingsCheck.java
+++ b/client/src/main/java/dewplank/client/SettingsCheck.java
@@ -9,7 +9,7 @@
 
 /** Says which of the two programs a settings file is for and whether it has what that program needs. */
 public final class SettingsCheck {
-    private SettingsCheck() { }
+    private SettingsCheck() {}
 
     /** One line on settings that can be used. */
     public static String of(NodeSettings settings) {
@@ -17,16 +17,18 @@
         if (settings.front() != null || settings.readiness() != null) {
             settings.ofDataPlane();
             roles.add("data plane (verb data-plane) for clients at " + text(settings.front()) + ", readiness at "
-                + text(settings.readiness()));
+                    + text(settings.readiness()));
         }
         if (settings.control() != null) {
             settings.ofControlPlane();
             roles.add("control plane (verb control-plane) for operators at " + text(settings.control()) + ", disk in "
-                + settings.dataDirectory());
+                    + settings.dataDirectory());
         }
         if (roles.isEmpty()) {
-            throw BadInput.of(ResultCode.NO_ROLE,
-                "listen_addresses names neither front and readiness, for data-plane, nor control, for control-plane");
+            throw BadInput.of(
+                    ResultCode.NO_ROLE,
+                    "listen_addresses names neither front and readiness, for data-plane, "
+                            + "nor control, for control-plane");
         }
         return "settings of " + settings.node() + " can be used: " + String.join("; ", roles);
     }
--- a/client/src/main/java/dewplank/client/TextTable.java
+++ b/client/src/main/java/dewplank/client/TextTable.java
@@ -31,7 +31,9 @@
             StringBuilder line = new StringBuilder();
             for (int column = 0; column < row.size(); column++) {
                 String cell = row.get(column);
-                line.append(cell).append(" ".repeat(width(column) - cell.length())).append(GAP);
+                line.append(cell)
+                        .append(" ".repeat(width(column) - cell.length()))
+                        .append(GAP);
             }
             out.append(line.toString().stripTrailing()).append('\n');
         }
--- a/controlplane/src/main/java/dewplank/controlplane/AcceptorKeeper.java
+++ b/controlplane/src/main/java/dewplank/controlplane/AcceptorKeeper.java
@@ -1,12 +1,12 @@
 package dewplank.controlplane;
 
-import dewplank.net.Scheduler;
-import java.util.ArrayList;
-import java.util.List;
 import dewplank.membership.AcceptorPlan;
 import dewplank.membership.AcceptorPlan.Sighting;
+import dewplank.net.Scheduler;
 import dewplank.register.Acceptor;
 import dewplank.register.AcceptorSet;
+import java.util.ArrayList;
+import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -31,8 +31,13 @@
     private final AcceptorPlan plan;
     private boolean changing;
 
-    AcceptorKeeper(Scheduler loop, Acceptor self, double catchUpMs, ControlMesh mesh,
-                   ConfigurationStore configuration, ServerLister.Duty duty) {
+    AcceptorKeeper(
+            Scheduler loop,
+            Acceptor self,
+            double catchUpMs,
+            ControlMesh mesh,
+            ConfigurationStore configuration,
+            ServerLister.Duty duty) {
         this.loop = loop;
         this.self = self;
         this.mesh = mesh;
--- a/controlplane/src/main/java/dewplank/controlplane/ConfigurationHistory.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ConfigurationHistory.java
@@ -1,11 +1,11 @@
 package dewplank.controlplane;
 
-import java.util.ArrayDeque;
-import java.util.HashMap;
-import java.util.Map;
 import dewplank.configuration.Configuration;
 import dewplank.configuration.ConfigurationDelta;
 import dewplank.message.Deflated;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
 
 /** The newest configurations known to be chosen, and the updates that lead to the last of them. */
 final class ConfigurationHistory {
@@ -13,7 +13,7 @@
     private static final int MOST_KEPT = 8;
 
     /** An update as it is sent. */
-    record Encoded(byte[] bytes, long baseVersion) { }
+    record Encoded(byte[] bytes, long baseVersion) {}
 
     private final ArrayDeque<Configuration> kept = new ArrayDeque<>();
     private final Map<Long, Encoded> encoded = new HashMap<>();
--- a/controlplane/src/main/java/dewplank/controlplane/ConfigurationStore.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ConfigurationStore.java
@@ -1,15 +1,10 @@
 package dewplank.controlplane;
 
-import dewplank.net.Scheduler;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.function.Consumer;
-import java.util.random.RandomGenerator;
 import dewplank.configuration.ChangeRequest;
 import dewplank.configuration.ChangeResult;
 import dewplank.configuration.Configuration;
 import dewplank.configuration.ConfigurationDocument;
+import dewplank.net.Scheduler;
 import dewplank.register.Acceptor;
 import dewplank.register.AcceptorSet;
 import dewplank.register.Decision;
@@ -18,15 +13,19 @@
 import dewplank.register.Register;
 import dewplank.register.RegisterMessage;
 import dewplank.register.RegisterValue;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** The configuration in the replicated register: drives the register's steps with messages, the disk and time. */
-final class ConfigurationStore implements Register.Output, OperatorApi.Configurations,
-        Duties.Voters {
+final class ConfigurationStore implements Register.Output, OperatorApi.Configurations, Duties.Voters {
     private static final Logger LOG = LoggerFactory.getLogger(ConfigurationStore.class);
     private static final double TICK_MS = 25;
-    private static final double ROUND_TIMEOUT_MS = 250;   // a round takes two ways and two syncs: a few ms when calm
+    private static final double ROUND_TIMEOUT_MS = 250; // a round takes two ways and two syncs: a few ms when calm
     private static final double RETRY_MINIMUM_MS = 10;
     private static final double RETRY_MAXIMUM_MS = 120;
     private static final double SWEEP_MS = 400;
@@ -52,13 +51,27 @@
     private final Map<Long, Consumer<Outcome>> waiting = new HashMap<>();
     private long nextRequest;
 
-    ConfigurationStore(Scheduler loop, String address, List<Acceptor> initial, DurableState recovered, Disk disk,
-                       RandomGenerator random, Surroundings surroundings) {
+    ConfigurationStore(
+            Scheduler loop,
+            String address,
+            List<Acceptor> initial,
+            DurableState recovered,
+            Disk disk,
+            RandomGenerator random,
+            Surroundings surroundings) {
         this.loop = loop;
         this.disk = disk;
         this.surroundings = surroundings;
-        this.register = new Register(new Register.Settings(address, AcceptorSet.of(initial), ROUND_TIMEOUT_MS,
-            RETRY_MINIMUM_MS, RETRY_MAXIMUM_MS, SWEEP_MS), recovered, random);
+        this.register = new Register(
+                new Register.Settings(
+                        address,
+                        AcceptorSet.of(initial),
+                        ROUND_TIMEOUT_MS,
+                        RETRY_MINIMUM_MS,
+                        RETRY_MAXIMUM_MS,
+                        SWEEP_MS),
+                recovered,
+                random);
     }
 
     void start() {
@@ -102,7 +115,8 @@
 
     @Override
     public void learned(RegisterValue value) {
-        Configuration configuration = ConfigurationDocument.decode(value.payload()).configuration();
+        Configuration configuration =
+                ConfigurationDocument.decode(value.payload()).configuration();
         if (configuration != null) {
             surroundings.learned(configuration);
         }
@@ -125,8 +139,9 @@
 
     private static Decision decide(ChangeRequest change, byte[] payload) {
         ChangeResult result = ConfigurationDocument.decode(payload).apply(change);
-        return result instanceof ChangeResult.Accepted a ? new Decision(a.next().encode(), result)
-            : new Decision(null, result);
+        return result instanceof ChangeResult.Accepted a
+                ? new Decision(a.next().encode(), result)
+                : new Decision(null, result);
     }
 
     @Override
@@ -141,12 +156,18 @@
      * @param then runs when the change is done or given up
      */
     void replaceAcceptors(long expectedGeneration, List<Acceptor> wanted, double withinMs, Runnable then) {
-        register.replaceAcceptors(loop.now(), request(outcome -> {
-            then.run();
-            if (outcome instanceof Outcome.Confirmed c) {
-                LOG.info("acceptors are {} ({})", c.value().acceptors().members(), c.answer());
-            }
-        }), expectedGeneration, wanted, loop.now() + withinMs, this);
+        register.replaceAcceptors(
+                loop.now(),
+                request(outcome -> {
+                    then.run();
+                    if (outcome instanceof Outcome.Confirmed c) {
+                        LOG.info("acceptors are {} ({})", c.value().acceptors().members(), c.answer());
+                    }
+                }),
+                expectedGeneration,
+                wanted,
+                loop.now() + withinMs,
+                this);
     }
 
     private long request(Consumer<Outcome> then) {
--- a/controlplane/src/main/java/dewplank/controlplane/ControlEnvironment.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlEnvironment.java
@@ -1,12 +1,12 @@
 package dewplank.controlplane;
 
+import dewplank.message.MessageTransport;
 import dewplank.net.Scheduler;
 import dewplank.net.ServerEndpoint;
-import java.io.IOException;
-import java.util.random.RandomGenerator;
-import dewplank.message.MessageTransport;
 import dewplank.store.DiskExecutor;
 import dewplank.store.StoreFiles;
+import java.io.IOException;
+import java.util.random.RandomGenerator;
 
 /**
  * All that a control plane takes from outside: time, chance, links, the disk, the platform, model servers and the
--- a/controlplane/src/main/java/dewplank/controlplane/ControlMesh.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlMesh.java
@@ -1,5 +1,11 @@
 package dewplank.controlplane;
 
+import dewplank.membership.Member;
+import dewplank.message.ControlHello;
+import dewplank.message.MessageLink;
+import dewplank.message.MessageTransport;
+import dewplank.message.SessionAnswer;
+import dewplank.message.SessionsTold;
 import dewplank.net.Scheduler;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -9,12 +15,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import dewplank.message.ControlHello;
-import dewplank.message.MessageLink;
-import dewplank.message.MessageTransport;
-import dewplank.message.SessionAnswer;
-import dewplank.message.SessionsTold;
-import dewplank.membership.Member;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -25,7 +25,7 @@
 final class ControlMesh {
     private static final Logger LOG = LoggerFactory.getLogger(ControlMesh.class);
     private static final double BEAT_MS = 300;
-    private static final double SILENCE_MS = 1_200;     // without an answer to a beat a link counts as dead
+    private static final double SILENCE_MS = 1_200; // without an answer to a beat a link counts as dead
     private static final double DIAL_TIMEOUT_MS = 700;
     private static final double REDIAL_MS = 250;
     /** Control sidecars known at once. Beyond, the one that is dead for longest makes room. */
@@ -36,7 +36,7 @@
     private static final double QUORATE_MS = 1_000;
 
     /** A control sidecar that has said hello and has been heard lately. */
-    record Peer(Member member, String identity, double heardAt, double since) { }
+    record Peer(Member member, String identity, double heardAt, double since) {}
 
     /** Tells what others have to know, and takes what they send. */
     interface Handler {
@@ -133,8 +133,11 @@
     /** A control sidecar that lately said that it hears a quorum; null where none did. */
     String quorateAddress() {
         double since = loop.now() - QUORATE_MS;
-        return links.values().stream().filter(l -> l.isUp() && l.quorateAt >= since).map(l -> l.address).findFirst()
-            .orElse(null);
+        return links.values().stream()
+                .filter(l -> l.isUp() && l.quorateAt >= since)
+                .map(l -> l.address)
+                .findFirst()
+                .orElse(null);
     }
 
     /** Control sidecars heard within so many milliseconds, this one not among them. */
@@ -205,7 +208,7 @@
         Link(String address) {
             this.address = address;
             this.lastUp = loop.now();
-            this.to = ControlPlane.socketAddress(address);
+            this.to = Addresses.socketAddress(address);
         }
 
         boolean isUp() {
--- a/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
@@ -1,21 +1,12 @@
 package dewplank.controlplane;
 
 import dewplank.config.NodeSettings;
-import dewplank.net.Scheduler;
-import dewplank.net.ServerEndpoint;
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Set;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 import dewplank.configuration.Configuration;
-import dewplank.store.StoreException;
+import dewplank.duty.DutyTiming;
+import dewplank.duty.VoteReply;
+import dewplank.duty.VoteRequest;
+import dewplank.membership.Member;
+import dewplank.membership.SessionTable;
 import dewplank.message.ControlHello;
 import dewplank.message.FleetMessages;
 import dewplank.message.ListVersion;
@@ -27,13 +18,19 @@
 import dewplank.message.SessionQuestion;
 import dewplank.message.SessionsTold;
 import dewplank.message.Update;
-import dewplank.membership.Member;
-import dewplank.membership.SessionTable;
+import dewplank.net.Scheduler;
+import dewplank.net.ServerEndpoint;
 import dewplank.register.Acceptor;
 import dewplank.register.RegisterMessage;
-import dewplank.duty.DutyTiming;
-import dewplank.duty.VoteReply;
-import dewplank.duty.VoteRequest;
+import dewplank.store.StoreException;
+import java.io.IOException;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -85,28 +82,46 @@
         loop = environment.scheduler();
         address = settings.address() + ":" + settings.internalPorts()[0];
         RandomGenerator random = environment.random();
-        storage = new Storage(settings, settings.initialStart() ? founder(address) : environment.newIdentity(),
-            seeds(settings), environment.files(), environment.disk(), codec);
+        storage = new Storage(
+                settings,
+                settings.initialStart() ? founder(address) : environment.newIdentity(),
+                seeds(settings),
+                environment.files(),
+                environment.disk(),
+                codec);
         Member self = new Member(settings.node(), Member.CONTROL, address, settings.zone(), environment.wallClockMs());
-        mesh = new ControlMesh(loop, environment.transport(), new ControlHello(self, storage.identity()),
-            new MeshHandler());
-        List<Acceptor> initial = storage.identity().equals(founder(address)) ? founders(storage.founders())
-            : List.of();
-        configuration = new ConfigurationStore(loop, address, initial, storage.recovered(), storage, random,
-            new RegisterSurroundings());
+        mesh = new ControlMesh(
+                loop, environment.transport(), new ControlHello(self, storage.identity()), new MeshHandler());
+        List<Acceptor> initial = storage.identity().equals(founder(address)) ? founders(storage.founders()) : List.of();
+        configuration = new ConfigurationStore(
+                loop, address, initial, storage.recovered(), storage, random, new RegisterSurroundings());
         sessions = new Sessions(loop, table, new UpdateSource());
         NodeSettings.Bounds bounds = settings.bounds();
-        duties = new Duties(loop, new Acceptor(address, storage.identity()),
-            DutyTiming.leaseMs(bounds.catchUpMs(), bounds.contactMs(), bounds.drainMs()), storage, random,
-            configuration, mesh::send);
+        duties = new Duties(
+                loop,
+                new Acceptor(address, storage.identity()),
+                DutyTiming.leaseMs(bounds.catchUpMs(), bounds.contactMs(), bounds.drainMs()),
+                storage,
+                random,
+                configuration,
+                mesh::send);
         lister = new ServerLister(loop, environment.platform(), duties.list(), bounds.drainMs(), this::listChanged);
-        keeper = new AcceptorKeeper(loop, new Acceptor(address, storage.identity()), settings.bounds().catchUpMs(),
-            mesh, configuration, duties.list());
-        stages = new StageKeeper(loop, settings.node(), settings.bounds().leaseMs(), lister, duties.list(),
-            environment.serverCalls());
-        operator = new OperatorApi(configuration, new Contacts(), new OperatorViews(this));
+        keeper = new AcceptorKeeper(
+                loop,
+                new Acceptor(address, storage.identity()),
+                settings.bounds().catchUpMs(),
+                mesh,
+                configuration,
+                duties.list());
+        stages = new StageKeeper(
+                loop, settings.node(), settings.bounds().leaseMs(), lister, duties.list(), environment.serverCalls());
+        operator = new OperatorApi(
+                configuration,
+                new OperatorContact(
+                        settings.control().getPort(), address, mesh, () -> configuration.quorate(QUORATE_MS)),
+                new OperatorViews(this));
         control = environment.operators(operator);
-        internal = environment.transport().listen(socketAddress(address), MOST_CONNECTIONS, Inbound::new);
+        internal = environment.transport().listen(Addresses.socketAddress(address), MOST_CONNECTIONS, Inbound::new);
     }
 
     /** The acceptors at the very first start, when nothing is known but the seeds. */
@@ -117,7 +132,8 @@
     /** Where the settings' seeds listen to other control sidecars. */
     private static List<String> seeds(NodeSettings settings) {
         return settings.seeds().stream()
-            .map(s -> s.getAddress().getHostAddress() + ":" + settings.internalPorts()[0]).toList();
+                .map(s -> s.getAddress().getHostAddress() + ":" + settings.internalPorts()[0])
+                .toList();
     }
 
     /** The identity of a disk that was empty when the whole system started for the first time. */
@@ -125,21 +141,6 @@
         return "founder@" + address;
     }
 
-    /** Reads an address of the form IP:PORT; never looks a name up. */
-    static InetSocketAddress socketAddress(String text) {
-        int colon = text.lastIndexOf(':');
-        String[] parts = text.substring(0, colon).split("\\.");
-        byte[] ip = new byte[parts.length];
-        for (int i = 0; i < parts.length; i++) {
-            ip[i] = (byte) Integer.parseInt(parts[i]);
-        }
-        try {
-            return new InetSocketAddress(InetAddress.getByAddress(ip), Integer.parseInt(text.substring(colon + 1)));
-        } catch (UnknownHostException e) {
-            throw new IllegalArgumentException("not an address of the form IP:PORT: " + text, e);
-        }
-    }
-
     public void start() {
         loop.execute(() -> {
             internal.accept();
@@ -277,30 +278,8 @@
         @Override
         public boolean isKept(String other) {
             return seeds.contains(other)
-                || configuration.acceptors().all().stream().anyMatch(a -> a.address().equals(other));
-        }
-    }
-
-    private final class Contacts implements OperatorApi.Contact {
-        @Override
-        public boolean isCurrent() {
-            return configuration.quorate(QUORATE_MS);
-        }
-
-        @Override
-        public String betterPlace() {
-            String better = mesh.quorateAddress();
-            return better == null ? null : operatorPlace(better);
-        }
-
-        @Override
-        public List<String> otherPlaces() {
-            return mesh.addressesLiveFirst().stream().filter(a -> !a.equals(address)).map(this::operatorPlace).toList();
-        }
-
-        /** Ports are alike on all machines. */
-        private String operatorPlace(String internalAddress) {
-            return internalAddress.substring(0, internalAddress.lastIndexOf(':') + 1) + settings.control().getPort();
+                    || configuration.acceptors().all().stream()
+                            .anyMatch(a -> a.address().equals(other));
         }
     }
 
@@ -349,9 +328,14 @@
                 return null;
             }
             ConfigurationHistory.Encoded update = newerConfiguration
-                ? history.updateFrom(held.configurationVersion) : new ConfigurationHistory.Encoded(null, 0);
-            return new Update(update.bytes(), newerConfiguration ? history.version() : 0, update.baseVersion(),
-                newerList ? servers : null, otherMembers ? members : null);
+                    ? history.updateFrom(held.configurationVersion)
+                    : new ConfigurationHistory.Encoded(null, 0);
+            return new Update(
+                    update.bytes(),
+                    newerConfiguration ? history.version() : 0,
+                    update.baseVersion(),
+                    newerList ? servers : null,
+                    otherMembers ? members : null);
         }
 
         @Override
--- a/controlplane/src/main/java/dewplank/controlplane/Duties.java
+++ b/controlplane/src/main/java/dewplank/controlplane/Duties.java
@@ -1,9 +1,5 @@
 package dewplank.controlplane;
 
-import dewplank.net.Scheduler;
-import java.util.random.RandomGenerator;
-import dewplank.register.Acceptor;
-import dewplank.register.AcceptorSet;
 import dewplank.duty.Candidate;
 import dewplank.duty.CandidateOutput;
 import dewplank.duty.DutyTiming;
@@ -11,6 +7,10 @@
 import dewplank.duty.VoteRequest;
 import dewplank.duty.Voter;
 import dewplank.duty.VoterOutput;
+import dewplank.net.Scheduler;
+import dewplank.register.Acceptor;
+import dewplank.register.AcceptorSet;
+import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -41,16 +41,26 @@
     private final Voter voter;
     private final Candidate candidate;
 
-    Duties(Scheduler loop, Acceptor self, double leaseMs, Storage storage, RandomGenerator random, Voters voters,
-           Sending sending) {
+    Duties(
+            Scheduler loop,
+            Acceptor self,
+            double leaseMs,
+            Storage storage,
+            RandomGenerator random,
+            Voters voters,
+            Sending sending) {
         this.loop = loop;
         this.storage = storage;
         this.voters = voters;
         this.sending = sending;
         double now = loop.now();
         voter = new Voter(self.identity(), leaseMs, storage.firstStart() ? 0 : now + leaseMs, storage.numbers());
-        candidate = new Candidate(LIST, self.address() + "#" + Long.toHexString(random.nextLong()),
-            DutyTiming.ofLease(leaseMs), random::nextDouble, now);
+        candidate = new Candidate(
+                LIST,
+                self.address() + "#" + Long.toHexString(random.nextLong()),
+                DutyTiming.ofLease(leaseMs),
+                random::nextDouble,
+                now);
     }
 
     void start() {
--- a/controlplane/src/main/java/dewplank/controlplane/HttpServerCalls.java
+++ b/controlplane/src/main/java/dewplank/controlplane/HttpServerCalls.java
@@ -4,6 +4,7 @@
 import dewplank.exchange.HttpCall;
 import dewplank.http.Headers;
 import dewplank.http.MessageWriter;
+import dewplank.message.ServerEntry;
 import dewplank.net.EventLoop;
 import dewplank.net.Wheel;
 import java.io.ByteArrayOutputStream;
@@ -13,7 +14,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
-import dewplank.message.ServerEntry;
 
 /** Calls to model servers over HTTP, on connections that are kept for a while. */
 final class HttpServerCalls implements ServerCalls {
@@ -21,6 +21,7 @@
     private static final double CONNECT_TIMEOUT_MS = 300;
     /** Whoever else has the address by now answers 421, and neither reports for it nor takes its orders. */
     private static final String TARGET_INSTANCE = "X-Dewplank-Target-Instance";
+
     private static final double MOST_IDLE_MS = 5_000;
 
     private final EventLoop loop;
@@ -33,18 +34,19 @@
     @Override
     public void report(ServerEntry server, BooleanSupplier onlyIf, Answer answer) {
         ByteBuffer message = MessageWriter.request("GET", "/report", server.address)
-            .header(TARGET_INSTANCE, server.instanceId).noBody();
+                .header(TARGET_INSTANCE, server.instanceId)
+                .noBody();
         start(call(server, message, onlyIf, answer));
     }
 
     @Override
     public void order(ServerEntry server, byte[] body, BooleanSupplier onlyIf, Answer answer) {
         ByteBuffer message = MessageWriter.request("POST", "/order", server.address)
-            .header("Content-Type", "application/json")
-            .header(TARGET_INSTANCE, server.instanceId)
-            .body(body);
+                .header("Content-Type", "application/json")
+                .header(TARGET_INSTANCE, server.instanceId)
+                .body(body);
         Call call = call(server, message, onlyIf, answer);
-        call.http().alone();   // nothing in an answer tells a late one to a report from one to an order
+        call.http().alone(); // nothing in an answer tells a late one to a report from one to an order
         start(call);
     }
 
@@ -54,10 +56,10 @@
     }
 
     /** A call that has not begun. */
-    private record Call(HttpCall http, WholeAnswer answer) { }
+    private record Call(HttpCall http, WholeAnswer answer) {}
 
     private Call call(ServerEntry server, ByteBuffer message, BooleanSupplier onlyIf, Answer answer) {
-        InetSocketAddress to = ControlPlane.socketAddress(server.address);
+        InetSocketAddress to = Addresses.socketAddress(server.address);
         ConnectionPool pool = pools.computeIfAbsent(server.address, a -> new ConnectionPool(loop, 0, MOST_IDLE_MS));
         WholeAnswer whole = new WholeAnswer(answer);
         return new Call(new HttpCall(loop, to, pool, message, whole).onlyIf(onlyIf), whole);
--- a/controlplane/src/main/java/dewplank/controlplane/JsonText.java
+++ b/controlplane/src/main/java/dewplank/controlplane/JsonText.java
@@ -4,7 +4,7 @@
 
 /** Writes JSON texts of the operator's interface. */
 final class JsonText {
-    private JsonText() { }
+    private JsonText() {}
 
     /** An object of these fields. */
     static String object(String... fields) {
--- a/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
@@ -1,32 +1,34 @@
 package dewplank.controlplane;
 
 import dewplank.config.ResultCode;
+import dewplank.configuration.ChangeRequest;
+import dewplank.configuration.ChangeResult;
+import dewplank.configuration.ConfigurationDocument;
+import dewplank.configuration.InvalidConfigurationException;
 import dewplank.exchange.CallTree;
 import dewplank.exchange.InboundConnection;
 import dewplank.exchange.Responder;
 import dewplank.http.Headers;
 import dewplank.net.EventLoop;
+import dewplank.register.Outcome;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
-import dewplank.configuration.ChangeRequest;
-import dewplank.configuration.ChangeResult;
-import dewplank.configuration.ConfigurationDocument;
-import dewplank.configuration.InvalidConfigurationException;
-import dewplank.register.Outcome;
 
 /** The operator's interface over HTTP. */
 final class OperatorApi implements InboundConnection.Service {
-    private static final double CHANGE_MS = 850;   // callers move on after a second of silence
+    private static final double CHANGE_MS = 850; // callers move on after a second of silence
     private static final double LARGE_CHANGE_MS = 1_500;
     private static final int LARGE_BYTES = 64 * 1024;
     private static final double READ_MS = 850;
     /** Also for a body of 4 MiB over a slow link. */
     static final double MOST_IDLE_MS = 60_000;
+
     private static final int MOST_BODY_BYTES = 4 * 1024 * 1024 + 64 * 1024;
+
     private interface Call {
         void run(InboundConnection.Request request, Responder caller, List<String> parameters);
     }
@@ -79,15 +81,21 @@
         this.contact = contact;
         this.views = views;
         calls.path("configuration")
-            .on("GET", (request, caller, parameters) -> ifCurrent(request, caller, () -> read(caller)))
-            .on("PUT", (request, caller, parameters) -> ifCurrent(request, caller,
-                () -> change(request, caller, false)))
-            .on("PATCH", (request, caller, parameters) -> ifCurrent(request, caller,
-                () -> change(request, caller, true)));
+                .on("GET", (request, caller, parameters) -> ifCurrent(request, caller, () -> read(caller)))
+                .on(
+                        "PUT",
+                        (request, caller, parameters) ->
+                                ifCurrent(request, caller, () -> change(request, caller, false)))
+                .on(
+                        "PATCH",
+                        (request, caller, parameters) ->
+                                ifCurrent(request, caller, () -> change(request, caller, true)));
         calls.path("members").on("GET", (request, caller, parameters) -> json(caller, views.members()));
         calls.path("duties").on("GET", (request, caller, parameters) -> json(caller, views.duties()));
-        calls.path("servers").on("GET", (request, caller, parameters) -> json(caller, views.servers()))
-            .path("*").on("GET", (request, caller, parameters) -> server(caller, parameters.get(0)));
+        calls.path("servers")
+                .on("GET", (request, caller, parameters) -> json(caller, views.servers()))
+                .path("*")
+                .on("GET", (request, caller, parameters) -> server(caller, parameters.get(0)));
         calls.path("status").on("GET", (request, caller, parameters) -> json(caller, views.status()));
     }
 
@@ -139,8 +147,11 @@
             return;
         }
         String allowed = String.join(", ", methods);
-        answer(caller, ResultCode.NO_SUCH_METHOD.status(), List.of(json(), new Headers.Field("Allow", allowed)),
-            body(ResultCode.NO_SUCH_METHOD, request.method() + " is not among " + allowed));
+        answer(
+                caller,
+                ResultCode.NO_SUCH_METHOD.status(),
+                List.of(json(), new Headers.Field("Allow", allowed)),
+                body(ResultCode.NO_SUCH_METHOD, request.method() + " is not among " + allowed));
     }
 
     private void server(Responder caller, String instanceId) {
@@ -164,14 +175,20 @@
         }
         String better = contact.betterPlace();
         if (better != null && request.target().startsWith("/")) {
-            answer(caller, ResultCode.ELSEWHERE.status(),
-                List.of(json(), new Headers.Field("Location", "http://" + better + request.target())),
-                body(ResultCode.ELSEWHERE, "no majority of acceptors was reached lately from here"));
+            answer(
+                    caller,
+                    ResultCode.ELSEWHERE.status(),
+                    List.of(json(), new Headers.Field("Location", "http://" + better + request.target())),
+                    body(ResultCode.ELSEWHERE, "no majority of acceptors was reached lately from here"));
             return;
         }
-        List<String> others = contact.otherPlaces().stream().map(JsonText::quoted).toList();
-        result(caller, ResultCode.NOT_CURRENT, "no majority of acceptors was reached lately",
-            JsonText.plain("elsewhere", JsonText.array(others)));
+        List<String> others =
+                contact.otherPlaces().stream().map(JsonText::quoted).toList();
+        result(
+                caller,
+                ResultCode.NOT_CURRENT,
+                "no majority of acceptors was reached lately",
+                JsonText.plain("elsewhere", JsonText.array(others)));
     }
 
     private void change(InboundConnection.Request request, Responder caller, boolean patch) {
@@ -210,15 +227,24 @@
         } else if (result instanceof ChangeResult.AlreadyAccepted) {
             result(caller, ResultCode.ALREADY_TAKEN, "");
         } else if (result instanceof ChangeResult.VersionMismatch mismatch) {
-            result(caller, ResultCode.VERSION_MISMATCH, "version " + mismatch.current() + " is in place",
-                JsonText.plain("version", mismatch.current()));
+            result(
+                    caller,
+                    ResultCode.VERSION_MISMATCH,
+                    "version " + mismatch.current() + " is in place",
+                    JsonText.plain("version", mismatch.current()));
         } else if (result instanceof ChangeResult.Forgotten forgotten) {
-            result(caller, ResultCode.BEYOND_HISTORY, "changes on versions below " + forgotten.oldestBase()
-                + " are no longer remembered");
+            result(
+                    caller,
+                    ResultCode.BEYOND_HISTORY,
+                    "changes on versions below " + forgotten.oldestBase() + " are no longer remembered");
         } else if (result instanceof ChangeResult.Invalid invalid) {
             InvalidConfigurationException error = invalid.error();
-            result(caller, ResultCode.INVALID_CONFIGURATION, error.getMessage(),
-                JsonText.field("reason", error.reason().name()), JsonText.field("key", error.key()));
+            result(
+                    caller,
+                    ResultCode.INVALID_CONFIGURATION,
+                    error.getMessage(),
+                    JsonText.field("reason", error.reason().name()),
+                    JsonText.field("key", error.key()));
         }
     }
 
@@ -229,7 +255,7 @@
                 return;
             }
             ConfigurationDocument document = ConfigurationDocument.decode(
-                confirmed.value() == null ? null : confirmed.value().payload());
+                    confirmed.value() == null ? null : confirmed.value().payload());
             if (document.configuration() == null) {
                 result(caller, ResultCode.NO_CONFIGURATION, "no configuration has been taken yet");
             } else {
@@ -248,8 +274,10 @@
 
     /** Number, name and detail of a result, and further fields. */
     private static byte[] body(ResultCode code, String detail, String... more) {
-        List<String> fields = new ArrayList<>(List.of(JsonText.plain("code", code.number()),
-            JsonText.field("result", code.name()), JsonText.field("detail", detail)));
+        List<String> fields = new ArrayList<>(List.of(
+                JsonText.plain("code", code.number()),
+                JsonText.field("result", code.name()),
+                JsonText.field("detail", detail)));
         fields.addAll(List.of(more));
         return (JsonText.object(fields.toArray(String[]::new)) + "\n").getBytes(StandardCharsets.UTF_8);
     }
--- /dev/null
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorContact.java
@@ -0,0 +1,49 @@
+package dewplank.controlplane;
+
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+/** Where operators' calls may go instead, by what the links to other control sidecars tell. */
+final class OperatorContact implements OperatorApi.Contact {
+    private final int controlPort;
+    private final String self;
+    private final ControlMesh mesh;
+    private final BooleanSupplier quorate;
+
+    /**
+     * Ports are alike on all machines.
+     *
+     * @param controlPort where operators call, here and elsewhere
+     * @param self the own address on the links
+     * @param quorate whether a majority was reached lately
+     */
+    OperatorContact(int controlPort, String self, ControlMesh mesh, BooleanSupplier quorate) {
+        this.controlPort = controlPort;
+        this.self = self;
+        this.mesh = mesh;
+        this.quorate = quorate;
+    }
+
+    @Override
+    public boolean isCurrent() {
+        return quorate.getAsBoolean();
+    }
+
+    @Override
+    public String betterPlace() {
+        String better = mesh.quorateAddress();
+        return better == null ? null : operatorPlace(better);
+    }
+
+    @Override
+    public List<String> otherPlaces() {
+        return mesh.addressesLiveFirst().stream()
+                .filter(a -> !a.equals(self))
+                .map(this::operatorPlace)
+                .toList();
+    }
+
+    private String operatorPlace(String linkAddress) {
+        return linkAddress.substring(0, linkAddress.lastIndexOf(':') + 1) + controlPort;
+    }
+}
--- a/controlplane/src/main/java/dewplank/controlplane/OperatorViews.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorViews.java
@@ -1,9 +1,9 @@
 package dewplank.controlplane;
 
-import java.util.List;
-import dewplank.message.ServerEntry;
 import dewplank.membership.Member;
+import dewplank.message.ServerEntry;
 import dewplank.register.Acceptor;
+import java.util.List;
 
 /** What this control sidecar knows, as JSON for the operator's client. */
 final class OperatorViews implements OperatorApi.Views {
@@ -19,33 +19,49 @@
     public String members() {
         List<Member> data = plane.table().members(plane.now());
         List<Member> control = plane.mesh().peers(Double.POSITIVE_INFINITY).stream()
-            .map(ControlMesh.Peer::member).toList();
-        return JsonText.object(JsonText.field("answered_by", plane.node()), members("data", data),
-            members("control", control)) + "\n";
+                .map(ControlMesh.Peer::member)
+                .toList();
+        return JsonText.object(
+                        JsonText.field("answered_by", plane.node()), members("data", data), members("control", control))
+                + "\n";
     }
 
     private static String members(String kind, List<Member> members) {
-        return JsonText.plain(kind, JsonText.array(members.stream().map(OperatorViews::member).toList()));
+        return JsonText.plain(
+                kind, JsonText.array(members.stream().map(OperatorViews::member).toList()));
     }
 
     private static String member(Member m) {
-        return JsonText.object(JsonText.field("node", m.node), JsonText.field("address", m.address),
-            JsonText.field("zone", m.zone), JsonText.plain("incarnation", m.incarnation));
+        return JsonText.object(
+                JsonText.field("node", m.node),
+                JsonText.field("address", m.address),
+                JsonText.field("zone", m.zone),
+                JsonText.plain("incarnation", m.incarnation));
     }
 
     @Override
     public String duties() {
         ServerLister.Duty list = plane.duties().list();
-        return JsonText.object(JsonText.field("answered_by", plane.node()),
-            JsonText.plain("list", JsonText.object(JsonText.plain("held_here", list.holds()),
-                JsonText.plain("fencing_number", list.fencingNumber())))) + "\n";
+        return JsonText.object(
+                        JsonText.field("answered_by", plane.node()),
+                        JsonText.plain(
+                                "list",
+                                JsonText.object(
+                                        JsonText.plain("held_here", list.holds()),
+                                        JsonText.plain("fencing_number", list.fencingNumber()))))
+                + "\n";
     }
 
     @Override
     public String servers() {
-        List<String> servers = plane.lister().newest().servers.stream().map(OperatorViews::server).toList();
-        return JsonText.object(JsonText.field("version", plane.lister().newest().version.toString()),
-            JsonText.plain("servers", JsonText.array(servers))) + "\n";
+        List<String> servers = plane.lister().newest().servers.stream()
+                .map(OperatorViews::server)
+                .toList();
+        return JsonText.object(
+                        JsonText.field(
+                                "version", plane.lister().newest().version.toString()),
+                        JsonText.plain("servers", JsonText.array(servers)))
+                + "\n";
     }
 
     @Override
@@ -59,22 +75,33 @@
     }
 
     private static String server(ServerEntry s) {
-        return JsonText.object(JsonText.field("instance_id", s.instanceId), JsonText.field("service", s.service),
-            JsonText.field("address", s.address), JsonText.field("zone", s.zone), JsonText.field("stage", s.stage),
-            JsonText.plain("draining", s.draining), JsonText.plain("slot_count", s.slotCount));
+        return JsonText.object(
+                JsonText.field("instance_id", s.instanceId),
+                JsonText.field("service", s.service),
+                JsonText.field("address", s.address),
+                JsonText.field("zone", s.zone),
+                JsonText.field("stage", s.stage),
+                JsonText.plain("draining", s.draining),
+                JsonText.plain("slot_count", s.slotCount));
     }
 
     @Override
     public String status() {
-        List<String> acceptors = plane.configuration().acceptors().all().stream().map(OperatorViews::acceptor).toList();
-        return JsonText.object(JsonText.field("node", plane.node()),
-            JsonText.plain("quorate", plane.configuration().quorate(QUORATE_MS)),
-            JsonText.plain("current", plane.configuration().current(QUORATE_MS)),
-            JsonText.plain("quorum_age_ms", plane.configuration().quorumAgeMs()),
-            JsonText.plain("holds_list_duty", plane.duties().list().holds()),
-            JsonText.plain("acceptors_generation", plane.configuration().acceptors().generation()),
-            JsonText.plain("config_version", plane.history().version()),
-            JsonText.plain("acceptors", JsonText.array(acceptors))) + "\n";
+        List<String> acceptors = plane.configuration().acceptors().all().stream()
+                .map(OperatorViews::acceptor)
+                .toList();
+        return JsonText.object(
+                        JsonText.field("node", plane.node()),
+                        JsonText.plain("quorate", plane.configuration().quorate(QUORATE_MS)),
+                        JsonText.plain("current", plane.configuration().current(QUORATE_MS)),
+                        JsonText.plain("quorum_age_ms", plane.configuration().quorumAgeMs()),
+                        JsonText.plain("holds_list_duty", plane.duties().list().holds()),
+                        JsonText.plain(
+                                "acceptors_generation",
+                                plane.configuration().acceptors().generation()),
+                        JsonText.plain("config_version", plane.history().version()),
+                        JsonText.plain("acceptors", JsonText.array(acceptors)))
+                + "\n";
     }
 
     private static String acceptor(Acceptor a) {
--- a/controlplane/src/main/java/dewplank/controlplane/PlatformApi.java
+++ b/controlplane/src/main/java/dewplank/controlplane/PlatformApi.java
@@ -1,7 +1,7 @@
 package dewplank.controlplane;
 
-import java.util.List;
 import dewplank.message.ServerEntry;
+import java.util.List;
 
 /** The platform, which knows what servers there are. */
 interface PlatformApi {
--- a/controlplane/src/main/java/dewplank/controlplane/PlatformList.java
+++ b/controlplane/src/main/java/dewplank/controlplane/PlatformList.java
@@ -8,6 +8,7 @@
 import dewplank.exchange.HttpCall;
 import dewplank.http.Headers;
 import dewplank.http.MessageWriter;
+import dewplank.message.ServerEntry;
 import dewplank.net.EventLoop;
 import dewplank.net.Wheel;
 import java.io.ByteArrayOutputStream;
@@ -15,7 +16,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import dewplank.message.ServerEntry;
 
 /** Asks the platform for its list of servers over HTTP, page by page. */
 final class PlatformList implements PlatformApi {
@@ -24,6 +24,7 @@
     private static final int MOST_PAGES = 1_000;
     /** Of the rate that the platform allows: for a moment two holders may ask, when in doubt. */
     private static final double RATE_PART = 0.5;
+
     private static final double SECOND_MS = 1_000;
 
     private final EventLoop loop;
@@ -83,7 +84,12 @@
             body.reset();
             String target = token == null ? "/instances" : "/instances?page_token=" + token;
             String host = address.getAddress().getHostAddress() + ":" + address.getPort();
-            call = new HttpCall(loop, address, pool, MessageWriter.request("GET", target, host).noBody(), this);
+            call = new HttpCall(
+                    loop,
+                    address,
+                    pool,
+                    MessageWriter.request("GET", target, host).noBody(),
+                    this);
             timeout = loop.after(CALL_TIMEOUT_MS, () -> {
                 call.cancel();
                 ended.failed("no answer");
@@ -139,12 +145,17 @@
 
         private ServerEntry entry(Any instance) {
             Any stage = instance.get("stage");
-            return new ServerEntry(needed(instance, "instance_id"), needed(instance, "service"),
-                needed(instance, "address"), needed(instance, "zone"), instance.toInt("slot_count"),
-                "draining".equals(instance.toString("state")),
-                instance.get("cold_remaining_ms").valueType() == ValueType.NUMBER
-                    ? instance.toDouble("cold_remaining_ms") : 0,
-                stage.valueType() == ValueType.STRING ? stage.toString() : null);
+            return new ServerEntry(
+                    needed(instance, "instance_id"),
+                    needed(instance, "service"),
+                    needed(instance, "address"),
+                    needed(instance, "zone"),
+                    instance.toInt("slot_count"),
+                    "draining".equals(instance.toString("state")),
+                    instance.get("cold_remaining_ms").valueType() == ValueType.NUMBER
+                            ? instance.toDouble("cold_remaining_ms")
+                            : 0,
+                    stage.valueType() == ValueType.STRING ? stage.toString() : null);
         }
 
         private static String needed(Any instance, String key) {
--- a/controlplane/src/main/java/dewplank/controlplane/ServerCalls.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ServerCalls.java
@@ -1,8 +1,8 @@
 package dewplank.controlplane;
 
+import dewplank.message.ServerEntry;
 import java.util.Collection;
 import java.util.function.BooleanSupplier;
-import dewplank.message.ServerEntry;
 
 /** Calls to model servers' own interface. */
 interface ServerCalls {
--- a/controlplane/src/main/java/dewplank/controlplane/ServerLister.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ServerLister.java
@@ -1,12 +1,12 @@
 package dewplank.controlplane;
 
+import dewplank.message.ListVersion;
+import dewplank.message.ServerEntry;
+import dewplank.message.ServerList;
 import dewplank.net.Scheduler;
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Consumer;
-import dewplank.message.ListVersion;
-import dewplank.message.ServerEntry;
-import dewplank.message.ServerList;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -37,7 +37,7 @@
         }
 
         /** Lays it down for at least so long: another may be able to do what this process can't. */
-        default void pause(double ms) { }
+        default void pause(double ms) {}
     }
 
     private final Scheduler loop;
--- a/controlplane/src/main/java/dewplank/controlplane/Sessions.java
+++ b/controlplane/src/main/java/dewplank/controlplane/Sessions.java
@@ -1,17 +1,17 @@
 package dewplank.controlplane;
 
-import dewplank.net.Scheduler;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Set;
-import dewplank.message.MessageLink;
+import dewplank.membership.Member;
+import dewplank.membership.SessionTable;
 import dewplank.message.ListVersion;
+import dewplank.message.MessageLink;
 import dewplank.message.SessionAnswer;
 import dewplank.message.SessionOpen;
 import dewplank.message.SessionQuestion;
 import dewplank.message.Update;
-import dewplank.membership.Member;
-import dewplank.membership.SessionTable;
+import dewplank.net.Scheduler;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -39,7 +39,7 @@
     private final Scheduler loop;
     private final SessionTable table;
     private final Source source;
-    private final Set<Session> open = new LinkedHashSet<>();   // told in the order in which they opened
+    private final Set<Session> open = new LinkedHashSet<>(); // told in the order in which they opened
 
     Sessions(Scheduler loop, SessionTable table, Source source) {
         this.loop = loop;
