--- a/emulator/src/main/java/dewplank/emulator/fleet/ConfigurationRules.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/ConfigurationRules.java
@@ -21,7 +21,7 @@
 
     private final List<FleetEvent> events;
     private final Tries tries;
-    private final List<ChangeSent> sent;   // those that may be in force: no refusal came
+    private final List<ChangeSent> sent; // those that may be in force: no refusal came
     private final List<ChangeAnswered> acknowledged;
     private final List<Troubled> troubles;
     private final List<Violation> found = new ArrayList<>();
@@ -31,13 +31,17 @@
         this.tries = tries;
         List<ChangeAnswered> answers = FleetEvent.only(events, ChangeAnswered.class);
         this.sent = FleetEvent.only(events, ChangeSent.class).stream()
-            .filter(s -> answers.stream().noneMatch(a -> refused(a, s))).toList();
+                .filter(s -> answers.stream().noneMatch(a -> refused(a, s)))
+                .toList();
         this.acknowledged = answers.stream().filter(a -> a.status() == OK).toList();
         this.troubles = FleetEvent.only(events, Troubled.class);
     }
 
     private static boolean refused(ChangeAnswered a, ChangeSent s) {
-        return a.status() != 0 && a.status() != OK && a.base() == s.base() && a.text().equals(s.text());
+        return a.status() != 0
+                && a.status() != OK
+                && a.base() == s.base()
+                && a.text().equals(s.text());
     }
 
     List<Violation> check() {
@@ -70,13 +74,17 @@
     }
 
     private void readBack(ReadBack read) {
-        long newest = acknowledged.stream().filter(a -> a.at() <= read.sentAt() && a.document() != null)
-            .mapToLong(a -> a.document().version()).max().orElse(0);
+        long newest = acknowledged.stream()
+                .filter(a -> a.at() <= read.sentAt() && a.document() != null)
+                .mapToLong(a -> a.document().version())
+                .max()
+                .orElse(0);
         long version = FleetConfiguration.versionOf(read.text());
         if (version < newest) {
             broken(Rule.CONFIG, "read back was " + version + ", acknowledged " + newest);
         }
-        boolean asSent = sent.stream().anyMatch(s -> s.document() != null && s.document().sameAs(read.text()));
+        boolean asSent =
+                sent.stream().anyMatch(s -> s.document() != null && s.document().sameAs(read.text()));
         if (version > 0 && !asSent) {
             broken(Rule.CONFIG, "read back was what nobody sent: " + read.text());
         }
@@ -89,8 +97,9 @@
     }
 
     private static boolean allows(FleetConfiguration document, TrySent t, Ran run) {
-        return document != null && document.allows(t.request().route().host(), t.request().target())
-            .contains(run.server().service());
+        return document != null
+                && document.allows(t.request().route().host(), t.request().target())
+                        .contains(run.server().service());
     }
 
     /** A request sent long after an acknowledgement is handled as that version or a later one says. */
@@ -100,15 +109,18 @@
         if (due == 0 || ended == null) {
             return;
         }
-        List<FleetConfiguration> valid = sent.stream().map(ChangeSent::document)
-            .filter(d -> d != null && d.version() >= due).toList();
+        List<FleetConfiguration> valid = sent.stream()
+                .map(ChangeSent::document)
+                .filter(d -> d != null && d.version() >= due)
+                .toList();
         for (Ran run : tries.runs(t.tryId())) {
             if (valid.stream().noneMatch(d -> allows(d, t, run))) {
                 broken(Rule.STALE, t.tryId() + " ran at " + run.server().service() + " long after version " + due);
             }
         }
         boolean missing = valid.stream()
-            .anyMatch(d -> d.allows(t.request().route().host(), t.request().target()).isEmpty());
+                .anyMatch(d -> d.allows(t.request().route().host(), t.request().target())
+                        .isEmpty());
         if (ended.status() == 404 && !missing) {
             broken(Rule.STALE, t.tryId() + " got 404 long after version " + due);
         }
--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetAuditor.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetAuditor.java
@@ -5,7 +5,7 @@
 
 /** Checks a history after the fact. */
 public final class FleetAuditor {
-    private FleetAuditor() { }
+    private FleetAuditor() {}
 
     /** What the history breaks; empty where it keeps every rule. */
     public static List<Violation> audit(List<FleetEvent> events) {
--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetBounds.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetBounds.java
@@ -15,5 +15,5 @@
     static final double LIST_RATE_PER_S = 44;
     static final int MAX_LAG_MS = 800;
 
-    private FleetBounds() { }
+    private FleetBounds() {}
 }
--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetClient.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetClient.java
@@ -28,12 +28,14 @@
     }
 
     private static ByteBuffer message(String id, ClientRequest r) {
-        MessageWriter message = MessageWriter.request(r.method(), r.target(), r.route().host())
-            .header(WireFields.ATTEMPT_ID, id)
-            .header(WireFields.REMAINING_TIME, Integer.toString(r.waitMs()));
+        MessageWriter message = MessageWriter.request(
+                        r.method(), r.target(), r.route().host())
+                .header(WireFields.ATTEMPT_ID, id)
+                .header(WireFields.REMAINING_TIME, Integer.toString(r.waitMs()));
         if (r.route().kind().streaming()) {
-            message.header(WireFields.MODEL_NAME, "m").header(WireFields.TOKEN_COUNTS, "1050," + r.events())
-                .header(WireFields.PROMPT_PREFIX, r.prompt());
+            message.header(WireFields.MODEL_NAME, "m")
+                    .header(WireFields.TOKEN_COUNTS, "1050," + r.events())
+                    .header(WireFields.PROMPT_PREFIX, r.prompt());
         }
         return message.body(r.body().getBytes(StandardCharsets.UTF_8));
     }
@@ -76,8 +78,12 @@
             head = parser;
             body.writeBytes(bytes);
             if (request.route().kind().streaming()) {
-                history.add(new FleetEvent.Piece(loop.now(), handle.id(), parser.status(),
-                    parser.headers().get(WireFields.SEAL), new String(bytes, StandardCharsets.UTF_8)));
+                history.add(new FleetEvent.Piece(
+                        loop.now(),
+                        handle.id(),
+                        parser.status(),
+                        parser.headers().get(WireFields.SEAL),
+                        new String(bytes, StandardCharsets.UTF_8)));
             }
         }
 
--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetConfiguration.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetConfiguration.java
@@ -31,7 +31,8 @@
 
     /** The next one, without a route. */
     public FleetConfiguration without(long nextVersion, String route) {
-        List<RouteSpec> next = routes.stream().filter(r -> !r.name().equals(route)).toList();
+        List<RouteSpec> next =
+                routes.stream().filter(r -> !r.name().equals(route)).toList();
         return new FleetConfiguration(nextVersion, next, services);
     }
 
@@ -46,11 +47,14 @@
 
     /** The services that a request may be sent to; none where it has no route. */
     Set<String> allows(String host, String target) {
-        return routes.stream().filter(r -> r.host().equals(host) && target.startsWith(r.prefix()))
-            .max((a, b) -> a.prefix().length() - b.prefix().length())
-            .map(r -> r.split().entrySet().stream().filter(e -> e.getValue() > 0).map(Map.Entry::getKey)
-                .collect(Collectors.toSet()))
-            .orElse(Set.of());
+        return routes.stream()
+                .filter(r -> r.host().equals(host) && target.startsWith(r.prefix()))
+                .max((a, b) -> a.prefix().length() - b.prefix().length())
+                .map(r -> r.split().entrySet().stream()
+                        .filter(e -> e.getValue() > 0)
+                        .map(Map.Entry::getKey)
+                        .collect(Collectors.toSet()))
+                .orElse(Set.of());
     }
 
     public JsonObject json() {
@@ -68,13 +72,23 @@
         o.addProperty("config_version", version);
         JsonObject upsert = new JsonObject();
         JsonObject remove = new JsonObject();
-        upsert.add("routes",
-            array(routes.stream().filter(r -> !base.routes.contains(r)).map(RouteSpec::json).toList()));
-        upsert.add("services",
-            array(services.stream().filter(s -> !base.services.contains(s)).map(ServiceSpec::json).toList()));
+        upsert.add(
+                "routes",
+                array(routes.stream()
+                        .filter(r -> !base.routes.contains(r))
+                        .map(RouteSpec::json)
+                        .toList()));
+        upsert.add(
+                "services",
+                array(services.stream()
+                        .filter(s -> !base.services.contains(s))
+                        .map(ServiceSpec::json)
+                        .toList()));
         JsonArray gone = new JsonArray();
-        base.routes.stream().map(RouteSpec::name).filter(n -> routes.stream().noneMatch(r -> r.name().equals(n)))
-            .forEach(gone::add);
+        base.routes.stream()
+                .map(RouteSpec::name)
+                .filter(n -> routes.stream().noneMatch(r -> r.name().equals(n)))
+                .forEach(gone::add);
         remove.add("routes", gone);
         o.add("upsert", upsert);
         o.add("remove", remove);
@@ -120,7 +134,10 @@
     /** The version that a text gives; -1 where it gives none. */
     static long versionOf(String text) {
         try {
-            return JsonParser.parseString(text).getAsJsonObject().get("config_version").getAsLong();
+            return JsonParser.parseString(text)
+                    .getAsJsonObject()
+                    .get("config_version")
+                    .getAsLong();
         } catch (RuntimeException notOne) {
             return -1;
         }
--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetNetwork.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetNetwork.java
@@ -22,7 +22,7 @@
     private static final int GUARD = 0;
     private static final int CONTROL_FROM = 10;
     private static final int DATA_FROM = 40;
-    private static final int PLATFORM_BEHIND = 60;   // where a machine finds the platform, beyond its own number
+    private static final int PLATFORM_BEHIND = 60; // where a machine finds the platform, beyond its own number
     private static final int SERVERS_FROM = 150;
 
     private final int number;
@@ -56,8 +56,8 @@
 
     /** Where a control machine finds the platform: each at an address of its own, which tells who is calling. */
     InetSocketAddress platform(int controlMachine) {
-        return new InetSocketAddress(Addresses.machine(number, CONTROL_FROM + PLATFORM_BEHIND + controlMachine),
-            PLATFORM_PORT);
+        return new InetSocketAddress(
+                Addresses.machine(number, CONTROL_FROM + PLATFORM_BEHIND + controlMachine), PLATFORM_PORT);
     }
 
     InetSocketAddress server(int machine) {
--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetProcess.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetProcess.java
@@ -18,10 +18,15 @@
     private final FleetMachine machine;
     private final List<InetSocketAddress> seeds;
     private final ProgramProcess process;
-    private final Path disk;   // null: the machine has none
-
-    FleetProcess(EventLoop loop, History history, FleetMachine machine, List<InetSocketAddress> seeds,
-                 List<String> command, Path folder) {
+    private final Path disk; // null: the machine has none
+
+    FleetProcess(
+            EventLoop loop,
+            History history,
+            FleetMachine machine,
+            List<InetSocketAddress> seeds,
+            List<String> command,
+            Path folder) {
         this.loop = loop;
         this.history = history;
         this.machine = machine;
--- a/emulator/src/main/java/dewplank/emulator/fleet/HandleRules.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/HandleRules.java
@@ -21,15 +21,15 @@
     List<Violation> check() {
         List<Violation> found = new ArrayList<>();
         Map<String, String> owners = FleetEvent.only(events, HandleMade.class).stream()
-            .collect(Collectors.toMap(HandleMade::handle, HandleMade::tryId));
+                .collect(Collectors.toMap(HandleMade::handle, HandleMade::tryId));
         Set<String> taken = new HashSet<>();
         for (HandleTaken t : FleetEvent.only(events, HandleTaken.class)) {
             if (!taken.add(t.handle())) {
                 found.add(new Violation(Rule.HANDLE, t.handle() + " was taken twice"));
             }
             if (!t.byTryId().equals(owners.get(t.handle()))) {
-                found.add(new Violation(Rule.HANDLE, t.handle() + " of " + owners.get(t.handle()) + " taken for "
-                    + t.byTryId()));
+                found.add(new Violation(
+                        Rule.HANDLE, t.handle() + " of " + owners.get(t.handle()) + " taken for " + t.byTryId()));
             }
         }
         return found;
--- a/emulator/src/main/java/dewplank/emulator/fleet/ModelServer.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/ModelServer.java
@@ -23,8 +23,9 @@
     private volatile int holdBehind = NEVER;
     private int streams;
 
-    ModelServer(EventLoop loop, History history, ServerIdentity identity, InetSocketAddress address,
-                ContextHandles handles) throws IOException {
+    ModelServer(
+            EventLoop loop, History history, ServerIdentity identity, InetSocketAddress address, ContextHandles handles)
+            throws IOException {
         super(loop, history, identity, address);
         this.handles = handles;
     }
@@ -76,8 +77,8 @@
         loop.after(READ_MS, () -> {
             if (a.open()) {
                 String handle = handles.make(loop.now(), identity(), a.tryId);
-                a.answer(200, null,
-                    "{\"context_handle\":\"" + handle + "\",\"token_count\":1050,\"config_version\":1}");
+                a.answer(
+                        200, null, "{\"context_handle\":\"" + handle + "\",\"token_count\":1050,\"config_version\":1}");
             }
         });
     }
@@ -106,7 +107,8 @@
         Stream(Arrival arrival) {
             this.arrival = arrival;
             String counts = arrival.field(WireFields.TOKEN_COUNTS);
-            this.last = Integer.parseInt(counts.substring(counts.indexOf(',') + 1).strip());
+            this.last =
+                    Integer.parseInt(counts.substring(counts.indexOf(',') + 1).strip());
             String resumed = arrival.field(WireFields.LAST_EVENT_ID);
             this.sent = resumed == null ? 0 : Integer.parseInt(resumed);
         }
--- a/emulator/src/main/java/dewplank/emulator/fleet/PlainServer.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/PlainServer.java
@@ -22,8 +22,10 @@
         }
         loop.after(WORK_MS, () -> {
             if (a.open()) {
-                a.answer(200, identity().instanceId() + "." + ++answers,
-                    a.tryId + " by " + identity().instanceId() + ": " + a.method + " " + a.target + " " + a.body);
+                a.answer(
+                        200,
+                        identity().instanceId() + "." + ++answers,
+                        a.tryId + " by " + identity().instanceId() + ": " + a.method + " " + a.target + " " + a.body);
             }
         });
     }
--- a/emulator/src/main/java/dewplank/emulator/fleet/PlatformRules.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/PlatformRules.java
@@ -22,7 +22,8 @@
     PlatformRules(List<FleetEvent> events) {
         this.calls = FleetEvent.only(events, ListCalled.class);
         this.thaws = FleetEvent.only(events, Troubled.class).stream()
-            .filter(t -> t.trouble() == Trouble.THAWED).toList();
+                .filter(t -> t.trouble() == Trouble.THAWED)
+                .toList();
     }
 
     List<Violation> check() {
@@ -34,7 +35,7 @@
             boolean relieved = !call.node().equals(holder) && lastCall.containsKey(call.node());
             boolean withinLease = relieved && call.at() - lastCall.get(call.node()) < FleetBounds.LEASE_MS;
             if (withinLease && call.at() - heldSince < HAND_OVER_MS || relieved && justThawed(call)) {
-                continue;   // the end of a hand-over
+                continue; // the end of a hand-over
             }
             if (withinLease) {
                 found.add(new Violation(Rule.ONE, call.node() + " and " + holder + " took turns at " + call.at()));
@@ -49,7 +50,9 @@
     }
 
     private boolean justThawed(ListCalled call) {
-        return thaws.stream().anyMatch(t -> t.node().equals(call.node()) && call.at() >= t.at()
-            && call.at() - t.at() <= FleetBounds.THAW_SLACK_MS);
+        return thaws.stream()
+                .anyMatch(t -> t.node().equals(call.node())
+                        && call.at() >= t.at()
+                        && call.at() - t.at() <= FleetBounds.THAW_SLACK_MS);
     }
 }
--- a/emulator/src/main/java/dewplank/emulator/fleet/RequestRules.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/RequestRules.java
@@ -27,8 +27,9 @@
     RequestRules(List<FleetEvent> events, Tries tries) {
         this.events = events;
         this.tries = tries;
-        FleetEvent.only(events, Answered.class).stream().filter(a -> a.seal() != null)
-            .forEach(a -> bySeal.put(a.seal(), a));
+        FleetEvent.only(events, Answered.class).stream()
+                .filter(a -> a.seal() != null)
+                .forEach(a -> bySeal.put(a.seal(), a));
     }
 
     List<Violation> check() {
@@ -74,8 +75,10 @@
             return;
         }
         TrySent sent = tries.sent(arrived.tryId());
-        boolean same = sent != null && sent.request().method().equals(arrived.method())
-            && sent.request().target().equals(arrived.target()) && sent.request().body().equals(arrived.body());
+        boolean same = sent != null
+                && sent.request().method().equals(arrived.method())
+                && sent.request().target().equals(arrived.target())
+                && sent.request().body().equals(arrived.body());
         if (!same) {
             broken(Rule.UNASKED, "a server got " + arrived + ", sent was " + sent);
         }
@@ -84,16 +87,22 @@
     private void drained(ShownDraining drained) {
         double until = drained.at() + FleetBounds.DRAIN_MS;
         for (Arrived a : FleetEvent.only(events, Arrived.class)) {
-            boolean late = a.server().equals(drained.server()) && a.at() > until && !a.target().startsWith(FREEING);
+            boolean late = a.server().equals(drained.server())
+                    && a.at() > until
+                    && !a.target().startsWith(FREEING);
             if (late && !meantForAnother(a)) {
-                broken(Rule.DRAIN, a.tryId() + " reached " + a.server().instanceId() + " " + (a.at() - drained.at())
-                    + " ms after it was shown as draining");
+                broken(
+                        Rule.DRAIN,
+                        a.tryId() + " reached " + a.server().instanceId() + " " + (a.at() - drained.at())
+                                + " ms after it was shown as draining");
             }
         }
     }
 
     private boolean meantForAnother(Arrived a) {
         return FleetEvent.only(events, TurnedAway.class).stream()
-            .anyMatch(t -> t.status() == 421 && t.tryId().equals(a.tryId()) && t.server().equals(a.server()));
+                .anyMatch(t -> t.status() == 421
+                        && t.tryId().equals(a.tryId())
+                        && t.server().equals(a.server()));
     }
 }
--- a/emulator/src/main/java/dewplank/emulator/fleet/RouteSpec.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/RouteSpec.java
@@ -6,11 +6,20 @@
 import java.util.Map;
 
 /** A route of a configuration that the operator sends. {@code split}: services and their weights. */
-public record RouteSpec(String name, String host, String prefix, Kind kind, Map<String, Integer> split, int maxAttempts,
-                        int timeoutMs) {
+public record RouteSpec(
+        String name,
+        String host,
+        String prefix,
+        Kind kind,
+        Map<String, Integer> split,
+        int maxAttempts,
+        int timeoutMs) {
     /** What may be repeated. */
     public enum Kind {
-        SAFE("safe", false), UNSAFE("unsafe", false), STREAM("streaming", false), RESUMABLE("streaming", true);
+        SAFE("safe", false),
+        UNSAFE("unsafe", false),
+        STREAM("streaming", false),
+        RESUMABLE("streaming", true);
 
         private final String type;
         private final boolean resumable;
--- a/emulator/src/main/java/dewplank/emulator/fleet/SettingsFile.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/SettingsFile.java
@@ -16,7 +16,7 @@
     private static final int DESCRIPTORS = 4_100;
     private static final int DISK_MB = 256;
 
-    private SettingsFile() { }
+    private SettingsFile() {}
 
     static String of(FleetMachine machine, List<InetSocketAddress> seeds, boolean initialStart, Path data) {
         JsonObject o = new JsonObject();
@@ -25,9 +25,16 @@
         o.addProperty("ip_address", machine.address().getHostAddress());
         o.addProperty("zone", machine.zone());
         o.add("listen_addresses", listen(machine));
-        o.add("internal_port_range", array(List.of(new JsonPrimitive(FleetNetwork.FIRST_INTERNAL_PORT),
-            new JsonPrimitive(FleetNetwork.LAST_INTERNAL_PORT))));
-        o.add("seed_nodes", array(seeds.stream().map(s -> new JsonPrimitive(Addresses.text(s))).toList()));
+        o.add(
+                "internal_port_range",
+                array(List.of(
+                        new JsonPrimitive(FleetNetwork.FIRST_INTERNAL_PORT),
+                        new JsonPrimitive(FleetNetwork.LAST_INTERNAL_PORT))));
+        o.add(
+                "seed_nodes",
+                array(seeds.stream()
+                        .map(s -> new JsonPrimitive(Addresses.text(s)))
+                        .toList()));
         o.addProperty("initial_start", initialStart);
         o.addProperty("loss_counted", machine.core());
         o.add("limits", limits());
--- a/emulator/src/main/java/dewplank/emulator/fleet/StandInFleet.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/StandInFleet.java
@@ -19,7 +19,7 @@
     private static final int PATIENCE_S = 10;
 
     /** How the two programs are started. */
-    public record Commands(List<String> control, List<String> data) { }
+    public record Commands(List<String> control, List<String> data) {}
 
     private final EventLoop loop = new EventLoop();
     private final History history = new History();
@@ -46,7 +46,7 @@
             data.add(new FleetProcess(loop, history, machine, seeds, commands.data(), folder));
         }
         operator = new StandInOperator(loop, history, core);
-        Runtime.getRuntime().addShutdownHook(lastResort);   // no process outlives the tests, however those end
+        Runtime.getRuntime().addShutdownHook(lastResort); // no process outlives the tests, however those end
     }
 
     private static List<FleetMachine> machines(int count, Function<Integer, FleetMachine> machine) {
@@ -120,7 +120,8 @@
 
     /** Clients at every data plane, who keep asking for these in turn. */
     public SteadyLoad load(List<ClientRequest> requests) {
-        return new SteadyLoad(loop, client, data.stream().map(FleetProcess::machine).toList(), requests);
+        return new SteadyLoad(
+                loop, client, data.stream().map(FleetProcess::machine).toList(), requests);
     }
 
     /** A plain server, listed at once. */
@@ -156,11 +157,11 @@
         CompletableFuture<Integer> status = new CompletableFuture<>();
         loop.execute(() -> {
             HttpClient http = new HttpClient(loop, machine.readiness(), 1);
-            HttpClient.Call call = http.call(MessageWriter.request("GET", "/readiness", machine.node()).noBody(),
-                (parser, body) -> {
-                    http.close();
-                    status.complete(parser == null ? 0 : parser.status());
-                });
+            HttpClient.Call call = http.call(
+                    MessageWriter.request("GET", "/readiness", machine.node()).noBody(), (parser, body) -> {
+                        http.close();
+                        status.complete(parser == null ? 0 : parser.status());
+                    });
             loop.after(VIEW_MS, () -> {
                 if (status.complete(0)) {
                     call.cancel();
--- a/emulator/src/main/java/dewplank/emulator/fleet/StandInOperator.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/StandInOperator.java
@@ -65,19 +65,26 @@
         return change("PATCH", text, base, null, first);
     }
 
-    private CompletableFuture<Integer> change(String method, String text, long base, FleetConfiguration document,
-                                              int first) {
+    private CompletableFuture<Integer> change(
+            String method, String text, long base, FleetConfiguration document, int first) {
         history.add(new FleetEvent.ChangeSent(loop.now(), base, document, text));
         CompletableFuture<Integer> status = new CompletableFuture<>();
         byte[] body = text.getBytes(StandardCharsets.UTF_8);
         Message message = machine -> MessageWriter.request(method, PATH, machine.node())
-            .header("If-Match", Long.toString(base)).header("Content-Type", "application/json").body(body);
+                .header("If-Match", Long.toString(base))
+                .header("Content-Type", "application/json")
+                .body(body);
         Clear clear = (machine, answer) -> {
             history.add(new FleetEvent.ChangeAnswered(loop.now(), base, document, text, answer.status()));
             status.complete(answer.status());
         };
-        new Sending(message, first, clear, (machine, answer) ->
-            history.add(new FleetEvent.ChangeTried(loop.now(), machine.node(), text, answer.status()))).begin();
+        new Sending(
+                        message,
+                        first,
+                        clear,
+                        (machine, answer) -> history.add(
+                                new FleetEvent.ChangeTried(loop.now(), machine.node(), text, answer.status())))
+                .begin();
         return status;
     }
 
@@ -85,19 +92,26 @@
     public CompletableFuture<Long> read(int first) {
         CompletableFuture<Long> version = new CompletableFuture<>();
         double sentAt = loop.now();
-        Message message = machine -> MessageWriter.request("GET", PATH, machine.node()).noBody();
-        new Sending(message, first, (machine, answer) -> {
-            String text = answer.status() == 200 ? answer.body() : "";
-            history.add(new FleetEvent.ReadBack(loop.now(), sentAt, machine.node(), text));
-            version.complete(FleetConfiguration.versionOf(text));
-        }, (machine, answer) -> { }).begin();
+        Message message =
+                machine -> MessageWriter.request("GET", PATH, machine.node()).noBody();
+        new Sending(
+                        message,
+                        first,
+                        (machine, answer) -> {
+                            String text = answer.status() == 200 ? answer.body() : "";
+                            history.add(new FleetEvent.ReadBack(loop.now(), sentAt, machine.node(), text));
+                            version.complete(FleetConfiguration.versionOf(text));
+                        },
+                        (machine, answer) -> {})
+                .begin();
         return version;
     }
 
     /** What one control sidecar says at a path, as it stands; empty where it says nothing. */
     public JsonObject view(FleetMachine machine, String path) {
         CompletableFuture<Answer> got = new CompletableFuture<>();
-        loop.execute(() -> ask(machine, MessageWriter.request("GET", path, machine.node()).noBody(), got::complete));
+        loop.execute(() ->
+                ask(machine, MessageWriter.request("GET", path, machine.node()).noBody(), got::complete));
         Answer answer = waitFor(got);
         return answer.status() == 200 ? JsonParser.parseString(answer.body()).getAsJsonObject() : new JsonObject();
     }
@@ -120,8 +134,10 @@
         HttpClient.Call call = client.call(message, (parser, body) -> {
             over[0] = true;
             client.close();
-            then.accept(parser == null ? Answer.NONE
-                : new Answer(parser.status(), new String(body, StandardCharsets.UTF_8), location(parser)));
+            then.accept(
+                    parser == null
+                            ? Answer.NONE
+                            : new Answer(parser.status(), new String(body, StandardCharsets.UTF_8), location(parser)));
         });
         loop.after(SILENCE_MS, () -> {
             if (!over[0]) {
@@ -198,8 +214,12 @@
         }
 
         private FleetMachine machineAt(String location) {
-            return machines.stream().filter(m -> location.startsWith("http://" + m.control().getAddress().getHostAddress()
-                + ":" + m.control().getPort() + "/")).findFirst().orElse(null);
+            return machines.stream()
+                    .filter(m -> location.startsWith(
+                            "http://" + m.control().getAddress().getHostAddress() + ":"
+                                    + m.control().getPort() + "/"))
+                    .findFirst()
+                    .orElse(null);
         }
     }
 }
--- a/emulator/src/main/java/dewplank/emulator/fleet/StandInPlatform.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/StandInPlatform.java
@@ -18,7 +18,11 @@
 /** Stands in for the platform: tells the list of servers, page by page, to whoever asks. */
 public final class StandInPlatform {
     /** How it takes calls. */
-    public enum Mood { ANSWERS, SILENT, TOO_MANY_CALLS }
+    public enum Mood {
+        ANSWERS,
+        SILENT,
+        TOO_MANY_CALLS
+    }
 
     private static final int MOST_CONNECTIONS = 64;
     private static final int PAGE = 3;
@@ -108,8 +112,9 @@
             switch (mood) {
                 case ANSWERS -> {
                     note(200);
-                    answer(MessageWriter.response(200).header("Content-Type", "application/json")
-                        .body(page(from).toString().getBytes(StandardCharsets.UTF_8)));
+                    answer(MessageWriter.response(200)
+                            .header("Content-Type", "application/json")
+                            .body(page(from).toString().getBytes(StandardCharsets.UTF_8)));
                 }
                 case TOO_MANY_CALLS -> {
                     note(429);
--- a/emulator/src/main/java/dewplank/emulator/fleet/StandInServer.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/StandInServer.java
@@ -146,8 +146,11 @@
 
         void beginStream(String seal) {
             note(new FleetEvent.StreamBegun(loop.now(), identity, tryId, seal));
-            end.part(head(200).header(WireFields.SEAL, seal).header("Content-Type", "text/event-stream")
-                .header("Transfer-Encoding", "chunked").noBody());
+            end.part(head(200)
+                    .header(WireFields.SEAL, seal)
+                    .header("Content-Type", "text/event-stream")
+                    .header("Transfer-Encoding", "chunked")
+                    .noBody());
         }
 
         void event(int id, String text) {
@@ -197,8 +200,14 @@
             }
             Arrival a = new Arrival(request, this);
             arrival = a;
-            note(new FleetEvent.Arrived(loop.now(), identity, a.tryId,
-                ServerIdentity.PREFILL.equals(a.field(WireFields.STAGE)), a.method, a.target, a.body));
+            note(new FleetEvent.Arrived(
+                    loop.now(),
+                    identity,
+                    a.tryId,
+                    ServerIdentity.PREFILL.equals(a.field(WireFields.STAGE)),
+                    a.method,
+                    a.target,
+                    a.body));
             String meant = a.field(WireFields.TARGET_INSTANCE);
             if (meant != null && !meant.equals(identity.instanceId())) {
                 a.turnAway(421);
@@ -212,7 +221,7 @@
         /** Another holder's order is always under way here, so that no stage changes but by the stories themselves. */
         private String report() {
             return "{\"stage\":\"" + identity.stage() + "\",\"models\":[],\"busy\":true,\"sequence_number\":1,"
-                + "\"queued\":0,\"active\":0,\"kv_used\":0,\"kv_capacity\":1,\"context_handles\":0}";
+                    + "\"queued\":0,\"active\":0,\"kv_used\":0,\"kv_capacity\":1,\"context_handles\":0}";
         }
 
         void reply(MessageWriter head, String text) {
--- a/emulator/src/main/java/dewplank/emulator/fleet/StreamEvents.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/StreamEvents.java
@@ -7,7 +7,7 @@
 final class StreamEvents {
     private static final String END = "\n\n";
 
-    private StreamEvents() { }
+    private StreamEvents() {}
 
     static String text(String tryId, int id) {
         return "id: " + id + "\ndata: token " + id + " of " + tryId + END;
--- a/emulator/src/main/java/dewplank/emulator/fleet/StreamRules.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/StreamRules.java
@@ -48,14 +48,17 @@
             broken(Rule.MIXED, sent.tryId() + " got the head of " + head + " in " + ended);
         }
         events(sent, ended);
-        if (ended.whole() && !ended.body().equals(StreamEvents.all(sent.tryId(), sent.request().events()))) {
+        if (ended.whole()
+                && !ended.body()
+                        .equals(StreamEvents.all(sent.tryId(), sent.request().events()))) {
             broken(Rule.ORDER, sent.tryId() + " ended as whole with " + ended.body());
         }
     }
 
     private void events(TrySent sent, TryEnded ended) {
         String whole = String.join("", StreamEvents.whole(ended.body()));
-        String due = StreamEvents.all(sent.tryId(), StreamEvents.whole(ended.body()).size());
+        String due =
+                StreamEvents.all(sent.tryId(), StreamEvents.whole(ended.body()).size());
         if (!whole.equals(due)) {
             broken(Rule.ORDER, sent.tryId() + " got events " + ended.body());
         }
@@ -64,7 +67,10 @@
         if (seals.size() > 1) {
             broken(Rule.ORDER, sent.tryId() + " got the heads " + seals);
         }
-        int produced = emitted.getOrDefault(sent.tryId(), List.of()).stream().mapToInt(Emitted::id).max().orElse(0);
+        int produced = emitted.getOrDefault(sent.tryId(), List.of()).stream()
+                .mapToInt(Emitted::id)
+                .max()
+                .orElse(0);
         if (StreamEvents.whole(ended.body()).size() > produced) {
             broken(Rule.ORDER, sent.tryId() + " got more events than the " + produced + " that servers sent");
         }
--- a/emulator/src/main/java/dewplank/emulator/fleet/WireFields.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/WireFields.java
@@ -15,5 +15,5 @@
     static final String LAST_EVENT_ID = "Last-Event-Id";
     static final String RETRY_AFTER = "Retry-After";
 
-    private WireFields() { }
+    private WireFields() {}
 }
--- a/emulator/src/main/java/dewplank/emulator/loopback/Addresses.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/Addresses.java
@@ -21,9 +21,10 @@
     private static final int FLEETS = 200;
     /** Networks of fleets that there is room for, and machines in each. */
     public static final int MOST_FLEETS = EACH;
+
     public static final int MOST_MACHINES = EACH;
 
-    private Addresses() { }
+    private Addresses() {}
 
     private static InetAddress of(int first, int number) {
         int second = first + number / (EACH * EACH);
@@ -31,8 +32,8 @@
             throw new IllegalArgumentException("127.0.0.0/8 has no room for so many pairs of sidecar and server");
         }
         try {
-            return InetAddress.getByAddress(new byte[] {127, (byte) second, (byte) (number / EACH % EACH),
-                (byte) (1 + number % EACH)});
+            return InetAddress.getByAddress(
+                    new byte[] {127, (byte) second, (byte) (number / EACH % EACH), (byte) (1 + number % EACH)});
         } catch (UnknownHostException e) {
             throw new IllegalStateException(e);
         }
--- a/emulator/src/main/java/dewplank/emulator/loopback/DirectoryEnd.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/DirectoryEnd.java
@@ -51,8 +51,11 @@
             entry.addProperty("zone", e.zone());
             entry.addProperty("kind", e.kind());
             entry.addProperty("cell", e.cell());
-            entry.addProperty("state", e.availability() == Availability.UP ? "active"
-                : e.availability() == Availability.DRAINING ? "leaving" : "left");
+            entry.addProperty(
+                    "state",
+                    e.availability() == Availability.UP
+                            ? "active"
+                            : e.availability() == Availability.DRAINING ? "leaving" : "left");
             entry.addProperty("weight", e.rating());
             entry.addProperty("started_ms", e.startedAt() == null ? 0 : e.startedAt());
             servers.add(entry);
@@ -76,8 +79,10 @@
             if (!target.startsWith("/catalog/members")) {
                 answer(MessageWriter.response(404).body(new byte[0]));
             } else if (at < 0) {
-                answer(MessageWriter.response(world.list.down() ? 503 : 200).body(
-                    json(world.list.version(), true, world.list.whole()).toString().getBytes(StandardCharsets.UTF_8)));
+                answer(MessageWriter.response(world.list.down() ? 503 : 200)
+                        .body(json(world.list.version(), true, world.list.whole())
+                                .toString()
+                                .getBytes(StandardCharsets.UTF_8)));
             } else {
                 watch = world.list.watch(sidecar, index(target.substring(at + "index=".length())), this);
             }
@@ -87,7 +92,7 @@
             try {
                 return Long.parseLong(text.replaceAll("&.*", ""));
             } catch (NumberFormatException e) {
-                return 0;   // knows nothing: gets all
+                return 0; // knows nothing: gets all
             }
         }
 
@@ -102,15 +107,19 @@
             }
             if (!begun) {
                 begun = true;
-                write(ByteBuffer.wrap("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    .getBytes(StandardCharsets.US_ASCII)));
+                write(ByteBuffer.wrap(
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.US_ASCII)));
                 quiet();
             }
             saidAt = world.now();
             byte[] line = (text + "\n").getBytes(StandardCharsets.UTF_8);
             byte[] size = (Integer.toHexString(line.length) + "\r\n").getBytes(StandardCharsets.US_ASCII);
-            write(ByteBuffer.allocate(size.length + line.length + 2).put(size).put(line).put((byte) '\r').put((byte) '\n')
-                .flip());
+            write(ByteBuffer.allocate(size.length + line.length + 2)
+                    .put(size)
+                    .put(line)
+                    .put((byte) '\r')
+                    .put((byte) '\n')
+                    .flip());
         }
 
         private void quiet() {
--- a/emulator/src/main/java/dewplank/emulator/loopback/HttpClient.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/HttpClient.java
@@ -30,7 +30,7 @@
         }
 
         /** The next bytes of the body. */
-        default void piece(ResponseParser parser, byte[] bytes) { }
+        default void piece(ResponseParser parser, byte[] bytes) {}
     }
 
     /** One exchange. */
@@ -48,7 +48,8 @@
             this.request = request;
             this.whenAnswered = whenAnswered;
             this.parser = new ResponseParser(keepsBodies ? MessageParser.MAX_BODY : Integer.MAX_VALUE);
-            if (request.remaining() > 5 && request.get(request.position()) == 'H'
+            if (request.remaining() > 5
+                    && request.get(request.position()) == 'H'
                     && request.get(request.position() + 1) == 'E') {
                 parser.expectHead();
             }
@@ -78,7 +79,7 @@
                 reused = true;
                 connection = kept;
                 kept.setHandler(this);
-                kept.write(request.duplicate(), () -> { });
+                kept.write(request.duplicate(), () -> {});
             } else {
                 open++;
                 opened++;
@@ -89,11 +90,17 @@
         private void connect() {
             reused = false;
             InetAddress from = sources.isEmpty() ? null : sources.get((int) (opened % sources.size()));
-            connecting = Connection.open(loop, from, to, this, up -> {
-                connecting = null;
-                connection = up;
-                up.write(request.duplicate(), () -> { });
-            }, e -> end(null));
+            connecting = Connection.open(
+                    loop,
+                    from,
+                    to,
+                    this,
+                    up -> {
+                        connecting = null;
+                        connection = up;
+                        up.write(request.duplicate(), () -> {});
+                    },
+                    e -> end(null));
         }
 
         @Override
--- a/emulator/src/main/java/dewplank/emulator/loopback/HttpEnd.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/HttpEnd.java
@@ -18,9 +18,9 @@
     /** A request is whole. It is answered by {@link #answer}, now or later, or never. */
     protected abstract void request(RequestParser request);
 
-    protected void opened() { }
+    protected void opened() {}
 
-    protected void ended() { }
+    protected void ended() {}
 
     /** Whether what comes in is looked at; a machine that has gone silent does not. */
     protected boolean listens() {
@@ -45,8 +45,11 @@
                 request(parser);
             }
         } catch (BadMessageException e) {
-            connection.write(MessageWriter.response(e.status()).header("Connection", "close")
-                .body(e.getMessage().getBytes(StandardCharsets.UTF_8)), () -> { });
+            connection.write(
+                    MessageWriter.response(e.status())
+                            .header("Connection", "close")
+                            .body(e.getMessage().getBytes(StandardCharsets.UTF_8)),
+                    () -> {});
             connection.finish();
         }
     }
@@ -61,7 +64,7 @@
         if (connection.isClosed()) {
             return;
         }
-        connection.write(message, () -> { });
+        connection.write(message, () -> {});
         parser.reset();
         busy = false;
         connection.resume();
@@ -69,7 +72,7 @@
 
     /** Bytes of an answer that goes on; its last ones go to {@link #answer}. */
     protected final void write(ByteBuffer part) {
-        connection.write(part, () -> { });
+        connection.write(part, () -> {});
     }
 
     protected final void close() {
--- a/emulator/src/main/java/dewplank/emulator/loopback/LoopbackRun.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/LoopbackRun.java
@@ -43,8 +43,15 @@
     }
 
     /** What a run was like beside what its notes say. */
-    public record Outcome(long sends, long handshakes, long directoryCalls, long directoryLines, long messages,
-                          long messagesLost, double latestMs, boolean unsound) { }
+    public record Outcome(
+            long sends,
+            long handshakes,
+            long directoryCalls,
+            long directoryLines,
+            long messages,
+            long messagesLost,
+            double latestMs,
+            boolean unsound) {}
 
     private final Scenario scenario;
     private final long seed;
@@ -58,7 +65,7 @@
     private final List<DirectoryEnd> directories = new ArrayList<>();
     private final List<SidecarProcess> sidecars = new ArrayList<>();
     private final List<HttpClient> fronts = new ArrayList<>();
-    private final PeersEnd peers;   // null where sidecars may not talk
+    private final PeersEnd peers; // null where sidecars may not talk
     private final Path folder;
     private final CountDownLatch done = new CountDownLatch(1);
     private Clients clients;
@@ -78,7 +85,8 @@
                 servers.add(new ServerEnd(loop, world, world.servers.get(i), tries));
             }
             for (int i = 0; i < scenario.sidecars(); i++) {
-                directories.add(new DirectoryEnd(loop, world, i, (s, n) -> servers.get(n).address(s)));
+                directories.add(new DirectoryEnd(
+                        loop, world, i, (s, n) -> servers.get(n).address(s)));
                 SidecarProcess process = new SidecarProcess(command, folder, i, Addresses.sidecar(i));
                 sidecars.add(process);
                 fronts.add(new HttpClient(loop, process.listen(), CONNECTIONS));
@@ -118,8 +126,15 @@
             throw new IllegalStateException(failure + "; the sidecars' logs are in " + folder);
         }
         long opened = fronts.stream().mapToLong(HttpClient::opened).sum();
-        return new Outcome(sends, opened, world.list.calls(), world.list.lines(),
-            peers == null ? 0 : peers.passedOn(), peers == null ? 0 : peers.lost(), time.latestMs(), time.unsound());
+        return new Outcome(
+                sends,
+                opened,
+                world.list.calls(),
+                world.list.lines(),
+                peers == null ? 0 : peers.passedOn(),
+                peers == null ? 0 : peers.lost(),
+                time.latestMs(),
+                time.unsound());
     }
 
     @Override
@@ -131,7 +146,10 @@
             try {
                 peers.close();
             } catch (IOException e) {
-                LOG.log(System.Logger.Level.WARNING, "the network between sidecars could not be closed: {0}", e.toString());
+                LOG.log(
+                        System.Logger.Level.WARNING,
+                        "the network between sidecars could not be closed: {0}",
+                        e.toString());
             }
         }
     }
@@ -164,7 +182,8 @@
             if (answer != null && answer.status() == 200) {
                 note(new Note(time.now(), What.SIDECAR_UP, -1, -1, sidecar, -1, 0));
                 then.run();
-            } else if (time.now() - since > READY_MOST_MS || !sidecars.get(sidecar).alive()) {
+            } else if (time.now() - since > READY_MOST_MS
+                    || !sidecars.get(sidecar).alive()) {
                 failure = "sidecar " + sidecar + " did not become ready";
                 done.countDown();
             } else {
@@ -180,7 +199,7 @@
         time.after(Math.max(50, backAfterMs), () -> {
             try {
                 start(sidecar, 1);
-                awaitReady(sidecar, time.now(), () -> { });
+                awaitReady(sidecar, time.now(), () -> {});
             } catch (IOException e) {
                 failure = "sidecar " + sidecar + " did not start again: " + e.getMessage();
                 done.countDown();
@@ -201,7 +220,7 @@
 
     private void awaitEnd(double most) {
         if (clients.open() == 0 || time.now() > most) {
-            time.after(Math.min(2_000, scenario.longestDeadlineMs()), done::countDown);   // late effects show
+            time.after(Math.min(2_000, scenario.longestDeadlineMs()), done::countDown); // late effects show
         } else {
             time.after(READY_LOOK_MS, () -> awaitEnd(most));
         }
@@ -234,12 +253,17 @@
         Scenario.Kind kind = scenario.classes().get(t.kind);
         boolean safe = kind.effect() == Effect.SAFE;
         MessageWriter request = MessageWriter.request(safe ? "GET" : "POST", "/api", "api.internal")
-            .header("X-Trace-Id", Long.toHexString(t.id)).header("X-Qos", kind.name())
-            .header("X-Expires-In-Ms", Long.toString(Math.max(1, Math.round(t.until - t.at))))
-            .header("X-Customer", t.tenant < 0 ? null : scenario.subjects().tenants().get(t.tenant).name())
-            .header("Cookie", t.about < 0 ? null : "k=key-" + t.about)
-            .header("X-Second-Try", t.repeat && scenario.clients().marks() ? "1" : null)
-            .header("Idempotency-Key", kind.effect() == Effect.KEYED ? Long.toHexString(t.key) : null);
+                .header("X-Trace-Id", Long.toHexString(t.id))
+                .header("X-Qos", kind.name())
+                .header("X-Expires-In-Ms", Long.toString(Math.max(1, Math.round(t.until - t.at))))
+                .header(
+                        "X-Customer",
+                        t.tenant < 0
+                                ? null
+                                : scenario.subjects().tenants().get(t.tenant).name())
+                .header("Cookie", t.about < 0 ? null : "k=key-" + t.about)
+                .header("X-Second-Try", t.repeat && scenario.clients().marks() ? "1" : null)
+                .header("Idempotency-Key", kind.effect() == Effect.KEYED ? Long.toHexString(t.key) : null);
         ByteBuffer bytes = safe ? request.noBody() : request.body("{\"lines\":[]}".getBytes(StandardCharsets.US_ASCII));
         boolean[] answered = new boolean[1];
         HttpClient.Call call = fronts.get(t.sidecar).call(bytes, (answer, body) -> {
--- a/emulator/src/main/java/dewplank/emulator/loopback/PeersEnd.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/PeersEnd.java
@@ -23,13 +23,13 @@
     private final EventLoop loop;
     private final World world;
     private final InetSocketAddress[] listen;
-    private final DatagramChannel[][] ends;   // [i][j]: where sidecar i reaches sidecar j
+    private final DatagramChannel[][] ends; // [i][j]: where sidecar i reaches sidecar j
     private final Selector selector;
     private int onTheWay;
     private long passedOn;
     private long lost;
 
-    private record Pair(int from, int to) { }
+    private record Pair(int from, int to) {}
 
     PeersEnd(EventLoop loop, World world, int sidecars) throws IOException {
         this.loop = loop;
@@ -111,7 +111,7 @@
                 ends[pair.to()][pair.from()].send(ByteBuffer.wrap(said), listen[pair.to()]);
                 passedOn++;
             } catch (IOException e) {
-                lost++;   // nobody is there now
+                lost++; // nobody is there now
             }
         });
     }
--- a/emulator/src/main/java/dewplank/emulator/loopback/ProgramProcess.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/ProgramProcess.java
@@ -32,8 +32,9 @@
     public void start(String settings, List<String> without) throws IOException {
         Path file = folder.resolve(name + ".json");
         Files.writeString(file, settings);
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
+        ProcessBuilder builder = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
         builder.environment().keySet().removeAll(without);
         builder.environment().put(variable, file.toString());
         process = builder.start();
@@ -51,7 +52,9 @@
 
     /** Sends a signal by its name, TERM say. */
     public void signal(String signal) throws IOException, InterruptedException {
-        int ended = new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+        int ended = new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                .start()
+                .waitFor();
         if (ended != 0) {
             throw new IOException("signal " + signal + " did not reach " + name);
         }
--- a/emulator/src/main/java/dewplank/emulator/loopback/ServerEnd.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/ServerEnd.java
@@ -68,7 +68,7 @@
 
     /** It has started again. */
     void up() throws IOException {
-        new ArrayList<>(ends).forEach(End::end);   // those of a machine that went silently
+        new ArrayList<>(ends).forEach(End::end); // those of a machine that went silently
         if (listeners.isEmpty()) {
             listen();
         }
@@ -127,7 +127,9 @@
             String target = request.target();
             if (target.equals("/ping")) {
                 boolean up = server.state() == Server.State.UP;
-                world.later(there + back, () -> reply(MessageWriter.response(up ? 200 : 503).body(new byte[0])));
+                world.later(
+                        there + back,
+                        () -> reply(MessageWriter.response(up ? 200 : 503).body(new byte[0])));
                 return;
             }
             Try t = tries.get(id(request.headers().get("X-Trace-Id")));
@@ -136,7 +138,7 @@
                 reply(MessageWriter.response(400).body("no client sent this\n".getBytes(StandardCharsets.US_ASCII)));
                 return;
             }
-            if (stale) {   // it had closed this one long ago, without a word
+            if (stale) { // it had closed this one long ago, without a word
                 end();
                 return;
             }
@@ -175,11 +177,12 @@
                 end();
                 return;
             }
-            MessageWriter head = switch (reply) {
-                case OK -> MessageWriter.response(200);
-                case ERROR -> MessageWriter.response(500);
-                default -> MessageWriter.response(503).header("X-Never-Ran", "1");
-            };
+            MessageWriter head =
+                    switch (reply) {
+                        case OK -> MessageWriter.response(200);
+                        case ERROR -> MessageWriter.response(500);
+                        default -> MessageWriter.response(503).header("X-Never-Ran", "1");
+                    };
             head.header("Endpoint-Load-Metrics", inFlight < 0 ? null : "TEXT rif=" + (long) inFlight);
             reply(head.body(("made for " + t.id).getBytes(StandardCharsets.US_ASCII)));
         }
--- a/emulator/src/main/java/dewplank/emulator/loopback/SidecarFile.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/SidecarFile.java
@@ -9,7 +9,7 @@
 
 /** The module's settings in the form that a sidecar's configuration has them. */
 final class SidecarFile {
-    private SidecarFile() { }
+    private SidecarFile() {}
 
     static JsonObject settings(Settings s) {
         JsonObject o = new JsonObject();
@@ -58,11 +58,13 @@
     private static JsonObject requestClass(RequestClass c) {
         JsonObject o = new JsonObject();
         o.addProperty("Name", c.name());
-        o.addProperty("Idempotency", switch (c.effect()) {
-            case SAFE -> "read_like";
-            case KEYED -> "idempotency_key";
-            case UNSAFE -> "non_idempotent";
-        });
+        o.addProperty(
+                "Idempotency",
+                switch (c.effect()) {
+                    case SAFE -> "read_like";
+                    case KEYED -> "idempotency_key";
+                    case UNSAFE -> "non_idempotent";
+                });
         o.addProperty("KeyScope", c.scope().name().toLowerCase(java.util.Locale.ROOT));
         o.addProperty("KeyTtl", c.memoryMs());
         o.addProperty("Objective", c.aimMs());
--- a/emulator/src/main/java/dewplank/emulator/virtualtime/EmulatedSidecar.java
+++ b/emulator/src/main/java/dewplank/emulator/virtualtime/EmulatedSidecar.java
@@ -51,7 +51,7 @@
     }
 
     /** A connection that carries nothing now. */
-    private record Idle(int life, double since) { }
+    private record Idle(int life, double since) {}
 
     final int number;
     private final World world;
@@ -113,7 +113,7 @@
             }
         }
         idle.forEach((server, connections) ->
-            connections.forEach(i -> world.servers.get(server).disconnect(i.life())));
+                connections.forEach(i -> world.servers.get(server).disconnect(i.life())));
         idle.clear();
         List<Entry> known = world.list.whole();
         long knownVersion = world.list.version();
@@ -134,7 +134,7 @@
 
     int connectionsOpen() {
         return idle.values().stream().mapToInt(ArrayDeque::size).sum()
-            + requests.values().stream().mapToInt(o -> o.out).sum();
+                + requests.values().stream().mapToInt(o -> o.out).sum();
     }
 
     // ---- the client's side ----------------------------------------------------------------------------
@@ -147,9 +147,17 @@
                 return;
             }
             requests.put(t.id, new Open(t));
-            String tenant = t.tenant < 0 ? null : scenario.subjects().tenants().get(t.tenant).name();
-            tell(new Arrived(t.id, tenant, t.about < 0 ? null : "key-" + t.about, t.repeat && scenario.clients().marks(),
-                scenario.classes().get(t.kind).name(), Math.max(1, t.until - world.now()), null));
+            String tenant = t.tenant < 0
+                    ? null
+                    : scenario.subjects().tenants().get(t.tenant).name();
+            tell(new Arrived(
+                    t.id,
+                    tenant,
+                    t.about < 0 ? null : "key-" + t.about,
+                    t.repeat && scenario.clients().marks(),
+                    scenario.classes().get(t.kind).name(),
+                    Math.max(1, t.until - world.now()),
+                    null));
         });
     }
 
@@ -284,7 +292,11 @@
         Server server = world.byId.get(a.server());
         int attempt = open == null ? 0 : open.calls.size();
         double left = open == null ? 0 : open.request.until - world.now();
-        if (open == null || open.over || server == null || left <= 0 || a.timeoutMs() < 0
+        if (open == null
+                || open.over
+                || server == null
+                || left <= 0
+                || a.timeoutMs() < 0
                 || attempt >= scenario.rules().maxAttempts()) {
             if (open != null) {
                 open.calls.add(null);
@@ -313,7 +325,7 @@
         while (own != null && !own.isEmpty()) {
             Idle last = own.removeLast();
             boolean ended = last.life() != server.life() && !server.wentSilently(last.life())
-                || links.notice() && world.now() - last.since() >= links.idleMs();
+                    || links.notice() && world.now() - last.since() >= links.idleMs();
             if (!ended) {
                 return last;
             }
@@ -359,11 +371,12 @@
         Server server = call.server;
         double there = world.delay(number, server);
         double back = world.delay(number, server);
-        boolean stale = reused != null && (reused.life() != server.life()
-            || world.now() - reused.since() >= scenario.links().idleMs());
+        boolean stale = reused != null
+                && (reused.life() != server.life()
+                        || world.now() - reused.since() >= scenario.links().idleMs());
         world.later(there, () -> {
             if (call.over || server.state() == Server.State.SILENT || world.cut(number, server.number)) {
-                return;   // given up before its last byte came, or lost on the way
+                return; // given up before its last byte came, or lost on the way
             }
             if (stale || call.life != server.life() || server.state() == Server.State.DEAD) {
                 world.later(back, () -> end(call, Outcome.RESET, -1));
@@ -407,8 +420,14 @@
             answer(open.request, What.SERVED, open.request.id);
         }
         forgetIfDone(open);
-        tell(new Ended(open.request.id, call.attempt, call.server.id, outcome, world.now() - call.sentAt, open.over,
-            inFlight < 0 ? null : new double[] {inFlight}));
+        tell(new Ended(
+                open.request.id,
+                call.attempt,
+                call.server.id,
+                outcome,
+                world.now() - call.sentAt,
+                open.over,
+                inFlight < 0 ? null : new double[] {inFlight}));
     }
 
     private void probe(Server server) {
--- a/emulator/src/main/java/dewplank/emulator/virtualtime/VirtualRun.java
+++ b/emulator/src/main/java/dewplank/emulator/virtualtime/VirtualRun.java
@@ -32,8 +32,14 @@
     }
 
     /** What a run cost, beside what its tally and its notes say. */
-    public record Cost(long events, long sends, long probes, long handshakes, long directoryCalls, long directoryLines,
-                       int connectionsAtEnd) { }
+    public record Cost(
+            long events,
+            long sends,
+            long probes,
+            long handshakes,
+            long directoryCalls,
+            long directoryLines,
+            int connectionsAtEnd) {}
 
     private final Scenario scenario;
     private final long seed;
@@ -46,13 +52,24 @@
     private List<EmulatedSidecar> awake = new ArrayList<>();
     private boolean tickPlanned;
 
-    public VirtualRun(Scenario scenario, long seed, Policy policy, Note.Recorder recorder, Clients.Tally tally,
-                      boolean sideBySide) {
+    public VirtualRun(
+            Scenario scenario,
+            long seed,
+            Policy policy,
+            Note.Recorder recorder,
+            Clients.Tally tally,
+            boolean sideBySide) {
         this(scenario, seed, policy, recorder, tally, sideBySide, EmulatedSidecar::new);
     }
 
-    public VirtualRun(Scenario scenario, long seed, Policy policy, Note.Recorder recorder, Clients.Tally tally,
-                      boolean sideBySide, Sidecars maker) {
+    public VirtualRun(
+            Scenario scenario,
+            long seed,
+            Policy policy,
+            Note.Recorder recorder,
+            Clients.Tally tally,
+            boolean sideBySide,
+            Sidecars maker) {
         this.scenario = scenario;
         this.seed = seed;
         this.policy = policy;
@@ -77,10 +94,15 @@
         while (clients.open() > 0 && time.now() < most) {
             time.runUntil(time.now() + 50);
         }
-        time.runUntil(time.now() + scenario.longestDeadlineMs());   // what servers still hold may yet have an effect
-        return new Cost(time.ran(), sum(EmulatedSidecar::sends), sum(EmulatedSidecar::probes),
-            sum(EmulatedSidecar::handshakes), world.list.calls(), world.list.lines(),
-            sidecars.stream().mapToInt(EmulatedSidecar::connectionsOpen).sum());
+        time.runUntil(time.now() + scenario.longestDeadlineMs()); // what servers still hold may yet have an effect
+        return new Cost(
+                time.ran(),
+                sum(EmulatedSidecar::sends),
+                sum(EmulatedSidecar::probes),
+                sum(EmulatedSidecar::handshakes),
+                world.list.calls(),
+                world.list.lines(),
+                sidecars.stream().mapToInt(EmulatedSidecar::connectionsOpen).sum());
     }
 
     private long sum(java.util.function.ToLongFunction<EmulatedSidecar> figure) {
@@ -96,8 +118,8 @@
     }
 
     Balancer newBalancer(int sidecar, int life) {
-        return policy.create(scenario.settings(sidecar), Draws.mix(seed ^ Draws.mix(sidecar * 1_000L + life)), world,
-            sidecar);
+        return policy.create(
+                scenario.settings(sidecar), Draws.mix(seed ^ Draws.mix(sidecar * 1_000L + life)), world, sidecar);
     }
 
     @Override
--- a/emulator/src/test/java/dewplank/emulator/ServerListTest.java
+++ b/emulator/src/test/java/dewplank/emulator/ServerListTest.java
@@ -17,7 +17,9 @@
     private World world;
 
     private void world(String directory) {
-        world = new World(ScenarioFile.of(TomlFile.read("""
+        world = new World(
+                ScenarioFile.of(TomlFile.read(
+                        """
             name = "list"
             length_s = 10
             sidecars = 2
@@ -28,7 +30,12 @@
             name = "k"
             work_ms = 1
             deadline_ms = 100
-            """.formatted(directory), "list.toml")), 1, time, notes::add);
+            """
+                                .formatted(directory),
+                        "list.toml")),
+                1,
+                time,
+                notes::add);
     }
 
     private ServerList.Watch watch(long since) {
@@ -57,10 +64,14 @@
         lost.die();
         world.serverDied(lost);
         time.runUntil(900);
-        assertEquals(List.of("changes 0", "changes 1"), heard);   // the quick one's new start
+        assertEquals(List.of("changes 0", "changes 1"), heard); // the quick one's new start
         time.runUntil(4_000);
         assertEquals(List.of("changes 0", "changes 1", "changes 1"), heard);
-        assertEquals(1, notes.stream().filter(n -> n.what() == What.TOLD_GONE && n.server() == 1).count());
+        assertEquals(
+                1,
+                notes.stream()
+                        .filter(n -> n.what() == What.TOLD_GONE && n.server() == 1)
+                        .count());
     }
 
     @Test
--- a/emulator/src/test/java/dewplank/emulator/ServerTest.java
+++ b/emulator/src/test/java/dewplank/emulator/ServerTest.java
@@ -21,7 +21,9 @@
     }
 
     private World world(String more, String ofClass, String top) {
-        return new World(ScenarioFile.of(TomlFile.read("""
+        return new World(
+                ScenarioFile.of(TomlFile.read(
+                        """
             name = "one"
             length_s = 1
             sidecars = 1
@@ -36,7 +38,12 @@
             work_ms = 100
             deadline_ms = 60000
             %s
-            """.formatted(top, more, ofClass), "one.toml")), 7, time, notes::add);
+            """
+                                .formatted(top, more, ofClass),
+                        "one.toml")),
+                7,
+                time,
+                notes::add);
     }
 
     private void offer(World world, long id, double work) {
@@ -143,7 +150,7 @@
         World world = world("cold_s = 0", "", "subjects = { keys = 5, spared = 0.5, fresh_s = 2, per_core = 1 }");
         double first = alone(world, 1, 7);
         assertEquals(first / 2, alone(world, 1, 7), 1e-6);
-        alone(world, 1, 8);   // the one key that it remembers
+        alone(world, 1, 8); // the one key that it remembers
         assertEquals(first, alone(world, 1, 7), 1e-6);
         time.runUntil(time.now() + 2_100);
         assertEquals(first, alone(world, 1, 7), 1e-6);
@@ -152,8 +159,12 @@
     private double alone(World world, long id, int about) {
         double at = world.now();
         double[] took = new double[1];
-        world.servers.get(0).offer(new Try(id, 0, id, 100, 0, false, at, at + 60_000, null, -1, about), 0,
-            (reply, load) -> took[0] = world.now() - at);
+        world.servers
+                .get(0)
+                .offer(
+                        new Try(id, 0, id, 100, 0, false, at, at + 60_000, null, -1, about),
+                        0,
+                        (reply, load) -> took[0] = world.now() - at);
         time.runUntil(at + 1_000);
         return took[0];
     }
--- a/emulator/src/test/java/dewplank/emulator/fleet/FleetAuditorTest.java
+++ b/emulator/src/test/java/dewplank/emulator/fleet/FleetAuditorTest.java
@@ -30,12 +30,14 @@
     private static final RouteSpec WRITE = RouteSpec.to("plain", "write", RouteSpec.Kind.UNSAFE);
     private static final RouteSpec READ = RouteSpec.to("plain", "read", RouteSpec.Kind.SAFE);
     private static final RouteSpec CHAT = RouteSpec.to("model", "chat", RouteSpec.Kind.STREAM);
-    private static final FleetConfiguration FIRST = new FleetConfiguration(3, List.of(WRITE, READ, CHAT),
-        List.of(new ServiceSpec("plain", false), new ServiceSpec("other", false), new ServiceSpec("model", true)));
+    private static final FleetConfiguration FIRST = new FleetConfiguration(
+            3,
+            List.of(WRITE, READ, CHAT),
+            List.of(new ServiceSpec("plain", false), new ServiceSpec("other", false), new ServiceSpec("model", true)));
     private static final ServerIdentity SERVER = new ServerIdentity("i-1", "plain", "ost", null, "127.0.0.1:1");
     private static final ServerIdentity OTHER = new ServerIdentity("i-2", "other", "ost", null, "127.0.0.1:2");
     private static final ServerIdentity MODEL =
-        new ServerIdentity("i-3", "model", "ost", ServerIdentity.DECODE, "127.0.0.1:3");
+            new ServerIdentity("i-3", "model", "ost", ServerIdentity.DECODE, "127.0.0.1:3");
     private static final double LATE = 9_000;
 
     private final List<FleetEvent> events = new ArrayList<>();
@@ -51,7 +53,10 @@
     }
 
     private void assertBroken(Rule... rules) {
-        List<Rule> found = FleetAuditor.audit(events).stream().map(Violation::rule).distinct().toList();
+        List<Rule> found = FleetAuditor.audit(events).stream()
+                .map(Violation::rule)
+                .distinct()
+                .toList();
         assertEquals(List.of(rules), found, () -> FleetAuditor.audit(events).toString());
     }
 
--- a/emulator/src/test/java/dewplank/emulator/loopback/LoopbackTest.java
+++ b/emulator/src/test/java/dewplank/emulator/loopback/LoopbackTest.java
@@ -53,7 +53,8 @@
     }
 
     private void call(HttpClient client) {
-        loop.execute(() -> client.call(request(), (head, body) -> answers.add(head == null ? "broken" : "" + head.status())));
+        loop.execute(() ->
+                client.call(request(), (head, body) -> answers.add(head == null ? "broken" : "" + head.status())));
     }
 
     /** An emulator that is late itself must say so: its figures are not the sidecar's. */
@@ -65,7 +66,7 @@
             time.watch();
             time.after(50, () -> {
                 try {
-                    Thread.sleep(500);   // this delay is what is tested
+                    Thread.sleep(500); // this delay is what is tested
                 } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                 }
@@ -81,19 +82,22 @@
     @Test
     public void aKeptConnectionClosedUnderACallIsReplacedOnce() throws Exception {
         int[] requests = new int[1];
-        HttpClient client = new HttpClient(loop, listen(() -> new HttpEnd() {
-            private int mine;
-
-            @Override
-            protected void request(dewplank.http.RequestParser request) {
-                requests[0]++;
-                if (++mine == 2) {
-                    close();   // each connection answers once and ends under its second request
-                } else {
-                    answer(MessageWriter.response(200).body(new byte[0]));
-                }
-            }
-        }), 5);
+        HttpClient client = new HttpClient(
+                loop,
+                listen(() -> new HttpEnd() {
+                    private int mine;
+
+                    @Override
+                    protected void request(dewplank.http.RequestParser request) {
+                        requests[0]++;
+                        if (++mine == 2) {
+                            close(); // each connection answers once and ends under its second request
+                        } else {
+                            answer(MessageWriter.response(200).body(new byte[0]));
+                        }
+                    }
+                }),
+                5);
         call(client);
         assertEquals("200", next());
         call(client);
@@ -107,14 +111,17 @@
         List<Runnable> held = new CopyOnWriteArrayList<>();
         CountDownLatch first = new CountDownLatch(1);
         CountDownLatch second = new CountDownLatch(2);
-        HttpClient client = new HttpClient(loop, listen(() -> new HttpEnd() {
-            @Override
-            protected void request(dewplank.http.RequestParser request) {
-                held.add(() -> answer(MessageWriter.response(200).body(new byte[0])));
-                first.countDown();
-                second.countDown();
-            }
-        }), 1);
+        HttpClient client = new HttpClient(
+                loop,
+                listen(() -> new HttpEnd() {
+                    @Override
+                    protected void request(dewplank.http.RequestParser request) {
+                        held.add(() -> answer(MessageWriter.response(200).body(new byte[0])));
+                        first.countDown();
+                        second.countDown();
+                    }
+                }),
+                1);
         HttpClient.Call[] calls = new HttpClient.Call[1];
         loop.execute(() -> calls[0] = client.call(request(), (head, body) -> answers.add("cancelled one")));
         assertTrue(first.await(PATIENCE_S, TimeUnit.SECONDS));
@@ -133,15 +140,16 @@
 
     @Test
     public void aSidecarThatDoesNotStartEndsTheRunWithItsLogNamed() throws Exception {
-        try (LoopbackRun run = new LoopbackRun(ScenarioFile.named("try"), 1, List.of("false"), new LoopbackRun.Observer() {
-            @Override
-            public Clients.Tally begin(World world) {
-                throw new AssertionError("it must not begin");
-            }
-
-            @Override
-            public void record(Note note) { }
-        })) {
+        try (LoopbackRun run =
+                new LoopbackRun(ScenarioFile.named("try"), 1, List.of("false"), new LoopbackRun.Observer() {
+                    @Override
+                    public Clients.Tally begin(World world) {
+                        throw new AssertionError("it must not begin");
+                    }
+
+                    @Override
+                    public void record(Note note) {}
+                })) {
             String message = assertThrows(IllegalStateException.class, run::run).getMessage();
             assertTrue(message, message.startsWith("sidecar 0 did not become ready; the sidecars' logs are in "));
         }
--- a/fleet/src/main/java/dewplank/configuration/ChangeHistory.java
+++ b/fleet/src/main/java/dewplank/configuration/ChangeHistory.java
@@ -20,12 +20,13 @@
     private static final int FORMAT = 2;
     /** As the first release wrote it: each change with its base and the whole digest. */
     private static final int FORMAT_WITH_BASES = 1;
+
     private static final int WHOLE_DIGEST_BYTES = 32;
     /** Half of a SHA-256 digest is kept: 128 bits tell any number of changes apart that can occur. */
     private static final int DIGEST_BYTES = 16;
 
     /** A change that was taken: the version that it brought, and the start of its digest. */
-    private record Change(long version, byte[] digest) { }
+    private record Change(long version, byte[] digest) {}
 
     private final long oldestBase;
     private final List<Change> changes;
--- a/fleet/src/main/java/dewplank/configuration/ChangeResult.java
+++ b/fleet/src/main/java/dewplank/configuration/ChangeResult.java
@@ -7,21 +7,21 @@
      *
      * @param next the document with the change taken
      */
-    record Accepted(ConfigurationDocument next) implements ChangeResult { }
+    record Accepted(ConfigurationDocument next) implements ChangeResult {}
 
     /**
      * This very change was taken before.
      *
      * @param version the version that it brought
      */
-    record AlreadyAccepted(long version) implements ChangeResult { }
+    record AlreadyAccepted(long version) implements ChangeResult {}
 
     /**
      * Another version is current than the one the change builds on.
      *
      * @param current the current version
      */
-    record VersionMismatch(long current) implements ChangeResult { }
+    record VersionMismatch(long current) implements ChangeResult {}
 
     /**
      * The change builds on a version so old that it is not known any more which change was taken on top of it: it may
@@ -29,12 +29,12 @@
      *
      * @param oldestBase the oldest version for which that is known
      */
-    record Forgotten(long oldestBase) implements ChangeResult { }
+    record Forgotten(long oldestBase) implements ChangeResult {}
 
     /**
      * The change cannot be taken.
      *
      * @param error what is wrong with it
      */
-    record Invalid(InvalidConfigurationException error) implements ChangeResult { }
+    record Invalid(InvalidConfigurationException error) implements ChangeResult {}
 }
--- a/fleet/src/main/java/dewplank/configuration/Configuration.java
+++ b/fleet/src/main/java/dewplank/configuration/Configuration.java
@@ -1,17 +1,17 @@
 package dewplank.configuration;
 
-import java.io.ByteArrayOutputStream;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
 import dewplank.configuration.InvalidConfigurationException.Reason;
 import dewplank.configuration.Item.RouteItem;
 import dewplank.configuration.Item.ServiceItem;
 import dewplank.configuration.JsonValue.JsonObject;
 import dewplank.configuration.Section.ItemList;
 import dewplank.configuration.Section.PlainValue;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 
 /**
  * A whole configuration; immutable. It is held as the texts of its items with what they mean, so that a change reads
@@ -20,6 +20,7 @@
 public final class Configuration {
     /** The field that holds a configuration's version. */
     static final String VERSION = "config_version";
+
     private static final String LIMITS = "limits";
 
     private final Map<String, Section> sections;
@@ -154,8 +155,7 @@
                 fields.number("idle_timeout_ms", absent.idleTimeoutMs(), 0));
     }
 
-    private static FieldReader plain(Map<String, Section> sections, String field)
-            throws InvalidConfigurationException {
+    private static FieldReader plain(Map<String, Section> sections, String field) throws InvalidConfigurationException {
         Section section = sections.get(field);
         if (section == null) {
             return new FieldReader(new JsonObject(Map.of()), "");
--- a/fleet/src/main/java/dewplank/configuration/ConfigurationDelta.java
+++ b/fleet/src/main/java/dewplank/configuration/ConfigurationDelta.java
@@ -1,5 +1,7 @@
 package dewplank.configuration;
 
+import dewplank.configuration.Section.ItemList;
+import dewplank.configuration.Section.PlainValue;
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -8,8 +10,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import dewplank.configuration.Section.ItemList;
-import dewplank.configuration.Section.PlainValue;
 
 /**
  * The difference of two configurations. It names the two versions and then the later one's fields in order: each as
@@ -29,8 +29,7 @@
     /** A new item's text follows. */
     static final int ITEM = 2;
 
-    private ConfigurationDelta() {
-    }
+    private ConfigurationDelta() {}
 
     /**
      * The difference that leads from one configuration to another.
--- a/fleet/src/main/java/dewplank/configuration/ConfigurationDocument.java
+++ b/fleet/src/main/java/dewplank/configuration/ConfigurationDocument.java
@@ -1,11 +1,5 @@
 package dewplank.configuration;
 
-import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
-import java.io.DataInputStream;
-import java.io.DataOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import dewplank.configuration.ChangeResult.Accepted;
 import dewplank.configuration.ChangeResult.AlreadyAccepted;
 import dewplank.configuration.ChangeResult.Forgotten;
@@ -13,6 +7,12 @@
 import dewplank.configuration.ChangeResult.VersionMismatch;
 import dewplank.configuration.InvalidConfigurationException.Reason;
 import dewplank.configuration.JsonValue.JsonObject;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 
 /** What the register holds: the configuration and the last changes that were taken; immutable. */
 public final class ConfigurationDocument {
@@ -111,8 +111,8 @@
         }
         Configuration next = next(request.patch(), body);
         if (next.version() <= version()) {
-            throw new InvalidConfigurationException(Reason.VERSION_NOT_ABOVE, Configuration.VERSION,
-                    "is not above " + version());
+            throw new InvalidConfigurationException(
+                    Reason.VERSION_NOT_ABOVE, Configuration.VERSION, "is not above " + version());
         }
         return new Accepted(new ConfigurationDocument(next, history.with(next.version(), digest)));
     }
@@ -122,8 +122,8 @@
             return Configuration.of(body);
         }
         if (configuration == null) {
-            throw new InvalidConfigurationException(Reason.MISSING_FIELD, Item.ROUTES,
-                    "there is no configuration to change");
+            throw new InvalidConfigurationException(
+                    Reason.MISSING_FIELD, Item.ROUTES, "there is no configuration to change");
         }
         return configuration.patched(body);
     }
--- a/fleet/src/main/java/dewplank/configuration/ConfigurationPatch.java
+++ b/fleet/src/main/java/dewplank/configuration/ConfigurationPatch.java
@@ -1,15 +1,15 @@
 package dewplank.configuration;
 
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import dewplank.configuration.InvalidConfigurationException.Reason;
 import dewplank.configuration.JsonValue.JsonArray;
 import dewplank.configuration.JsonValue.JsonObject;
 import dewplank.configuration.JsonValue.JsonString;
 import dewplank.configuration.Section.ItemList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 /**
  * Takes a change on top of a configuration's fields. Items are added or replaced first and names removed after, so a
@@ -19,8 +19,7 @@
     private static final String UPSERT = "upsert";
     private static final String REMOVE = "remove";
 
-    private ConfigurationPatch() {
-    }
+    private ConfigurationPatch() {}
 
     /** The fields after the change. */
     static Map<String, Section> applied(Map<String, Section> sections, JsonObject patch)
--- a/fleet/src/main/java/dewplank/configuration/DeltaReader.java
+++ b/fleet/src/main/java/dewplank/configuration/DeltaReader.java
@@ -1,5 +1,9 @@
 package dewplank.configuration;
 
+import dewplank.configuration.InvalidConfigurationException.Reason;
+import dewplank.configuration.JsonValue.JsonString;
+import dewplank.configuration.Section.ItemList;
+import dewplank.configuration.Section.PlainValue;
 import java.io.ByteArrayInputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
@@ -7,10 +11,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import dewplank.configuration.InvalidConfigurationException.Reason;
-import dewplank.configuration.JsonValue.JsonString;
-import dewplank.configuration.Section.ItemList;
-import dewplank.configuration.Section.PlainValue;
 
 /** Reads a difference and builds the later configuration from it and the earlier one. */
 final class DeltaReader {
--- a/fleet/src/main/java/dewplank/configuration/Engine.java
+++ b/fleet/src/main/java/dewplank/configuration/Engine.java
@@ -14,8 +14,15 @@
  * @param switchMs how long a change of stage takes
  * @param models names of the models that it serves
  */
-public record Engine(int slotCount, long kvTokens, long kvTokenBytes, double linkMbps, int stride,
-        double contextHoldMs, double switchMs, List<String> models) {
+public record Engine(
+        int slotCount,
+        long kvTokens,
+        long kvTokenBytes,
+        double linkMbps,
+        int stride,
+        double contextHoldMs,
+        double switchMs,
+        List<String> models) {
     /** Takes a copy of the models. */
     public Engine {
         models = List.copyOf(models);
--- a/fleet/src/main/java/dewplank/configuration/FieldReader.java
+++ b/fleet/src/main/java/dewplank/configuration/FieldReader.java
@@ -1,13 +1,13 @@
 package dewplank.configuration;
 
-import java.math.BigDecimal;
-import java.util.List;
 import dewplank.configuration.InvalidConfigurationException.Reason;
 import dewplank.configuration.JsonValue.JsonArray;
 import dewplank.configuration.JsonValue.JsonNumber;
 import dewplank.configuration.JsonValue.JsonObject;
 import dewplank.configuration.JsonValue.JsonString;
 import dewplank.configuration.JsonValue.JsonWord;
+import java.math.BigDecimal;
+import java.util.List;
 
 /** Typed reading of an object's fields. A field that is null counts as absent; faults name the field's whole path. */
 final class FieldReader {
--- a/fleet/src/main/java/dewplank/configuration/Item.java
+++ b/fleet/src/main/java/dewplank/configuration/Item.java
@@ -1,8 +1,8 @@
 package dewplank.configuration;
 
-import java.util.Arrays;
 import dewplank.configuration.InvalidConfigurationException.Reason;
 import dewplank.configuration.JsonValue.JsonObject;
+import java.util.Arrays;
 
 /** An item of a named list: its text, and what it means where the list is known. */
 sealed interface Item {
@@ -12,13 +12,13 @@
     String SERVICES = "services";
 
     /** A route. */
-    record RouteItem(String name, byte[] json, Route route) implements Item { }
+    record RouteItem(String name, byte[] json, Route route) implements Item {}
 
     /** A service. */
-    record ServiceItem(String name, byte[] json, Service service) implements Item { }
+    record ServiceItem(String name, byte[] json, Service service) implements Item {}
 
     /** An item of a list that this program passes over. */
-    record OtherItem(String name, byte[] json) implements Item { }
+    record OtherItem(String name, byte[] json) implements Item {}
 
     /** Its name, its own within the list. */
     String name();
--- a/fleet/src/main/java/dewplank/configuration/JsonGrammar.java
+++ b/fleet/src/main/java/dewplank/configuration/JsonGrammar.java
@@ -1,9 +1,9 @@
 package dewplank.configuration;
 
+import dewplank.configuration.InvalidConfigurationException.Reason;
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
-import dewplank.configuration.InvalidConfigurationException.Reason;
 
 /**
  * Checks that bytes are exactly one JSON value by the letter of RFC 8259. The reader that follows skips over what it
@@ -104,8 +104,8 @@
         position++;
         depth++;
         if (depth > InvalidConfigurationException.MAX_DEPTH) {
-            throw new InvalidConfigurationException(Reason.TOO_DEEP, "",
-                    "nested deeper than " + InvalidConfigurationException.MAX_DEPTH);
+            throw new InvalidConfigurationException(
+                    Reason.TOO_DEEP, "", "nested deeper than " + InvalidConfigurationException.MAX_DEPTH);
         }
         space();
     }
--- a/fleet/src/main/java/dewplank/configuration/JsonTextReader.java
+++ b/fleet/src/main/java/dewplank/configuration/JsonTextReader.java
@@ -3,17 +3,17 @@
 import com.jsoniter.JsonIterator;
 import com.jsoniter.ValueType;
 import com.jsoniter.spi.JsonException;
-import java.io.IOException;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
 import dewplank.configuration.InvalidConfigurationException.Reason;
 import dewplank.configuration.JsonValue.JsonArray;
 import dewplank.configuration.JsonValue.JsonNumber;
 import dewplank.configuration.JsonValue.JsonObject;
 import dewplank.configuration.JsonValue.JsonString;
 import dewplank.configuration.JsonValue.JsonWord;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 
 /** Reads a whole JSON text into a tree: nothing is left for later, and duplicate keys are refused. */
 final class JsonTextReader {
--- a/fleet/src/main/java/dewplank/configuration/JsonTextWriter.java
+++ b/fleet/src/main/java/dewplank/configuration/JsonTextWriter.java
@@ -1,26 +1,26 @@
 package dewplank.configuration;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
-import java.util.Map;
 import dewplank.configuration.JsonValue.JsonArray;
 import dewplank.configuration.JsonValue.JsonNumber;
 import dewplank.configuration.JsonValue.JsonObject;
 import dewplank.configuration.JsonValue.JsonString;
 import dewplank.configuration.JsonValue.JsonWord;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Map;
 
 /** Writes a JSON tree without spaces; the same tree always gives the same bytes. */
 final class JsonTextWriter {
     /** Room for an item of the usual size, so that the text seldom moves while it grows. */
     private static final int USUAL_LENGTH = 512;
+
     private static final byte[] HEX_DIGITS = "0123456789abcdef".getBytes(StandardCharsets.US_ASCII);
 
     private byte[] text = new byte[USUAL_LENGTH];
     private int length;
 
-    private JsonTextWriter() {
-    }
+    private JsonTextWriter() {}
 
     /** The tree as UTF-8. */
     static byte[] write(JsonValue value) {
--- a/fleet/src/main/java/dewplank/configuration/JsonValue.java
+++ b/fleet/src/main/java/dewplank/configuration/JsonValue.java
@@ -6,16 +6,16 @@
 /** A JSON value as it was read; numbers keep the text in which they were written. */
 sealed interface JsonValue {
     /** An object, its members in the order in which they were written. */
-    record JsonObject(Map<String, JsonValue> members) implements JsonValue { }
+    record JsonObject(Map<String, JsonValue> members) implements JsonValue {}
 
     /** An array. */
-    record JsonArray(List<JsonValue> elements) implements JsonValue { }
+    record JsonArray(List<JsonValue> elements) implements JsonValue {}
 
     /** A string. */
-    record JsonString(String text) implements JsonValue { }
+    record JsonString(String text) implements JsonValue {}
 
     /** A number, as written. */
-    record JsonNumber(String text) implements JsonValue { }
+    record JsonNumber(String text) implements JsonValue {}
 
     /** One of the three words. */
     enum JsonWord implements JsonValue {
--- a/fleet/src/main/java/dewplank/configuration/Route.java
+++ b/fleet/src/main/java/dewplank/configuration/Route.java
@@ -18,9 +18,19 @@
  * @param resumable whether a stream may be continued at another server
  * @param gapAimMs the longest pause between events that still keeps an answer in time; 0 where none is stated
  */
-public record Route(String name, String host, String pathPrefix, RouteType type, double timeoutMs,
-        double targetLatencyMs, int priority, List<WeightedService> split, int maxAttempts, boolean sticky,
-        boolean resumable, double gapAimMs) {
+public record Route(
+        String name,
+        String host,
+        String pathPrefix,
+        RouteType type,
+        double timeoutMs,
+        double targetLatencyMs,
+        int priority,
+        List<WeightedService> split,
+        int maxAttempts,
+        boolean sticky,
+        boolean resumable,
+        double gapAimMs) {
     /** Takes a copy of the split. */
     public Route {
         split = List.copyOf(split);
--- a/fleet/src/main/java/dewplank/configuration/RouteCheck.java
+++ b/fleet/src/main/java/dewplank/configuration/RouteCheck.java
@@ -1,16 +1,15 @@
 package dewplank.configuration;
 
+import dewplank.configuration.InvalidConfigurationException.Reason;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import dewplank.configuration.InvalidConfigurationException.Reason;
 
 /** Checks what routes share: no two with one host and prefix, and every service they name is there. */
 final class RouteCheck {
-    private RouteCheck() {
-    }
+    private RouteCheck() {}
 
     /** Throws where the routes do not fit each other or the services. */
     static void check(List<Route> routes, Map<String, Service> services) throws InvalidConfigurationException {
--- a/fleet/src/main/java/dewplank/configuration/RouteReader.java
+++ b/fleet/src/main/java/dewplank/configuration/RouteReader.java
@@ -1,10 +1,10 @@
 package dewplank.configuration;
 
+import dewplank.configuration.InvalidConfigurationException.Reason;
+import dewplank.configuration.JsonValue.JsonObject;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import dewplank.configuration.InvalidConfigurationException.Reason;
-import dewplank.configuration.JsonValue.JsonObject;
 
 /** Reads and checks one route by itself; what it shares with other items is checked over the whole configuration. */
 final class RouteReader {
--- a/fleet/src/main/java/dewplank/configuration/Section.java
+++ b/fleet/src/main/java/dewplank/configuration/Section.java
@@ -1,14 +1,14 @@
 package dewplank.configuration;
 
+import dewplank.configuration.InvalidConfigurationException.Reason;
+import dewplank.configuration.JsonValue.JsonArray;
+import dewplank.configuration.JsonValue.JsonObject;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import dewplank.configuration.InvalidConfigurationException.Reason;
-import dewplank.configuration.JsonValue.JsonArray;
-import dewplank.configuration.JsonValue.JsonObject;
 
 /** A top-level field of a configuration. */
 sealed interface Section {
@@ -32,7 +32,7 @@
     }
 
     /** A value that is changed as a whole; its text without spaces. */
-    record PlainValue(byte[] json) implements Section { }
+    record PlainValue(byte[] json) implements Section {}
 
     /** The section that a field's value makes. */
     static Section read(String field, JsonValue value) throws InvalidConfigurationException {
@@ -52,8 +52,8 @@
         for (JsonValue element : array.elements()) {
             Item item = Item.read(field, items.size(), element);
             if (!names.add(item.name())) {
-                throw new InvalidConfigurationException(Reason.DUPLICATE_NAME, field + "[" + item.name() + "]",
-                        "the name is there twice");
+                throw new InvalidConfigurationException(
+                        Reason.DUPLICATE_NAME, field + "[" + item.name() + "]", "the name is there twice");
             }
             items.add(item);
         }
--- a/fleet/src/main/java/dewplank/configuration/Service.java
+++ b/fleet/src/main/java/dewplank/configuration/Service.java
@@ -10,5 +10,5 @@
  * @param tls whether its servers expect TLS
  * @param engine the model servers' figures; null for a plain service
  */
-public record Service(String name, String healthPath, int maxConnections, String protocol, boolean tls,
-        Engine engine) { }
+public record Service(
+        String name, String healthPath, int maxConnections, String protocol, boolean tls, Engine engine) {}
--- a/fleet/src/main/java/dewplank/configuration/ServiceReader.java
+++ b/fleet/src/main/java/dewplank/configuration/ServiceReader.java
@@ -1,9 +1,9 @@
 package dewplank.configuration;
 
-import java.util.ArrayList;
-import java.util.List;
 import dewplank.configuration.JsonValue.JsonObject;
 import dewplank.configuration.JsonValue.JsonString;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Reads and checks one service. */
 final class ServiceReader {
@@ -49,7 +49,10 @@
         List<String> models = new ArrayList<>();
         for (JsonValue model : engine.elements("models")) {
             String path = engine.path("models[" + models.size() + "]");
-            models.add(model instanceof JsonString name ? name.text() : FieldReader.of(model, path).name());
+            models.add(
+                    model instanceof JsonString name
+                            ? name.text()
+                            : FieldReader.of(model, path).name());
         }
         return models;
     }
--- a/fleet/src/main/java/dewplank/configuration/WeightedService.java
+++ b/fleet/src/main/java/dewplank/configuration/WeightedService.java
@@ -6,4 +6,4 @@
  * @param service the service's name
  * @param weight its part, in relation to the sum of the split's weights
  */
-public record WeightedService(String service, double weight) { }
+public record WeightedService(String service, double weight) {}
--- a/fleet/src/main/java/dewplank/duty/Ballot.java
+++ b/fleet/src/main/java/dewplank/duty/Ballot.java
@@ -1,13 +1,13 @@
 package dewplank.duty;
 
+import dewplank.register.Acceptor;
+import dewplank.register.AcceptorSet;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import dewplank.register.Acceptor;
-import dewplank.register.AcceptorSet;
 
 /** The replies to one round of a candidate's requests, counted by the set of voters that was in force when it began. */
 final class Ballot {
--- a/fleet/src/main/java/dewplank/duty/Candidate.java
+++ b/fleet/src/main/java/dewplank/duty/Candidate.java
@@ -1,12 +1,12 @@
 package dewplank.duty;
 
+import dewplank.duty.VoteRequest.Kind;
+import dewplank.register.Acceptor;
+import dewplank.register.AcceptorSet;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
 import java.util.function.DoubleSupplier;
-import dewplank.duty.VoteRequest.Kind;
-import dewplank.register.Acceptor;
-import dewplank.register.AcceptorSet;
 
 /**
  * One control sidecar's candidacy for one duty. While another holds the duty it probes about once a lease, which binds
@@ -26,7 +26,13 @@
     /** Numbers for each set of voters: a ballot every quarter of a second takes three days to use them up. */
     private static final long NUMBERS_PER_SET = 1 << 20;
 
-    private enum State { WAITING, PROBING, ASKING, HOLDING, STOPPED }
+    private enum State {
+        WAITING,
+        PROBING,
+        ASKING,
+        HOLDING,
+        STOPPED
+    }
 
     private final String duty;
     private final String name;
@@ -230,8 +236,7 @@
 
     private void sendAll(List<Acceptor> to, Kind kind, long proposed, CandidateOutput out) {
         for (Acceptor voter : to) {
-            out.send(voter,
-                new VoteRequest(kind, duty, name, voter.identity(), round, proposed, voters.generation()));
+            out.send(voter, new VoteRequest(kind, duty, name, voter.identity(), round, proposed, voters.generation()));
         }
     }
 
@@ -297,7 +302,9 @@
     }
 
     private void withdraw(Ballot ballot, CandidateOutput out) {
-        List<Acceptor> mayHaveGranted = ballot.voters().stream().filter(voter -> !ballot.isDenied(voter)).toList();
+        List<Acceptor> mayHaveGranted = ballot.voters().stream()
+                .filter(voter -> !ballot.isDenied(voter))
+                .toList();
         sendAll(mayHaveGranted, Kind.WITHDRAW, ballot.number(), out);
     }
 
--- a/fleet/src/main/java/dewplank/duty/DutyTiming.java
+++ b/fleet/src/main/java/dewplank/duty/DutyTiming.java
@@ -46,8 +46,9 @@
      * @param drainMs the time in which a drain is to be in force
      */
     public static double leaseMs(double catchUpMs, double contactMs, double drainMs) {
-        return Math.max(SHORTEST_LEASE_MS, Math.min(LEASE_PART_OF_CATCH_UP * catchUpMs,
-            LEASE_PART_OF_CONTACT * Math.min(contactMs, drainMs)));
+        return Math.max(
+                SHORTEST_LEASE_MS,
+                Math.min(LEASE_PART_OF_CATCH_UP * catchUpMs, LEASE_PART_OF_CONTACT * Math.min(contactMs, drainMs)));
     }
 
     /**
--- a/fleet/src/main/java/dewplank/duty/StagePlan.java
+++ b/fleet/src/main/java/dewplank/duty/StagePlan.java
@@ -16,6 +16,7 @@
     private static final double LEAST_DECODE_SHARE = 0.25;
     /** Of the places and of the memory of decode servers, beyond which further ones are wanted. */
     private static final double MOST_PLACES_USED = 0.5;
+
     private static final double MOST_MEMORY_USED = 0.8;
     /** Of the places, below which one fewer is enough: lower than the other bound, lest servers go to and fro. */
     private static final double FEW_PLACES_USED = 0.25;
@@ -24,17 +25,25 @@
     private static final int ABSENT_BORNE = 1;
 
     /** A model server as it reported itself. */
-    public record Engine(String instanceId, String zone, boolean prefill, boolean busy, int queued, int active,
-                         int slotCount, long memoryUsed, long memoryCapacity) {
+    public record Engine(
+            String instanceId,
+            String zone,
+            boolean prefill,
+            boolean busy,
+            int queued,
+            int active,
+            int slotCount,
+            long memoryUsed,
+            long memoryCapacity) {
         int load() {
             return queued + active;
         }
     }
 
     /** A change to be ordered. */
-    public record Change(String instanceId, boolean toPrefill) { }
+    public record Change(String instanceId, boolean toPrefill) {}
 
-    private StagePlan() { }
+    private StagePlan() {}
 
     /** The next change for the ready servers of one service that have reported; empty where all is as it should be. */
     public static Optional<Change> next(List<Engine> engines) {
@@ -46,8 +55,9 @@
         int wanted = wantedDecode(engines, decode);
         boolean lacking = crowded(decode) || decode.size() + ABSENT_BORNE < wanted;
         if (decode.size() < wanted && lacking) {
-            return prefill.stream().min(Comparator.comparingInt(Engine::load))
-                .map(e -> new Change(e.instanceId(), false));
+            return prefill.stream()
+                    .min(Comparator.comparingInt(Engine::load))
+                    .map(e -> new Change(e.instanceId(), false));
         }
         if (decode.size() > wanted) {
             return spare(decode).map(e -> new Change(e.instanceId(), true));
@@ -92,8 +102,9 @@
         Map<String, Integer> inZone = new HashMap<>();
         decode.forEach(e -> inZone.merge(e.zone(), 1, Integer::sum));
         List<Engine> sorted = new ArrayList<>(decode);
-        sorted.sort(Comparator.comparingInt((Engine e) -> -inZone.get(e.zone())).thenComparingInt(Engine::load)
-            .thenComparing(Engine::instanceId));
+        sorted.sort(Comparator.comparingInt((Engine e) -> -inZone.get(e.zone()))
+                .thenComparingInt(Engine::load)
+                .thenComparing(Engine::instanceId));
         return sorted.stream().findFirst();
     }
 }
--- a/fleet/src/main/java/dewplank/duty/VoteReply.java
+++ b/fleet/src/main/java/dewplank/duty/VoteReply.java
@@ -45,7 +45,7 @@
     }
 
     /** What stands at a voter: its highest number, whom its lease binds it to (null: nobody), and for how long. */
-    record Standing(long number, String holder, double remainingMs) { }
+    record Standing(long number, String holder, double remainingMs) {}
 
     /** The duty. */
     public String duty() {
--- a/fleet/src/main/java/dewplank/duty/VoteRequest.java
+++ b/fleet/src/main/java/dewplank/duty/VoteRequest.java
@@ -35,8 +35,8 @@
      * @param number the fencing number
      * @param votersVersion the generation of the set of voters by which the candidate counts
      */
-    public VoteRequest(Kind kind, String duty, String candidate, String voter, long round, long number,
-                       long votersVersion) {
+    public VoteRequest(
+            Kind kind, String duty, String candidate, String voter, long round, long number, long votersVersion) {
         this.kind = kind;
         this.duty = duty;
         this.candidate = candidate;
--- a/fleet/src/main/java/dewplank/duty/Voter.java
+++ b/fleet/src/main/java/dewplank/duty/Voter.java
@@ -1,9 +1,9 @@
 package dewplank.duty;
 
-import java.util.HashMap;
-import java.util.Map;
 import dewplank.duty.VoteReply.Standing;
 import dewplank.duty.VoteReply.Verdict;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
  * One control sidecar's votes. For each duty it is bound to one candidate at a time, for the length of a lease, and
@@ -98,7 +98,7 @@
             answerForAnother(now, request, vote, out);
             return;
         }
-        voters(now, request.votersVersion(), acceptedVersion);   // candidates count by chosen sets only
+        voters(now, request.votersVersion(), acceptedVersion); // candidates count by chosen sets only
         switch (request.kind()) {
             case PROBE -> reply(now, request, vote, probed(now, request, vote), out);
             case ASK -> grant(now, request, vote, asked(now, request, vote), out);
@@ -135,7 +135,7 @@
     private void answerForAnother(double now, VoteRequest request, Vote vote, VoterOutput out) {
         switch (request.kind()) {
             case PROBE, ASK, RENEW -> reply(now, request, vote, Verdict.NOT_THE_ONE_ASKED, out);
-            case WITHDRAW, RELEASE -> { }
+            case WITHDRAW, RELEASE -> {}
         }
     }
 
--- a/fleet/src/main/java/dewplank/membership/AcceptorPlan.java
+++ b/fleet/src/main/java/dewplank/membership/AcceptorPlan.java
@@ -1,12 +1,12 @@
 package dewplank.membership;
 
+import dewplank.register.Acceptor;
+import dewplank.register.AcceptorSet;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import dewplank.register.Acceptor;
-import dewplank.register.AcceptorSet;
 
 /**
  * What the register's acceptors should be, worked out from which control sidecars are heard: one whose disk was lost is
@@ -28,9 +28,10 @@
      * @param goneMs an acceptor that has not been alive for so long gives its place up
      */
     public record Timing(double liveMs, double settledMs, double goneMs) {
-        private static final double LIVE_MS = 1_000;   // three heartbeats of 300 ms and their way
+        private static final double LIVE_MS = 1_000; // three heartbeats of 300 ms and their way
         /** More than a heartbeat and its way: late words of an earlier life are overtaken by then. */
         private static final double SETTLED_MS = 400;
+
         private static final double GONE_PART = 1 / 4.0;
         private static final double LONGEST_GONE_MS = 2_000;
 
@@ -52,7 +53,7 @@
      * @param heardAt when it was last heard
      * @param since since when that very identity has been heard
      */
-    public record Sighting(Acceptor acceptor, double heardAt, double since) { }
+    public record Sighting(Acceptor acceptor, double heardAt, double since) {}
 
     private final Timing timing;
     private final Map<Acceptor, Double> missingSince = new HashMap<>();
@@ -71,13 +72,16 @@
      * @return the acceptors that there should be: those of the set where it is as it should be or half changed
      */
     public List<Acceptor> wanted(double now, AcceptorSet set, Collection<Sighting> seen) {
-        List<Sighting> live = seen.stream().filter(s -> now - s.heardAt() <= timing.liveMs()).toList();
+        List<Sighting> live =
+                seen.stream().filter(s -> now - s.heardAt() <= timing.liveMs()).toList();
         noteMissing(now, set, live.stream().map(Sighting::acceptor).toList());
         if (set.isJoint()) {
             return set.members();
         }
-        List<Acceptor> settled = live.stream().filter(s -> now - s.since() >= timing.settledMs())
-            .map(Sighting::acceptor).toList();
+        List<Acceptor> settled = live.stream()
+                .filter(s -> now - s.since() >= timing.settledMs())
+                .map(Sighting::acceptor)
+                .toList();
         List<Acceptor> spare = new ArrayList<>(settled);
         spare.removeAll(set.members());
         List<Acceptor> replaced = replaced(now, set.members(), spare);
--- a/fleet/src/main/java/dewplank/membership/Member.java
+++ b/fleet/src/main/java/dewplank/membership/Member.java
@@ -13,6 +13,7 @@
     public final String role;
     /** IP:PORT at which others of the system reach it. */
     public final String address;
+
     public final String zone;
     /** Drawn anew at each start of the process. */
     public final long incarnation;
@@ -27,8 +28,12 @@
 
     @Override
     public boolean equals(Object other) {
-        return other instanceof Member m && m.node.equals(node) && m.role.equals(role) && m.address.equals(address)
-            && Objects.equals(m.zone, zone) && m.incarnation == incarnation;
+        return other instanceof Member m
+                && m.node.equals(node)
+                && m.role.equals(role)
+                && m.address.equals(address)
+                && Objects.equals(m.zone, zone)
+                && m.incarnation == incarnation;
     }
 
     @Override
--- a/fleet/src/main/java/dewplank/membership/SessionTable.java
+++ b/fleet/src/main/java/dewplank/membership/SessionTable.java
@@ -16,7 +16,7 @@
     /** Sessions held, beyond which none is opened: guards the memory of a small machine. */
     public static final int MOST_SESSIONS = 4_096;
 
-    private record Told(double at, List<Member> sessions) { }
+    private record Told(double at, List<Member> sessions) {}
 
     private final double leaseMs;
     private final Map<Member, Double> own = new HashMap<>();
@@ -60,7 +60,7 @@
     /** All members: of several incarnations of one node the one heard last. */
     public List<Member> members(double now) {
         Map<String, Member> byNode = new HashMap<>();
-        for (Iterator<Told> i = told.values().iterator(); i.hasNext();) {
+        for (Iterator<Told> i = told.values().iterator(); i.hasNext(); ) {
             Told t = i.next();
             if (now - t.at() > leaseMs) {
                 i.remove();
--- a/fleet/src/main/java/dewplank/register/Accept.java
+++ b/fleet/src/main/java/dewplank/register/Accept.java
@@ -8,8 +8,7 @@
     private final RegisterValue value;
 
     /** Makes the message. */
-    public Accept(String sender, String senderIdentity, String recipientIdentity,
-                  Ballot ballot, RegisterValue value) {
+    public Accept(String sender, String senderIdentity, String recipientIdentity, Ballot ballot, RegisterValue value) {
         super(sender, senderIdentity, recipientIdentity);
         this.ballot = Objects.requireNonNull(ballot);
         this.value = Objects.requireNonNull(value);
--- a/fleet/src/main/java/dewplank/register/Acceptor.java
+++ b/fleet/src/main/java/dewplank/register/Acceptor.java
@@ -26,8 +26,8 @@
     @Override
     public boolean equals(Object other) {
         return other instanceof Acceptor
-            && address.equals(((Acceptor) other).address)
-            && identity.equals(((Acceptor) other).identity);
+                && address.equals(((Acceptor) other).address)
+                && identity.equals(((Acceptor) other).identity);
     }
 
     @Override
--- a/fleet/src/main/java/dewplank/register/AcceptorSet.java
+++ b/fleet/src/main/java/dewplank/register/AcceptorSet.java
@@ -90,9 +90,9 @@
     @Override
     public boolean equals(Object other) {
         return other instanceof AcceptorSet
-            && generation == ((AcceptorSet) other).generation
-            && members.equals(((AcceptorSet) other).members)
-            && joining.equals(((AcceptorSet) other).joining);
+                && generation == ((AcceptorSet) other).generation
+                && members.equals(((AcceptorSet) other).members)
+                && joining.equals(((AcceptorSet) other).joining);
     }
 
     @Override
--- a/fleet/src/main/java/dewplank/register/Decision.java
+++ b/fleet/src/main/java/dewplank/register/Decision.java
@@ -6,5 +6,4 @@
  * @param newPayload the payload to put in place, or null to keep the value
  * @param answer what to answer once that is certain
  */
-public record Decision(byte[] newPayload, Object answer) {
-}
+public record Decision(byte[] newPayload, Object answer) {}
--- a/fleet/src/main/java/dewplank/register/DurableState.java
+++ b/fleet/src/main/java/dewplank/register/DurableState.java
@@ -12,8 +12,13 @@
     private final RegisterValue chosen;
 
     /** A whole state. */
-    public DurableState(String identity, Ballot promised, Ballot accepted, RegisterValue value,
-                        Ballot chosenBallot, RegisterValue chosen) {
+    public DurableState(
+            String identity,
+            Ballot promised,
+            Ballot accepted,
+            RegisterValue value,
+            Ballot chosenBallot,
+            RegisterValue chosen) {
         this.identity = Objects.requireNonNull(identity);
         this.promised = Objects.requireNonNull(promised);
         this.accepted = Objects.requireNonNull(accepted);
--- a/fleet/src/main/java/dewplank/register/Learner.java
+++ b/fleet/src/main/java/dewplank/register/Learner.java
@@ -31,7 +31,9 @@
         this.chosen = recovered.chosen();
         sawRound(recovered.promised());
         sawRound(chosenBallot);
-        sawAccepted(recovered.accepted(), recovered.value() == null ? null : recovered.value().acceptors());
+        sawAccepted(
+                recovered.accepted(),
+                recovered.value() == null ? null : recovered.value().acceptors());
     }
 
     Ballot chosenBallot() {
@@ -127,7 +129,8 @@
      */
     private void fetch(double now, Register.Output out) {
         fetchedAt = now;
-        out.send(heardFrom, new Query(self.address(), self.identity(), RegisterMessage.ANY, Questions.FETCH,
-            chosenBallot, true));
+        out.send(
+                heardFrom,
+                new Query(self.address(), self.identity(), RegisterMessage.ANY, Questions.FETCH, chosenBallot, true));
     }
 }
--- a/fleet/src/main/java/dewplank/register/Outcome.java
+++ b/fleet/src/main/java/dewplank/register/Outcome.java
@@ -9,14 +9,12 @@
      * @param answer what the change answered; a {@link Replacement} for replacements; null for reads
      * @param changed whether this request changed the value
      */
-    record Confirmed(RegisterValue value, Object answer, boolean changed) implements Outcome {
-    }
+    record Confirmed(RegisterValue value, Object answer, boolean changed) implements Outcome {}
 
     /**
      * The request may have taken effect, may take effect later, or never.
      *
      * @param reason why nothing is known
      */
-    record Unknown(String reason) implements Outcome {
-    }
+    record Unknown(String reason) implements Outcome {}
 }
--- a/fleet/src/main/java/dewplank/register/Promise.java
+++ b/fleet/src/main/java/dewplank/register/Promise.java
@@ -9,8 +9,13 @@
     private final RegisterValue value;
 
     /** Makes the message. */
-    public Promise(String sender, String senderIdentity, String recipientIdentity,
-                   Ballot ballot, Ballot accepted, RegisterValue value) {
+    public Promise(
+            String sender,
+            String senderIdentity,
+            String recipientIdentity,
+            Ballot ballot,
+            Ballot accepted,
+            RegisterValue value) {
         super(sender, senderIdentity, recipientIdentity);
         this.ballot = Objects.requireNonNull(ballot);
         this.accepted = Objects.requireNonNull(accepted);
--- a/fleet/src/main/java/dewplank/register/Proposer.java
+++ b/fleet/src/main/java/dewplank/register/Proposer.java
@@ -84,7 +84,9 @@
     }
 
     void promised(double now, Promise message, Register.Output out) {
-        learner.sawAccepted(message.accepted(), message.value() == null ? null : message.value().acceptors());
+        learner.sawAccepted(
+                message.accepted(),
+                message.value() == null ? null : message.value().acceptors());
         if (round == null || !round.isPreparing() || !message.ballot().equals(round.ballot())) {
             return;
         }
@@ -153,8 +155,10 @@
     private void prepare(AcceptorSet acceptors, Register.Output out) {
         for (Acceptor acceptor : acceptors.all()) {
             if (round.asks(acceptor)) {
-                out.send(acceptor.address(), new Prepare(self.address(), self.identity(), acceptor.identity(),
-                    round.ballot(), round.known()));
+                out.send(
+                        acceptor.address(),
+                        new Prepare(
+                                self.address(), self.identity(), acceptor.identity(), round.ballot(), round.known()));
             }
         }
     }
@@ -162,8 +166,14 @@
     private void secondRound(double now, Register.Output out) {
         round.propose(active.propose(round.read(), learner.chosen()), now);
         for (Acceptor acceptor : round.read().acceptors().all()) {
-            out.send(acceptor.address(), new Accept(self.address(), self.identity(), acceptor.identity(),
-                round.ballot(), round.proposal().value()));
+            out.send(
+                    acceptor.address(),
+                    new Accept(
+                            self.address(),
+                            self.identity(),
+                            acceptor.identity(),
+                            round.ballot(),
+                            round.proposal().value()));
         }
     }
 
@@ -190,8 +200,10 @@
         told.addAll(value.acceptors().all());
         for (Acceptor acceptor : told) {
             if (!acceptor.equals(self)) {
-                out.send(acceptor.address(), new Chosen(self.address(), self.identity(), acceptor.identity(),
-                    done.ballot(), value.revision()));
+                out.send(
+                        acceptor.address(),
+                        new Chosen(
+                                self.address(), self.identity(), acceptor.identity(), done.ballot(), value.revision()));
             }
         }
     }
--- a/fleet/src/main/java/dewplank/register/Query.java
+++ b/fleet/src/main/java/dewplank/register/Query.java
@@ -9,8 +9,13 @@
     private final boolean fetching;
 
     /** Makes the message. */
-    public Query(String sender, String senderIdentity, String recipientIdentity,
-                 long question, Ballot chosen, boolean fetching) {
+    public Query(
+            String sender,
+            String senderIdentity,
+            String recipientIdentity,
+            long question,
+            Ballot chosen,
+            boolean fetching) {
         super(sender, senderIdentity, recipientIdentity);
         this.question = question;
         this.chosen = Objects.requireNonNull(chosen);
--- a/fleet/src/main/java/dewplank/register/Reader.java
+++ b/fleet/src/main/java/dewplank/register/Reader.java
@@ -49,8 +49,15 @@
         Read read = new Read(request, questions.next(), now, deadline);
         reads.add(read);
         for (Acceptor acceptor : learner.acceptors().all()) {
-            out.send(acceptor.address(), new Query(self.address(), self.identity(), RegisterMessage.ANY,
-                read.question, learner.chosenBallot(), true));
+            out.send(
+                    acceptor.address(),
+                    new Query(
+                            self.address(),
+                            self.identity(),
+                            RegisterMessage.ANY,
+                            read.question,
+                            learner.chosenBallot(),
+                            true));
         }
     }
 
--- a/fleet/src/main/java/dewplank/register/Register.java
+++ b/fleet/src/main/java/dewplank/register/Register.java
@@ -26,9 +26,13 @@
      * @param retryMaximumMs the longest pause before the next round
      * @param sweepMs the period of the sweeps
      */
-    public record Settings(String address, AcceptorSet initial, double roundTimeoutMs, double retryMinimumMs,
-                           double retryMaximumMs, double sweepMs) {
-    }
+    public record Settings(
+            String address,
+            AcceptorSet initial,
+            double roundTimeoutMs,
+            double retryMinimumMs,
+            double retryMaximumMs,
+            double sweepMs) {}
 
     /** What a step wants done. */
     public interface Output {
@@ -72,7 +76,7 @@
         }
         if (message instanceof Query) {
             report((Query) message, out);
-            learner.hear(now, message, ((Query) message).chosen(), out);   // who asks may know more
+            learner.hear(now, message, ((Query) message).chosen(), out); // who asks may know more
         } else if (message instanceof Report) {
             reported(now, (Report) message, out);
         } else if (message instanceof Chosen) {
@@ -110,8 +114,8 @@
      * Makes the wanted acceptors those that decide, by way of a joint set, if the set in force is still that of the
      * expected generation; confirmed with a {@link Replacement} as its answer.
      */
-    public void replaceAcceptors(double now, long request, long expectedGeneration, List<Acceptor> wanted,
-                                 double deadline, Output out) {
+    public void replaceAcceptors(
+            double now, long request, long expectedGeneration, List<Acceptor> wanted, double deadline, Output out) {
         if (wanted.isEmpty()) {
             out.completed(request, new Outcome.Unknown("no acceptors wanted"));
         } else if (admits(proposer.pendingRepairs(), MOST_REPAIRS, request, out)) {
@@ -121,8 +125,15 @@
 
     /** Asks a process that may not be a known acceptor for what is chosen. */
     public void ask(double now, String address, Output out) {
-        out.send(address, new Query(self.address(), self.identity(), RegisterMessage.ANY, Questions.FETCH,
-            learner.chosenBallot(), true));
+        out.send(
+                address,
+                new Query(
+                        self.address(),
+                        self.identity(),
+                        RegisterMessage.ANY,
+                        Questions.FETCH,
+                        learner.chosenBallot(),
+                        true));
     }
 
     /** Time passes: time-outs, retries, sweeps. */
@@ -203,9 +214,18 @@
         DurableState kept = voter.durable();
         boolean sends = query.fetching() && learner.chosenBallot().isAfter(query.chosen());
         boolean newer = kept.accepted().isAfter(query.chosen());
-        out.send(query.sender(), new Report(self.address(), self.identity(), query.senderIdentity(),
-            query.question(), kept.accepted(), newer ? kept.value().acceptors() : null, learner.chosenBallot(),
-            learner.chosen() == null ? 0 : learner.chosen().revision(), sends ? learner.chosen() : null));
+        out.send(
+                query.sender(),
+                new Report(
+                        self.address(),
+                        self.identity(),
+                        query.senderIdentity(),
+                        query.question(),
+                        kept.accepted(),
+                        newer ? kept.value().acceptors() : null,
+                        learner.chosenBallot(),
+                        learner.chosen() == null ? 0 : learner.chosen().revision(),
+                        sends ? learner.chosen() : null));
     }
 
     private void reported(double now, Report report, Output out) {
--- a/fleet/src/main/java/dewplank/register/RegisterMessages.java
+++ b/fleet/src/main/java/dewplank/register/RegisterMessages.java
@@ -6,15 +6,14 @@
 public final class RegisterMessages {
     /** All kinds in a fixed order, which numbers them on the wire: only add at the end. */
     public static final List<Class<? extends RegisterMessage>> TYPES = List.of(
-        Prepare.class,
-        Promise.class,
-        Accept.class,
-        Accepted.class,
-        Refuse.class,
-        Query.class,
-        Report.class,
-        Chosen.class);
+            Prepare.class,
+            Promise.class,
+            Accept.class,
+            Accepted.class,
+            Refuse.class,
+            Query.class,
+            Report.class,
+            Chosen.class);
 
-    private RegisterMessages() {
-    }
+    private RegisterMessages() {}
 }
--- a/fleet/src/main/java/dewplank/register/RegisterValue.java
+++ b/fleet/src/main/java/dewplank/register/RegisterValue.java
@@ -44,9 +44,9 @@
     @Override
     public boolean equals(Object other) {
         return other instanceof RegisterValue
-            && revision == ((RegisterValue) other).revision
-            && acceptors.equals(((RegisterValue) other).acceptors)
-            && Arrays.equals(payload, ((RegisterValue) other).payload);
+                && revision == ((RegisterValue) other).revision
+                && acceptors.equals(((RegisterValue) other).acceptors)
+                && Arrays.equals(payload, ((RegisterValue) other).payload);
     }
 
     @Override
--- a/fleet/src/main/java/dewplank/register/Report.java
+++ b/fleet/src/main/java/dewplank/register/Report.java
@@ -12,9 +12,16 @@
     private final RegisterValue value;
 
     /** Makes the message. */
-    public Report(String sender, String senderIdentity, String recipientIdentity,
-                  long question, Ballot accepted, AcceptorSet acceptors,
-                  Ballot chosen, long revision, RegisterValue value) {
+    public Report(
+            String sender,
+            String senderIdentity,
+            String recipientIdentity,
+            long question,
+            Ballot accepted,
+            AcceptorSet acceptors,
+            Ballot chosen,
+            long revision,
+            RegisterValue value) {
         super(sender, senderIdentity, recipientIdentity);
         this.question = question;
         this.accepted = Objects.requireNonNull(accepted);
--- a/fleet/src/main/java/dewplank/register/Sweep.java
+++ b/fleet/src/main/java/dewplank/register/Sweep.java
@@ -30,8 +30,13 @@
     private Ballot newestOfQuorum = Ballot.NONE;
     private long sweptGeneration;
 
-    Sweep(Register.Settings settings, Acceptor self, Learner learner, Proposer proposer, Questions questions,
-          RandomGenerator random) {
+    Sweep(
+            Register.Settings settings,
+            Acceptor self,
+            Learner learner,
+            Proposer proposer,
+            Questions questions,
+            RandomGenerator random) {
         this.settings = settings;
         this.self = self;
         this.learner = learner;
@@ -74,8 +79,14 @@
     void reported(Report report, Register.Output out) {
         boolean member = learner.acceptors().all().contains(report.from());
         if (member && learner.chosenBallot().isAfter(report.chosen())) {
-            out.send(report.sender(), new Chosen(self.address(), self.identity(), report.senderIdentity(),
-                learner.chosenBallot(), learner.chosen().revision()));
+            out.send(
+                    report.sender(),
+                    new Chosen(
+                            self.address(),
+                            self.identity(),
+                            report.senderIdentity(),
+                            learner.chosenBallot(),
+                            learner.chosen().revision()));
         }
         if (report.question() != question) {
             return;
@@ -102,8 +113,15 @@
             members.addAll(learner.unfinishedAcceptors().all());
         }
         for (Acceptor acceptor : members) {
-            out.send(acceptor.address(), new Query(self.address(), self.identity(), RegisterMessage.ANY,
-                question, learner.chosenBallot(), false));
+            out.send(
+                    acceptor.address(),
+                    new Query(
+                            self.address(),
+                            self.identity(),
+                            RegisterMessage.ANY,
+                            question,
+                            learner.chosenBallot(),
+                            false));
         }
     }
 }
--- a/fleet/src/main/java/dewplank/register/Voter.java
+++ b/fleet/src/main/java/dewplank/register/Voter.java
@@ -11,8 +11,7 @@
     /** Answers that may wait for the disk; a lost answer is only asked for again, so a stalled disk costs no memory. */
     static final int MOST_WAITING = 256;
 
-    private record Answer(String address, RegisterMessage message) {
-    }
+    private record Answer(String address, RegisterMessage message) {}
 
     private final Acceptor self;
     private DurableState current;
@@ -49,8 +48,16 @@
             become(current.promising(ballot));
         }
         boolean known = !current.accepted().isAfter(message.known());
-        answer(message, new Promise(self.address(), self.identity(), message.senderIdentity(), ballot,
-            current.accepted(), known ? null : current.value()), out);
+        answer(
+                message,
+                new Promise(
+                        self.address(),
+                        self.identity(),
+                        message.senderIdentity(),
+                        ballot,
+                        current.accepted(),
+                        known ? null : current.value()),
+                out);
     }
 
     void accept(Accept message, Register.Output out) {
@@ -124,8 +131,9 @@
     }
 
     private void refuse(RegisterMessage asked, Ballot ballot, Register.Output out) {
-        out.send(asked.sender(), new Refuse(self.address(), self.identity(), asked.senderIdentity(), ballot,
-            current.promised()));
+        out.send(
+                asked.sender(),
+                new Refuse(self.address(), self.identity(), asked.senderIdentity(), ballot, current.promised()));
     }
 
     private void answer(RegisterMessage asked, RegisterMessage message, Register.Output out) {
--- a/fleet/src/main/java/dewplank/routing/FleetVotes.java
+++ b/fleet/src/main/java/dewplank/routing/FleetVotes.java
@@ -9,11 +9,11 @@
  * server lately: at many sidecars few of them see a failing server, and silence of the rest must not acquit it.
  */
 public final class FleetVotes {
-    private static final double FRESH_MS = 3_000;   // a peer's summary counts so long, by this sidecar's clock
+    private static final double FRESH_MS = 3_000; // a peer's summary counts so long, by this sidecar's clock
     /** Peers remembered: beyond, newcomers are not heard. */
     private static final int MOST_PEERS = 1_024;
 
-    private record Heard(double at, HealthSummary summary) { }
+    private record Heard(double at, HealthSummary summary) {}
 
     private final Map<String, Heard> peers = new HashMap<>();
 
@@ -28,7 +28,7 @@
 
     /** Lets go of what is stale. */
     public void forgetStale(double now) {
-        for (Iterator<Heard> i = peers.values().iterator(); i.hasNext();) {
+        for (Iterator<Heard> i = peers.values().iterator(); i.hasNext(); ) {
             if (now - i.next().at() > FRESH_MS) {
                 i.remove();
             }
--- a/fleet/src/main/java/dewplank/routing/HealthSummary.java
+++ b/fleet/src/main/java/dewplank/routing/HealthSummary.java
@@ -57,7 +57,8 @@
 
     /** Whether it is newer than the other one of the same sidecar; incarnations begin with the time of the start. */
     boolean newerThan(HealthSummary other) {
-        return other == null || incarnation > other.incarnation
-            || incarnation == other.incarnation && sequence > other.sequence;
+        return other == null
+                || incarnation > other.incarnation
+                || incarnation == other.incarnation && sequence > other.sequence;
     }
 }
--- a/fleet/src/main/java/dewplank/routing/PairChoice.java
+++ b/fleet/src/main/java/dewplank/routing/PairChoice.java
@@ -12,18 +12,20 @@
  * are crowded gave 0.60 on a busy day instead of 0.99.
  */
 public final class PairChoice {
-    private static final double TOKENS_PER_MS = 38;   // prompt tokens that a prefill server reads
+    private static final double TOKENS_PER_MS = 38; // prompt tokens that a prefill server reads
     /**
      * Of the time that a kept prefix spares. Above 1, as reading it elsewhere also displaces what others have kept:
      * on a
      * busy day without faults 0.4, 1 and 2 gave 0.92, 0.96 and 1.00.
      */
     private static final double PREFERENCE = 2;
-    private static final double STUCK_MS = 150;       // beyond the expected wait, a server counts as stuck
+
+    private static final double STUCK_MS = 150; // beyond the expected wait, a server counts as stuck
     private static final double STUCK_COSTS_MS = 400;
     /** A request in flight weighs as much as so many tokens to be read: a step of a batch takes 5 ms and more. */
     private static final double REQUEST_TOKENS = 100;
-    private static final double AWAY_TOKENS = 400;   // what another zone than the prompt's costs, in tokens
+
+    private static final double AWAY_TOKENS = 400; // what another zone than the prompt's costs, in tokens
 
     private final ServerChoice choice;
 
@@ -32,10 +34,17 @@
     }
 
     /** The prefill server: that of the prefix, unless another one is likely sooner by more than it spares. */
-    public ServerState prefill(double now, List<ServerState> servers, PromptPrefix prefix,
-        Predicate<ServerState> allowed) {
-        return choice.pick(now, new ServerChoice.Query(servers, allowed, s -> prefillWait(now, s),
-            home(now, servers, prefix), PREFERENCE * prefix.sharedTokens() / TOKENS_PER_MS, true));
+    public ServerState prefill(
+            double now, List<ServerState> servers, PromptPrefix prefix, Predicate<ServerState> allowed) {
+        return choice.pick(
+                now,
+                new ServerChoice.Query(
+                        servers,
+                        allowed,
+                        s -> prefillWait(now, s),
+                        home(now, servers, prefix),
+                        PREFERENCE * prefix.sharedTokens() / TOKENS_PER_MS,
+                        true));
     }
 
     /** Milliseconds until a prompt sent there now is begun: by own requests, by what others met, or by being stuck. */
@@ -55,19 +64,39 @@
      *
      * @param zone the zone in which the prompt was read; null: the decode server is to read it
      */
-    public ServerState decode(double now, List<ServerState> servers, PromptPrefix prefix, String zone,
-                              Predicate<ServerState> allowed, boolean mayTry) {
+    public ServerState decode(
+            double now,
+            List<ServerState> servers,
+            PromptPrefix prefix,
+            String zone,
+            Predicate<ServerState> allowed,
+            boolean mayTry) {
         if (zone == null) {
-            return choice.pick(now, new ServerChoice.Query(servers, allowed, s -> load(now, s),
-                home(now, servers, prefix), prefix.sharedTokens(), mayTry));
+            return choice.pick(
+                    now,
+                    new ServerChoice.Query(
+                            servers,
+                            allowed,
+                            s -> load(now, s),
+                            home(now, servers, prefix),
+                            prefix.sharedTokens(),
+                            mayTry));
         }
-        return choice.pick(now, new ServerChoice.Query(servers, allowed,
-            s -> load(now, s) + (s.zone().equals(zone) ? 0 : AWAY_TOKENS), null, 0, mayTry));
+        return choice.pick(
+                now,
+                new ServerChoice.Query(
+                        servers,
+                        allowed,
+                        s -> load(now, s) + (s.zone().equals(zone) ? 0 : AWAY_TOKENS),
+                        null,
+                        0,
+                        mayTry));
     }
 
     private static double load(double now, ServerState s) {
-        return (s.waitedMs(now) > STUCK_MS ? STUCK_COSTS_MS * TOKENS_PER_MS : 0) + s
-            .tokensInFlight() + REQUEST_TOKENS * s.inFlight();
+        return (s.waitedMs(now) > STUCK_MS ? STUCK_COSTS_MS * TOKENS_PER_MS : 0)
+                + s.tokensInFlight()
+                + REQUEST_TOKENS * s.inFlight();
     }
 
     private ServerState home(double now, List<ServerState> servers, PromptPrefix prefix) {
--- a/fleet/src/main/java/dewplank/routing/PrefixAffinity.java
+++ b/fleet/src/main/java/dewplank/routing/PrefixAffinity.java
@@ -7,7 +7,7 @@
  * shared part, on which all sidecars agree without a word.
  */
 public final class PrefixAffinity {
-    private PrefixAffinity() { }
+    private PrefixAffinity() {}
 
     /** The server for that key, or null if there is none. */
     public static ServerState home(String key, List<ServerState> servers) {
--- a/fleet/src/main/java/dewplank/routing/PromptPrefix.java
+++ b/fleet/src/main/java/dewplank/routing/PromptPrefix.java
@@ -9,9 +9,9 @@
  */
 public record PromptPrefix(List<Part> parts) {
     /** A part and its length in tokens. */
-    public record Part(String id, long tokens) { }
+    public record Part(String id, long tokens) {}
 
-    private static final int MOST_PARTS = 64;   // a longer chain is cut: what follows hardly changes the choice
+    private static final int MOST_PARTS = 64; // a longer chain is cut: what follows hardly changes the choice
 
     public static PromptPrefix parse(String header) {
         List<Part> parts = new ArrayList<>();
@@ -21,7 +21,9 @@
                 if (colon < 0 || parts.size() == MOST_PARTS) {
                     break;
                 }
-                parts.add(new Part(text.substring(0, colon).strip(), tokens(text.substring(colon + 1).strip())));
+                parts.add(new Part(
+                        text.substring(0, colon).strip(),
+                        tokens(text.substring(colon + 1).strip())));
             }
         }
         return new PromptPrefix(List.copyOf(parts));
--- a/fleet/src/main/java/dewplank/routing/RetryBudget.java
+++ b/fleet/src/main/java/dewplank/routing/RetryBudget.java
@@ -11,9 +11,9 @@
     /** As the number of sidecars: nobody knows how many share the slack, so none of it is used. */
     public static final int NO_SLACK = Integer.MAX_VALUE;
 
-    private static final double SLACK_USED = 0.6;     // of the slack: a restarted sidecar has forgotten what it sent
-    private static final double RATIO_USED = 0.8;     // of the ratio: windows slide, and requests are counted elsewhere
-    private static final double WINDOW_SPARE = 1.1;   // a send counts for a little longer than the window
+    private static final double SLACK_USED = 0.6; // of the slack: a restarted sidecar has forgotten what it sent
+    private static final double RATIO_USED = 0.8; // of the ratio: windows slide, and requests are counted elsewhere
+    private static final double WINDOW_SPARE = 1.1; // a send counts for a little longer than the window
 
     private final double ratio;
     private final double windowMs;
--- a/fleet/src/main/java/dewplank/routing/ServerChoice.java
+++ b/fleet/src/main/java/dewplank/routing/ServerChoice.java
@@ -15,12 +15,17 @@
 public final class ServerChoice {
     // pace of trial sends to a condemned server, as the design has it
     private static final double TRIAL_EVERY_MS = 1_000;
-    private static final double VERDICT_FRESH_MS = 100;   // a verdict is worked out anew after this
-    private static final double AWAY_WEIGHT = 0.25;       // of a server in another zone, in draws
+    private static final double VERDICT_FRESH_MS = 100; // a verdict is worked out anew after this
+    private static final double AWAY_WEIGHT = 0.25; // of a server in another zone, in draws
 
     /** What one pick asks for. */
-    public record Query(List<ServerState> servers, Predicate<ServerState> allowed, ToDoubleFunction<ServerState> load,
-                        ServerState preferred, double preference, boolean mayTry) {
+    public record Query(
+            List<ServerState> servers,
+            Predicate<ServerState> allowed,
+            ToDoubleFunction<ServerState> load,
+            ServerState preferred,
+            double preference,
+            boolean mayTry) {
         /** Any of the servers, by requests in flight. */
         public static Query of(List<ServerState> servers, Predicate<ServerState> allowed, boolean mayTry) {
             return new Query(servers, allowed, ServerState::inFlight, null, 0, mayTry);
@@ -85,7 +90,9 @@
 
     private ServerState trial(double now, List<ServerState> ready, Query query) {
         for (ServerState s : ready) {
-            if (s.condemned() && now - s.lastTrialAt() >= TRIAL_EVERY_MS && query.allowed().test(s)) {
+            if (s.condemned()
+                    && now - s.lastTrialAt() >= TRIAL_EVERY_MS
+                    && query.allowed().test(s)) {
                 s.tried(now);
                 return s;
             }
--- a/fleet/src/main/java/dewplank/routing/ServerState.java
+++ b/fleet/src/main/java/dewplank/routing/ServerState.java
@@ -7,11 +7,15 @@
 
 /** One incarnation of a server as this sidecar sees it: what the list says, its own load there, and its health. */
 public final class ServerState {
-    private static final double QUEUE_STEP = 0.5;      // a sample counts half: queues change within a few of them
-    private static final double QUEUE_TAU_MS = 400;    // and is forgotten at this time scale
+    private static final double QUEUE_STEP = 0.5; // a sample counts half: queues change within a few of them
+    private static final double QUEUE_TAU_MS = 400; // and is forgotten at this time scale
 
     /** The part of a generation that a server takes. */
-    public enum Stage { PLAIN, PREFILL, DECODE }
+    public enum Stage {
+        PLAIN,
+        PREFILL,
+        DECODE
+    }
 
     private final String instanceId;
     private final String service;
@@ -112,7 +116,7 @@
 
     private void reading(Flight flight) {
         flights.remove(flight);
-        flights.add(flight);   // what has been read is no sign of a server that is stuck
+        flights.add(flight); // what has been read is no sign of a server that is stuck
         answeredFlights.add(flight);
         answeredFlights.retainAll(flights);
     }
--- a/fleet/src/test/java/dewplank/configuration/ConfigurationDocumentTest.java
+++ b/fleet/src/test/java/dewplank/configuration/ConfigurationDocumentTest.java
@@ -67,7 +67,10 @@
             document = accepted(document, patch(version - 1, "{\"config_version\":" + version + "}"));
         }
         assertEquals(new AlreadyAccepted(2), document.apply(patch(1, "{\"config_version\":2}")));
-        assertEquals(ConfigurationDocument.HISTORY * 24 + 11 + document.configuration().json().length,
+        assertEquals(
+                ConfigurationDocument.HISTORY * 24
+                        + 11
+                        + document.configuration().json().length,
                 document.encode().length);
     }
 
@@ -82,7 +85,8 @@
         assertEquals(new Forgotten(1), document.apply(put(0, Samples.whole(1))));
         assertEquals(new Forgotten(1), document.apply(put(0, Samples.whole(1, "", ""))));
         assertEquals(new VersionMismatch(document.version()), document.apply(put(1, Samples.whole(2))));
-        assertEquals(new VersionMismatch(document.version()),
+        assertEquals(
+                new VersionMismatch(document.version()),
                 document.apply(put(document.version() + 1, Samples.whole(document.version() + 2))));
         assertEquals(Reason.UNREADABLE, refusal(document, put(0, "{")));
     }
@@ -128,8 +132,9 @@
         assertEquals(Reason.VERSION_NOT_ABOVE, refusal(first, put(5, Samples.whole(4))));
         assertEquals(Reason.VERSION_NOT_ABOVE, refusal(first, patch(5, "{\"config_version\":5}")));
         assertEquals(Reason.MISSING_FIELD, refusal(EMPTY, patch(0, "{\"config_version\":5}")));
-        assertEquals(Reason.TOO_LARGE, refusal(EMPTY,
-                put(0, Samples.whole(5) + " ".repeat(ConfigurationDocument.MAX_BODY_BYTES))));
+        assertEquals(
+                Reason.TOO_LARGE,
+                refusal(EMPTY, put(0, Samples.whole(5) + " ".repeat(ConfigurationDocument.MAX_BODY_BYTES))));
     }
 
     @Test
@@ -143,6 +148,7 @@
     void encodesAndDecodes() {
         assertEquals(0, ConfigurationDocument.decode(EMPTY.encode()).version());
         ConfigurationDocument first = accepted(EMPTY, put(0, Samples.whole(5)));
-        assertArrayEquals(first.encode(), ConfigurationDocument.decode(first.encode()).encode());
+        assertArrayEquals(
+                first.encode(), ConfigurationDocument.decode(first.encode()).encode());
     }
 }
--- a/fleet/src/test/java/dewplank/configuration/ConfigurationPropertyTest.java
+++ b/fleet/src/test/java/dewplank/configuration/ConfigurationPropertyTest.java
@@ -4,6 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
+import dewplank.configuration.ChangeResult.Accepted;
+import dewplank.configuration.ChangeResult.AlreadyAccepted;
+import dewplank.configuration.JsonValue.JsonArray;
+import dewplank.configuration.JsonValue.JsonNumber;
+import dewplank.configuration.JsonValue.JsonObject;
+import dewplank.configuration.JsonValue.JsonString;
+import dewplank.configuration.JsonValue.JsonWord;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
@@ -12,13 +19,6 @@
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import dewplank.configuration.ChangeResult.Accepted;
-import dewplank.configuration.ChangeResult.AlreadyAccepted;
-import dewplank.configuration.JsonValue.JsonArray;
-import dewplank.configuration.JsonValue.JsonNumber;
-import dewplank.configuration.JsonValue.JsonObject;
-import dewplank.configuration.JsonValue.JsonString;
-import dewplank.configuration.JsonValue.JsonWord;
 
 /** Properties over random configurations; a failure prints its seed. */
 class ConfigurationPropertyTest {
@@ -56,8 +56,12 @@
     private static String services(Random random) {
         StringBuilder list = new StringBuilder();
         for (int index = 0; index < SERVICES; index++) {
-            list.append(index == 0 ? "" : ",").append("{\"name\":\"s").append(index).append("\",\"x\":")
-                    .append(unknown(random)).append('}');
+            list.append(index == 0 ? "" : ",")
+                    .append("{\"name\":\"s")
+                    .append(index)
+                    .append("\",\"x\":")
+                    .append(unknown(random))
+                    .append('}');
         }
         return list.toString();
     }
@@ -102,9 +106,8 @@
     void aDifferenceLeadsToTheVeryBytes(@ForAll long seed) throws InvalidConfigurationException {
         Random random = new Random(seed);
         Configuration from = Samples.parse(whole(random, 1));
-        Configuration to = random.nextBoolean()
-                ? Samples.parse(whole(random, 2))
-                : from.patched(Samples.bytes(patch(random, 2)));
+        Configuration to =
+                random.nextBoolean() ? Samples.parse(whole(random, 2)) : from.patched(Samples.bytes(patch(random, 2)));
         Configuration applied = ConfigurationDelta.apply(from, ConfigurationDelta.between(from, to));
         assertArrayEquals(to.json(), applied.json());
         assertEquals(to.routes(), applied.routes());
--- a/fleet/src/test/java/dewplank/configuration/ConfigurationTest.java
+++ b/fleet/src/test/java/dewplank/configuration/ConfigurationTest.java
@@ -4,8 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import java.util.List;
 import dewplank.configuration.InvalidConfigurationException.Reason;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class ConfigurationTest {
@@ -14,7 +14,8 @@
     }
 
     private static Reason refusal(Configuration base, String patch) {
-        return assertThrows(InvalidConfigurationException.class, () -> patched(base, patch)).reason();
+        return assertThrows(InvalidConfigurationException.class, () -> patched(base, patch))
+                .reason();
     }
 
     private static List<String> names(Configuration configuration) {
@@ -25,14 +26,43 @@
     void readsWhatTheOperatorWrites() throws InvalidConfigurationException {
         Configuration configuration = Samples.parse(Samples.whole(7));
         assertEquals(7, configuration.version());
-        assertEquals(List.of(
-                new Route("r-1", "ficu.example", "/lohu/", RouteType.STREAMING, 4000, 500, 1,
-                        List.of(new WeightedService("huvo", 90), new WeightedService("wuno", 10)), 2, true, true, 150),
-                new Route("r-2", "ficu.example", "/pufi/", RouteType.SAFE, 2500, 400, 0,
-                        List.of(new WeightedService("huvo", 1)), 1, false, false, 0)),
+        assertEquals(
+                List.of(
+                        new Route(
+                                "r-1",
+                                "ficu.example",
+                                "/lohu/",
+                                RouteType.STREAMING,
+                                4000,
+                                500,
+                                1,
+                                List.of(new WeightedService("huvo", 90), new WeightedService("wuno", 10)),
+                                2,
+                                true,
+                                true,
+                                150),
+                        new Route(
+                                "r-2",
+                                "ficu.example",
+                                "/pufi/",
+                                RouteType.SAFE,
+                                2500,
+                                400,
+                                0,
+                                List.of(new WeightedService("huvo", 1)),
+                                1,
+                                false,
+                                false,
+                                0)),
                 configuration.routes());
-        assertEquals(new Service("huvo", "/health", 370, "h1", false,
-                new Engine(64, 295_697, 163_840, 1_300_000, 8, 5_000, 1_200, List.of("m"))),
+        assertEquals(
+                new Service(
+                        "huvo",
+                        "/health",
+                        370,
+                        "h1",
+                        false,
+                        new Engine(64, 295_697, 163_840, 1_300_000, 8, 5_000, 1_200, List.of("m"))),
                 configuration.services().get("huvo"));
         assertNull(configuration.services().get("wuno").engine());
         assertEquals(new Limits(16_000, 4_000_000, 2_999.5, 15_001), configuration.limits());
@@ -43,10 +73,24 @@
         Configuration configuration = Samples.parse("{\"config_version\":1,\"routes\":[{\"name\":\"r\","
                 + "\"host_name\":\"h\",\"path_prefix\":\"/\",\"timeout_ms\":9.5,\"service\":\"s\","
                 + "\"weighted_split\":null}],\"services\":[{\"name\":\"s\"}]}");
-        assertEquals(List.of(new Route("r", "h", "/", RouteType.UNSAFE, 9.5, 9.5, 0,
-                List.of(new WeightedService("s", 1)), 1, false, false, 0)), configuration.routes());
+        assertEquals(
+                List.of(new Route(
+                        "r",
+                        "h",
+                        "/",
+                        RouteType.UNSAFE,
+                        9.5,
+                        9.5,
+                        0,
+                        List.of(new WeightedService("s", 1)),
+                        1,
+                        false,
+                        false,
+                        0)),
+                configuration.routes());
         assertEquals(Limits.DEFAULTS, configuration.limits());
-        assertEquals(new Service("s", "/health", Integer.MAX_VALUE, "h1", false, null),
+        assertEquals(
+                new Service("s", "/health", Integer.MAX_VALUE, "h1", false, null),
                 configuration.services().get("s"));
     }
 
@@ -56,7 +100,8 @@
                 + "\"\\u0001\\\"\\\\/\u00e9\ud83d\ude00\"]},"
                 + "\"config_version\":3.0,\"services\":[{\"extra\":[],\"name\":\"s\",\"max_connections\":1E2}],"
                 + "\"routes\":[],\"tags\":[\"a\",{\"name\":\"b\"}],\"\":{}}";
-        Configuration configuration = Samples.parse(" " + text.replace(",", " ,\n\t").replace(":", ": ") + "\r\n");
+        Configuration configuration =
+                Samples.parse(" " + text.replace(",", " ,\n\t").replace(":", ": ") + "\r\n");
         assertEquals(text, Samples.text(configuration.json()));
         assertEquals(3, configuration.version());
         assertEquals(100, configuration.services().get("s").maxConnections());
@@ -73,34 +118,46 @@
     @Test
     void patchReplacesInPlaceAddsLastAndRemoves() throws InvalidConfigurationException {
         Configuration base = Samples.parse(Samples.whole(7));
-        Configuration next = patched(base, "{\"config_version\":9,\"upsert\":{\"routes\":["
-                + Samples.route("r-3", "/new/", "wuno") + "," + Samples.route("r-1", "/lohu/", "wuno")
-                + "]},\"remove\":{\"routes\":[\"r-2\",\"r-absent\"],\"absent\":[\"x\"]}}");
+        Configuration next = patched(
+                base,
+                "{\"config_version\":9,\"upsert\":{\"routes\":["
+                        + Samples.route("r-3", "/new/", "wuno") + "," + Samples.route("r-1", "/lohu/", "wuno")
+                        + "]},\"remove\":{\"routes\":[\"r-2\",\"r-absent\"],\"absent\":[\"x\"]}}");
         assertEquals(9, next.version());
         assertEquals(List.of("r-1", "r-3"), names(next));
-        assertEquals(Samples.whole(9, Samples.route("r-1", "/lohu/", "wuno") + ","
-                + Samples.route("r-3", "/new/", "wuno"), Samples.MODEL_SERVICE + "," + Samples.PLAIN_SERVICE),
+        assertEquals(
+                Samples.whole(
+                        9,
+                        Samples.route("r-1", "/lohu/", "wuno") + "," + Samples.route("r-3", "/new/", "wuno"),
+                        Samples.MODEL_SERVICE + "," + Samples.PLAIN_SERVICE),
                 Samples.text(next.json()));
         assertEquals(List.of("r-1", "r-2"), names(base));
     }
 
     @Test
     void patchMayMoveAPrefixFromOneRouteToAnother() throws InvalidConfigurationException {
-        Configuration next = patched(Samples.parse(Samples.whole(7)), "{\"config_version\":9,\"upsert\":{\"routes\":["
-                + Samples.route("r-3", "/pufi/", "wuno") + "]},\"remove\":{\"routes\":[\"r-2\"]}}");
+        Configuration next = patched(
+                Samples.parse(Samples.whole(7)),
+                "{\"config_version\":9,\"upsert\":{\"routes\":[" + Samples.route("r-3", "/pufi/", "wuno")
+                        + "]},\"remove\":{\"routes\":[\"r-2\"]}}");
         assertEquals(List.of("r-1", "r-3"), names(next));
     }
 
     @Test
     void patchChangesUnknownListsAndOtherFields() throws InvalidConfigurationException {
-        Configuration base = Samples.parse(Samples.whole(7).replace("\"limits\"",
-                "\"keys\":[{\"name\":\"a\",\"v\":1},{\"name\":\"b\"}],\"mode\":1,\"limits\""));
-        Configuration next = patched(base, "{\"config_version\":8,\"upsert\":{\"keys\":[{\"name\":\"a\",\"v\":2.50},"
-                + "{\"name\":\"c\"}],\"tenants\":[{\"name\":\"t\"}]},\"remove\":{\"keys\":[\"b\"]},\"mode\":\"two\","
-                + "\"limits\":{\"max_header_bytes\":77}}");
+        Configuration base = Samples.parse(Samples.whole(7)
+                .replace("\"limits\"", "\"keys\":[{\"name\":\"a\",\"v\":1},{\"name\":\"b\"}],\"mode\":1,\"limits\""));
+        Configuration next = patched(
+                base,
+                "{\"config_version\":8,\"upsert\":{\"keys\":[{\"name\":\"a\",\"v\":2.50},"
+                        + "{\"name\":\"c\"}],\"tenants\":[{\"name\":\"t\"}]},"
+                        + "\"remove\":{\"keys\":[\"b\"]},\"mode\":\"two\","
+                        + "\"limits\":{\"max_header_bytes\":77}}");
         String text = Samples.text(next.json());
-        String expected = Samples.whole(8).replace("\"limits\"",
-                "\"keys\":[{\"name\":\"a\",\"v\":2.50},{\"name\":\"c\"}],\"mode\":\"two\",\"limits\"")
+        String expected = Samples.whole(8)
+                .replace(
+                        "\"limits\"",
+                        "\"keys\":[{\"name\":\"a\",\"v\":2.50},{\"name\":\"c\"}],\"mode\":\"two\",\"limits\"")
                 .replace(Samples.LIMITS, "{\"max_header_bytes\":77}")
                 .replaceAll("}$", ",\"tenants\":[{\"name\":\"t\"}]}");
         assertEquals(expected, text);
@@ -111,22 +168,29 @@
     @Test
     void refusesPatches() throws InvalidConfigurationException {
         Configuration base = Samples.parse(Samples.whole(7).replace("\"limits\"", "\"mode\":1,\"limits\""));
-        assertEquals(Reason.UNKNOWN_SERVICE,
-                refusal(base, "{\"config_version\":8,\"remove\":{\"services\":[\"wuno\"]}}"));
-        assertEquals(Reason.SHARED_PREFIX, refusal(base, "{\"config_version\":8,\"upsert\":{\"routes\":["
-                + Samples.route("r-9", "/pufi/", "huvo") + "]}}"));
-        assertEquals(Reason.DUPLICATE_NAME, refusal(base, "{\"config_version\":8,\"upsert\":{\"routes\":["
-                + Samples.route("r-9", "/a/", "huvo") + "," + Samples.route("r-9", "/b/", "huvo") + "]}}"));
-        assertEquals(Reason.MISSING_NAME,
-                refusal(base, "{\"config_version\":8,\"upsert\":{\"keys\":[{\"x\":1}]}}"));
+        assertEquals(
+                Reason.UNKNOWN_SERVICE, refusal(base, "{\"config_version\":8,\"remove\":{\"services\":[\"wuno\"]}}"));
+        assertEquals(
+                Reason.SHARED_PREFIX,
+                refusal(
+                        base,
+                        "{\"config_version\":8,\"upsert\":{\"routes\":[" + Samples.route("r-9", "/pufi/", "huvo")
+                                + "]}}"));
+        assertEquals(
+                Reason.DUPLICATE_NAME,
+                refusal(
+                        base,
+                        "{\"config_version\":8,\"upsert\":{\"routes\":[" + Samples.route("r-9", "/a/", "huvo") + ","
+                                + Samples.route("r-9", "/b/", "huvo") + "]}}"));
+        assertEquals(Reason.MISSING_NAME, refusal(base, "{\"config_version\":8,\"upsert\":{\"keys\":[{\"x\":1}]}}"));
         assertEquals(Reason.VERSION_NOT_ABOVE, refusal(base, "{\"config_version\":7}"));
         assertEquals(Reason.MISSING_VERSION, refusal(base, "{\"remove\":{\"routes\":[\"r-1\"]}}"));
         assertEquals(Reason.WRONG_TYPE, refusal(base, "{\"config_version\":8,\"remove\":[\"r-1\"]}"));
         assertEquals(Reason.WRONG_TYPE, refusal(base, "{\"config_version\":8,\"remove\":{\"routes\":[1]}}"));
         assertEquals(Reason.WRONG_TYPE, refusal(base, "{\"config_version\":8,\"remove\":{\"routes\":\"r-1\"}}"));
         assertEquals(Reason.WRONG_TYPE, refusal(base, "{\"config_version\":8,\"upsert\":{\"routes\":{}}}"));
-        assertEquals(Reason.WRONG_TYPE,
-                refusal(base, "{\"config_version\":8,\"upsert\":{\"mode\":[{\"name\":\"x\"}]}}"));
+        assertEquals(
+                Reason.WRONG_TYPE, refusal(base, "{\"config_version\":8,\"upsert\":{\"mode\":[{\"name\":\"x\"}]}}"));
         assertEquals(Reason.UNREADABLE, refusal(base, "{\"config_version\":8,"));
     }
 }
--- a/fleet/src/test/java/dewplank/configuration/InvalidConfigurationTest.java
+++ b/fleet/src/test/java/dewplank/configuration/InvalidConfigurationTest.java
@@ -4,8 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.Arrays;
 import dewplank.configuration.InvalidConfigurationException.Reason;
+import java.util.Arrays;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -32,8 +32,8 @@
         byte[] whole = Samples.bytes(WHOLE.replace("r-1", "r-\u00e9\\n\\u00e9\u20ac\ud83d\ude00"));
         for (int length = 0; length < whole.length; length++) {
             byte[] cut = Arrays.copyOf(whole, length);
-            InvalidConfigurationException error = assertThrows(InvalidConfigurationException.class,
-                    () -> Configuration.parse(cut), "cut at " + length);
+            InvalidConfigurationException error = assertThrows(
+                    InvalidConfigurationException.class, () -> Configuration.parse(cut), "cut at " + length);
             assertEquals(Reason.UNREADABLE, error.reason());
         }
     }
@@ -45,11 +45,47 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {
-        "txyz", "nul", "nxxx", "True", "01", "1.", ".5", "+1", "-", "1e", "0x10", "NaN", "Infinity", "--1", "1 2",
-        "[1,]", "[,1]", "[1 2]", "[1 null]", "[1}", "{\"a\":1,}", "{,}", "{\"a\" 1}", "{a:1}", "{\"a\":1]", "{\"a\"}",
-        "{\"a\":1 null}", "'a'", "\"\\x\"", "\"\\u12\"", "\"\\u12g4\"", "\"a\tb\"", "\"\\ud83d\"", "\"\\ude00\"",
-        "\"\\ud83dx\"", "\"\\ud83d\\u0041\"", "", "\u00a0"})
+    @ValueSource(
+            strings = {
+                "txyz",
+                "nul",
+                "nxxx",
+                "True",
+                "01",
+                "1.",
+                ".5",
+                "+1",
+                "-",
+                "1e",
+                "0x10",
+                "NaN",
+                "Infinity",
+                "--1",
+                "1 2",
+                "[1,]",
+                "[,1]",
+                "[1 2]",
+                "[1 null]",
+                "[1}",
+                "{\"a\":1,}",
+                "{,}",
+                "{\"a\" 1}",
+                "{a:1}",
+                "{\"a\":1]",
+                "{\"a\"}",
+                "{\"a\":1 null}",
+                "'a'",
+                "\"\\x\"",
+                "\"\\u12\"",
+                "\"\\u12g4\"",
+                "\"a\tb\"",
+                "\"\\ud83d\"",
+                "\"\\ude00\"",
+                "\"\\ud83dx\"",
+                "\"\\ud83d\\u0041\"",
+                "",
+                "\u00a0"
+            })
     void refusesAMalformedValueInAFieldThatIsNotRead(String malformed) {
         refused(Reason.UNREADABLE, "", changed("{\"name\":\"m\"}", "{\"name\":\"m\",\"x\":" + malformed + "}"));
     }
@@ -86,8 +122,10 @@
         refused(Reason.WRONG_TYPE, "routes[0]", "{\"config_version\":7,\"routes\":[1],\"services\":[]}");
         refused(Reason.WRONG_TYPE, "routes[r-2].timeout_ms", changed("2500", "\"2500\""));
         refused(Reason.WRONG_TYPE, "routes[r-2].sticky", changed("\"sticky\":false", "\"sticky\":0"));
-        refused(Reason.WRONG_TYPE, "routes[r-1].weighted_split", changed("[{\"service\":\"huvo\",\"weight\":90},"
-                + "{\"service\":\"wuno\",\"weight\":10}]", "{}"));
+        refused(
+                Reason.WRONG_TYPE,
+                "routes[r-1].weighted_split",
+                changed("[{\"service\":\"huvo\",\"weight\":90}," + "{\"service\":\"wuno\",\"weight\":10}]", "{}"));
         refused(Reason.WRONG_TYPE, "services[huvo].engine.slot_count", changed("64", "6.4"));
         refused(Reason.WRONG_TYPE, "limits", changed(Samples.LIMITS, "3"));
         refused(Reason.WRONG_TYPE, "limits", changed(Samples.LIMITS, "[]"));
@@ -109,7 +147,9 @@
 
     @Test
     void refusesARouteToAnUnknownService() {
-        refused(Reason.UNKNOWN_SERVICE, "routes[r-2].service",
+        refused(
+                Reason.UNKNOWN_SERVICE,
+                "routes[r-2].service",
                 changed("\"service\":\"huvo\",\"max", "\"service\":\"hu\",\"max"));
         refused(Reason.UNKNOWN_SERVICE, "routes[r-1].service", changed("\"service\":\"wuno\"", "\"service\":\"wu\""));
     }
@@ -138,7 +178,9 @@
     void refusesDuplicateNames() {
         refused(Reason.DUPLICATE_NAME, "routes[r-1]", changed("r-2", "r-1"));
         refused(Reason.DUPLICATE_NAME, "services[huvo]", changed("\"name\":\"wuno\"", "\"name\":\"huvo\""));
-        refused(Reason.DUPLICATE_NAME, "keys[a]",
+        refused(
+                Reason.DUPLICATE_NAME,
+                "keys[a]",
                 changed("\"limits\"", "\"keys\":[{\"name\":\"a\"},{\"name\":\"a\",\"x\":1}],\"limits\""));
     }
 
@@ -162,7 +204,9 @@
     @Test
     void refusesARouteWithoutService() {
         refused(Reason.NO_SERVICE, "routes[r-2].service", changed("\"service\":\"huvo\",\"max", "\"max"));
-        refused(Reason.BAD_WEIGHTS, "routes[r-2].weighted_split",
+        refused(
+                Reason.BAD_WEIGHTS,
+                "routes[r-2].weighted_split",
                 changed("\"service\":\"huvo\",\"max", "\"weighted_split\":[],\"max"));
     }
 
--- a/fleet/src/test/java/dewplank/configuration/RefusedChangesTest.java
+++ b/fleet/src/test/java/dewplank/configuration/RefusedChangesTest.java
@@ -4,9 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dewplank.configuration.InvalidConfigurationException.Reason;
 import java.util.Arrays;
 import java.util.stream.Stream;
-import dewplank.configuration.InvalidConfigurationException.Reason;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -28,7 +28,10 @@
 
     private static ConfigurationDocument current() {
         ChangeRequest first = new ChangeRequest(false, 0, Samples.bytes(Samples.whole(CURRENT)));
-        return assertInstanceOf(ChangeResult.Accepted.class, ConfigurationDocument.decode(null).apply(first)).next();
+        return assertInstanceOf(
+                        ChangeResult.Accepted.class,
+                        ConfigurationDocument.decode(null).apply(first))
+                .next();
     }
 
     private static String whole(String extraRoute) {
@@ -54,26 +57,49 @@
         String same = Samples.whole(CURRENT);
         String shared = "{\"name\":\"k-1\",\"key\":\"same\"},{\"name\":\"k-1\",\"key\":\"same\"}";
         return Stream.of(
-            ofRoute("unknown_service", Reason.UNKNOWN_SERVICE, route("\"wuno\"", "\"nobody\"")),
-            ofRoute("unknown_service of a split", Reason.UNKNOWN_SERVICE, route("\"service\":\"wuno\"",
-                "\"weighted_split\":[{\"service\":\"huvo\",\"weight\":9},{\"service\":\"nobody\",\"weight\":0}]")),
-            ofRoute("same_place", Reason.SHARED_PREFIX, route("/more/", "/pufi/")),
-            ofRoute("same_place in other letters", Reason.SHARED_PREFIX,
-                route("/more/", "/pufi/").replace("ficu.example", "FICU.example")),
-            ofRoute("no_weight", Reason.BAD_WEIGHTS, route("\"service\":\"wuno\"",
-                "\"weighted_split\":[{\"service\":\"huvo\",\"weight\":0},{\"service\":\"wuno\",\"weight\":0}]")),
-            ofRoute("no_timeout", Reason.BAD_TIMEOUT, route("\"timeout_ms\":2500", "\"timeout_ms\":0")),
-            new Kind("a service that is still needed", Reason.UNKNOWN_SERVICE,
-                Samples.whole(7, Samples.PLAIN_ROUTE, Samples.PLAIN_SERVICE),
-                "{\"config_version\":7,\"remove\":{\"services\":[\"huvo\"]}}"),
-            new Kind("old_version", Reason.VERSION_NOT_ABOVE, Samples.whole(4), "{\"config_version\":4}"),
-            new Kind("same_version", Reason.VERSION_NOT_ABOVE, same, "{\"config_version\":5}"),
-            new Kind("same_version, other content", Reason.VERSION_NOT_ABOVE, Samples.whole(CURRENT, "", ""),
-                "{\"config_version\":5,\"remove\":{\"routes\":[\"r-1\"]}}"),
-            new Kind("shared_key: one name twice", Reason.DUPLICATE_NAME,
-                same.replace(":5,", ":7,\"keys\":[" + shared + "],"), upsert("keys", shared)),
-            new Kind("shared_key: one key twice", Reason.DUPLICATE_KEY,
-                same.replace(":5,", ":7,\"config_version\":9,"), "{\"config_version\":7,\"config_version\":9}"));
+                ofRoute("unknown_service", Reason.UNKNOWN_SERVICE, route("\"wuno\"", "\"nobody\"")),
+                ofRoute(
+                        "unknown_service of a split",
+                        Reason.UNKNOWN_SERVICE,
+                        route(
+                                "\"service\":\"wuno\"",
+                                "\"weighted_split\":[{\"service\":\"huvo\",\"weight\":9},"
+                                        + "{\"service\":\"nobody\",\"weight\":0}]")),
+                ofRoute("same_place", Reason.SHARED_PREFIX, route("/more/", "/pufi/")),
+                ofRoute(
+                        "same_place in other letters",
+                        Reason.SHARED_PREFIX,
+                        route("/more/", "/pufi/").replace("ficu.example", "FICU.example")),
+                ofRoute(
+                        "no_weight",
+                        Reason.BAD_WEIGHTS,
+                        route(
+                                "\"service\":\"wuno\"",
+                                "\"weighted_split\":[{\"service\":\"huvo\",\"weight\":0},"
+                                        + "{\"service\":\"wuno\",\"weight\":0}]")),
+                ofRoute("no_timeout", Reason.BAD_TIMEOUT, route("\"timeout_ms\":2500", "\"timeout_ms\":0")),
+                new Kind(
+                        "a service that is still needed",
+                        Reason.UNKNOWN_SERVICE,
+                        Samples.whole(7, Samples.PLAIN_ROUTE, Samples.PLAIN_SERVICE),
+                        "{\"config_version\":7,\"remove\":{\"services\":[\"huvo\"]}}"),
+                new Kind("old_version", Reason.VERSION_NOT_ABOVE, Samples.whole(4), "{\"config_version\":4}"),
+                new Kind("same_version", Reason.VERSION_NOT_ABOVE, same, "{\"config_version\":5}"),
+                new Kind(
+                        "same_version, other content",
+                        Reason.VERSION_NOT_ABOVE,
+                        Samples.whole(CURRENT, "", ""),
+                        "{\"config_version\":5,\"remove\":{\"routes\":[\"r-1\"]}}"),
+                new Kind(
+                        "shared_key: one name twice",
+                        Reason.DUPLICATE_NAME,
+                        same.replace(":5,", ":7,\"keys\":[" + shared + "],"),
+                        upsert("keys", shared)),
+                new Kind(
+                        "shared_key: one key twice",
+                        Reason.DUPLICATE_KEY,
+                        same.replace(":5,", ":7,\"config_version\":9,"),
+                        "{\"config_version\":7,\"config_version\":9}"));
     }
 
     private static void assertRefused(Reason reason, boolean patch, String body) {
@@ -81,7 +107,8 @@
         ChangeRequest request = new ChangeRequest(patch, CURRENT, Samples.bytes(body));
         ChangeResult.Invalid refused = assertInstanceOf(ChangeResult.Invalid.class, document.apply(request));
         assertEquals(reason, refused.error().reason(), refused.error().getMessage());
-        assertEquals(Samples.whole(CURRENT), Samples.text(document.configuration().json()));
+        assertEquals(
+                Samples.whole(CURRENT), Samples.text(document.configuration().json()));
     }
 
     @ParameterizedTest
@@ -115,10 +142,12 @@
     @Test
     void whatBuildsOnAnotherVersionIsRefused() {
         for (long expected : new long[] {0, 4, 6, 7}) {
-            assertEquals(new ChangeResult.VersionMismatch(CURRENT),
-                current().apply(new ChangeRequest(false, expected, Samples.bytes(Samples.whole(7)))));
-            assertEquals(new ChangeResult.VersionMismatch(CURRENT),
-                current().apply(new ChangeRequest(true, expected, Samples.bytes("{\"config_version\":7}"))));
+            assertEquals(
+                    new ChangeResult.VersionMismatch(CURRENT),
+                    current().apply(new ChangeRequest(false, expected, Samples.bytes(Samples.whole(7)))));
+            assertEquals(
+                    new ChangeResult.VersionMismatch(CURRENT),
+                    current().apply(new ChangeRequest(true, expected, Samples.bytes("{\"config_version\":7}"))));
         }
     }
 }
--- a/fleet/src/test/java/dewplank/configuration/Samples.java
+++ b/fleet/src/test/java/dewplank/configuration/Samples.java
@@ -18,8 +18,7 @@
     static final String LIMITS = "{\"max_header_bytes\":16000,\"max_body_bytes\":4000000,"
             + "\"header_timeout_ms\":2999.5,\"idle_timeout_ms\":15001}";
 
-    private Samples() {
-    }
+    private Samples() {}
 
     static String route(String name, String prefix, String service) {
         return "{\"name\":\"" + name + "\",\"host_name\":\"ficu.example\",\"path_prefix\":\"" + prefix + "\","
--- a/fleet/src/test/java/dewplank/configuration/VersionOrderTest.java
+++ b/fleet/src/test/java/dewplank/configuration/VersionOrderTest.java
@@ -29,8 +29,7 @@
     private static final double STEP_MS = 3;
     private static final double PATIENCE = 400;
 
-    private record Sent(int to, RegisterMessage message) {
-    }
+    private record Sent(int to, RegisterMessage message) {}
 
     private final List<Node> nodes = new ArrayList<>();
     private final List<Sent> wire = new ArrayList<>();
@@ -48,8 +47,10 @@
         private long learnedVersion;
 
         Node(int index, List<Acceptor> members) {
-            register = new Register(new Register.Settings("n" + index, AcceptorSet.of(members), 60, 5, 40, 90),
-                DurableState.fresh("i" + index), random.split());
+            register = new Register(
+                    new Register.Settings("n" + index, AcceptorSet.of(members), 60, 5, 40, 90),
+                    DurableState.fresh("i" + index),
+                    random.split());
         }
 
         @Override
@@ -64,7 +65,8 @@
 
         @Override
         public void learned(RegisterValue value) {
-            Configuration configuration = ConfigurationDocument.decode(value.payload()).configuration();
+            Configuration configuration =
+                    ConfigurationDocument.decode(value.payload()).configuration();
             if (configuration == null) {
                 return;
             }
@@ -88,15 +90,24 @@
         /** Tries the next version or the one after it, with a content of its own. */
         void change() {
             long version = learnedVersion + random.nextInt(1, 3);
-            ChangeRequest change = new ChangeRequest(false, learnedVersion,
-                Samples.bytes(Samples.whole(version).replaceFirst("}$", ",\"by\":" + ++requests + "}")));
+            ChangeRequest change = new ChangeRequest(
+                    false,
+                    learnedVersion,
+                    Samples.bytes(Samples.whole(version).replaceFirst("}$", ",\"by\":" + ++requests + "}")));
             asked.put(requests, version);
-            register.change(now, requests, payload -> {
-                ChangeResult result = ConfigurationDocument.decode(payload).apply(change);
-                return result instanceof ChangeResult.Accepted
-                    ? new Decision(((ChangeResult.Accepted) result).next().encode(), result)
-                    : new Decision(null, result);
-            }, now + PATIENCE, this);
+            register.change(
+                    now,
+                    requests,
+                    payload -> {
+                        ChangeResult result =
+                                ConfigurationDocument.decode(payload).apply(change);
+                        return result instanceof ChangeResult.Accepted
+                                ? new Decision(
+                                        ((ChangeResult.Accepted) result).next().encode(), result)
+                                : new Decision(null, result);
+                    },
+                    now + PATIENCE,
+                    this);
         }
 
         void replace(List<Acceptor> wanted) {
@@ -156,7 +167,7 @@
             versions += contents.size();
         }
         System.out.println(versions + " versions in " + HISTORIES + " histories, " + reused
-            + " times one that had been refused with other content");
+                + " times one that had been refused with other content");
         Assertions.assertTrue(versions > HISTORIES, "hardly anything was chosen: " + versions);
         Assertions.assertTrue(reused > HISTORIES, "refused versions hardly came again: " + reused);
     }
--- a/fleet/src/test/java/dewplank/duty/CandidateTest.java
+++ b/fleet/src/test/java/dewplank/duty/CandidateTest.java
@@ -4,15 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 import dewplank.duty.VoteReply.Standing;
 import dewplank.duty.VoteReply.Verdict;
 import dewplank.duty.VoteRequest.Kind;
 import dewplank.register.Acceptor;
 import dewplank.register.AcceptorSet;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 
 class CandidateTest {
@@ -228,8 +228,8 @@
     void aVoteOfAnotherDiskAtTheAddressCountsForNothingAndIsNotWaitedFor() {
         candidate.tick(125, seen);
         for (String address : List.of("x", "y")) {
-            VoteReply other = new VoteReply(seen.last.get(address), address + "2", Verdict.GRANTED,
-                    new Standing(0, null, 0));
+            VoteReply other =
+                    new VoteReply(seen.last.get(address), address + "2", Verdict.GRANTED, new Standing(0, null, 0));
             candidate.received(150, other, seen);
         }
         reply(150, "z", Verdict.GRANTED, 3, 0);
--- a/fleet/src/test/java/dewplank/duty/DutyPropertyTest.java
+++ b/fleet/src/test/java/dewplank/duty/DutyPropertyTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dewplank.duty.DutySimulation.Sidecar;
+import dewplank.register.Acceptor;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -10,14 +12,13 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
-import dewplank.duty.DutySimulation.Sidecar;
-import dewplank.register.Acceptor;
 
 /** One holder at a time, rising numbers, and a successor in time, over random histories; a failure prints its seed. */
 class DutyPropertyTest {
     private static final double LEASE_MS = DutySimulation.LEASE_MS;
     /** Votes and silence of voters that restarted bind for one lease, waits for it end with a delay, ballots follow. */
     private static final double HEALED_BOUND_MS = 2.5 * LEASE_MS;
+
     private static final double TROUBLE_MS = 10 * LEASE_MS;
 
     private static <T> T pick(Random random, List<T> values) {
--- a/fleet/src/test/java/dewplank/duty/DutySimulation.java
+++ b/fleet/src/test/java/dewplank/duty/DutySimulation.java
@@ -1,5 +1,7 @@
 package dewplank.duty;
 
+import dewplank.register.Acceptor;
+import dewplank.register.AcceptorSet;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -10,8 +12,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
-import dewplank.register.Acceptor;
-import dewplank.register.AcceptorSet;
 
 /**
  * Control sidecars, each a voter and a candidate, in simulated time: messages are lost, late and doubled, links are
@@ -27,13 +27,13 @@
     private static final double PROPOSE_AGAIN_MS = 300;
 
     /** A lease, and how long a message and a synced write take at the most. */
-    record Times(double leaseMs, double delayMs, double diskMs) { }
+    record Times(double leaseMs, double delayMs, double diskMs) {}
 
     /** Far slower than the sites' machines are, next to the lease, so that much crosses. */
     static final Times SLOW = new Times(LEASE_MS, 41, 10);
 
     /** Something that happens at a time. */
-    private record Event(double at, long order, Runnable action) { }
+    private record Event(double at, long order, Runnable action) {}
 
     private final Random random;
     private final Times times;
@@ -45,6 +45,7 @@
     private AcceptorSet chosen;
     /** Proposed and not chosen yet; null where nothing is under way. */
     private AcceptorSet proposed;
+
     private long proposal;
 
     private long order;
@@ -103,12 +104,17 @@
 
     /** The sidecars at the addresses of the newest chosen set. */
     List<Sidecar> all() {
-        return chosen.all().stream().map(voter -> sidecars.get(voter.address())).distinct().toList();
+        return chosen.all().stream()
+                .map(voter -> sidecars.get(voter.address()))
+                .distinct()
+                .toList();
     }
 
     /** All sidecars that there ever were. */
     List<Sidecar> everyone() {
-        return sidecars.values().stream().sorted(Comparator.comparing(Sidecar::name)).toList();
+        return sidecars.values().stream()
+                .sorted(Comparator.comparing(Sidecar::name))
+                .toList();
     }
 
     /** What stands at the address of this member now. */
@@ -122,18 +128,23 @@
 
     /** Members whose disk was wiped: nobody there can vote. */
     List<Acceptor> wipedMembers() {
-        return chosen.members().stream().filter(voter -> !sidecars.get(voter.address()).self().equals(voter)).toList();
+        return chosen.members().stream()
+                .filter(voter -> !sidecars.get(voter.address()).self().equals(voter))
+                .toList();
     }
 
     /** Whether the sidecar may lose its disk with a majority left in each set that counts. */
     boolean mayWipe(Sidecar sidecar) {
-        return mayWipe(sidecar, chosen.members()) && mayWipe(sidecar, chosen.joining())
+        return mayWipe(sidecar, chosen.members())
+                && mayWipe(sidecar, chosen.joining())
                 && (proposed == null || mayWipe(sidecar, proposed.members()) && mayWipe(sidecar, proposed.joining()));
     }
 
     private boolean mayWipe(Sidecar sidecar, List<Acceptor> part) {
-        long left = part.stream().filter(voter -> !voter.address().equals(sidecar.name)
-                && sidecars.get(voter.address()).self().equals(voter)).count();
+        long left = part.stream()
+                .filter(voter -> !voter.address().equals(sidecar.name)
+                        && sidecars.get(voter.address()).self().equals(voter))
+                .count();
         return part.isEmpty() || left > part.size() / 2;
     }
 
@@ -162,7 +173,8 @@
     }
 
     void change(List<Acceptor> wanted) {
-        long present = wanted.stream().filter(voter -> identityAt(voter).equals(voter)).count();
+        long present =
+                wanted.stream().filter(voter -> identityAt(voter).equals(voter)).count();
         if (!isChanging() && !chosen.consistsOf(wanted) && 2 * present > wanted.size()) {
             propose(new AcceptorSet(chosen.generation() + 1, chosen.members(), wanted));
         }
@@ -284,7 +296,8 @@
     }
 
     private double delay() {
-        return random.nextDouble() < slow ? random.nextDouble() * 2 * times.leaseMs()
+        return random.nextDouble() < slow
+                ? random.nextDouble() * 2 * times.leaseMs()
                 : times.delayMs() * (1 + 40 * random.nextDouble()) / 41;
     }
 
@@ -507,8 +520,10 @@
 
             @Override
             public void send(VoteReply reply) {
-                deliver(name, to.name, () -> to.run(toLife,
-                        () -> to.candidate.received(to.clock(), reply, to.new Candidacy())));
+                deliver(
+                        name,
+                        to.name,
+                        () -> to.run(toLife, () -> to.candidate.received(to.clock(), reply, to.new Candidacy())));
             }
 
             @Override
--- a/fleet/src/test/java/dewplank/duty/DutySuccessionTest.java
+++ b/fleet/src/test/java/dewplank/duty/DutySuccessionTest.java
@@ -3,13 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
+import dewplank.duty.DutySimulation.Sidecar;
+import dewplank.register.Acceptor;
 import java.util.List;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
-import dewplank.duty.DutySimulation.Sidecar;
-import dewplank.register.Acceptor;
 
 /** How long a duty stays vacant where links and disks are well. */
 class DutySuccessionTest {
--- a/fleet/src/test/java/dewplank/duty/DutyVacancyTest.java
+++ b/fleet/src/test/java/dewplank/duty/DutyVacancyTest.java
@@ -3,13 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dewplank.duty.DutySimulation.Sidecar;
+import dewplank.duty.DutySimulation.Times;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
-import dewplank.duty.DutySimulation.Sidecar;
-import dewplank.duty.DutySimulation.Times;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -24,10 +24,18 @@
     private static final double LEASE_MS = DutyTiming.leaseMs(4_000, 3_000, 3_000);
     /** Within a region; the sites name 12 ms between regions. */
     private static final Times TIMES = new Times(LEASE_MS, 12, 5);
+
     private static final int SEEDS = 2_000;
     private static final double BOUND_MS = 2 * LEASE_MS;
 
-    private enum Loss { KILLED, FROZEN, CUT_OFF, DEAF, MUTE, WIPED }
+    private enum Loss {
+        KILLED,
+        FROZEN,
+        CUT_OFF,
+        DEAF,
+        MUTE,
+        WIPED
+    }
 
     @Test
     void theLeaseFollowsTheBounds() {
@@ -50,9 +58,10 @@
             }
             double longest = vacant[worst];
             Arrays.sort(vacant);
-            System.out.printf("MEASURED vacancy, %d voters, %d lost, %s: median %.0f ms, 99 of 100 %.0f ms, longest "
-                + "%.0f ms (seed %d of %d)%n", voters, lost, loss, vacant[SEEDS / 2], vacant[SEEDS * 99 / 100],
-                longest, worst, SEEDS);
+            System.out.printf(
+                    "MEASURED vacancy, %d voters, %d lost, %s: median %.0f ms, 99 of 100 %.0f ms, longest "
+                            + "%.0f ms (seed %d of %d)%n",
+                    voters, lost, loss, vacant[SEEDS / 2], vacant[SEEDS * 99 / 100], longest, worst, SEEDS);
             assertTrue(longest <= BOUND_MS, loss + " seed " + worst + " took " + longest);
         }
     }
--- a/fleet/src/test/java/dewplank/duty/DutyWipeTest.java
+++ b/fleet/src/test/java/dewplank/duty/DutyWipeTest.java
@@ -1,5 +1,7 @@
 package dewplank.duty;
 
+import dewplank.duty.DutySimulation.Sidecar;
+import dewplank.register.Acceptor;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -7,8 +9,6 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
-import dewplank.duty.DutySimulation.Sidecar;
-import dewplank.register.Acceptor;
 
 /**
  * Two histories that broke the duty while its voters were named by address: the simulation itself fails where a number
@@ -76,10 +76,13 @@
         List<Acceptor> spares = List.of(world.spare().self(), world.spare().self());
         world.runUntil(3 * LEASE_MS + random.nextDouble() * LEASE_MS);
         for (int cuts = 0; cuts < 2; cuts++) {
-            world.cut(world.all().get(random.nextInt(3)).name(), world.all().get(random.nextInt(3)).name());
+            world.cut(
+                    world.all().get(random.nextInt(3)).name(),
+                    world.all().get(random.nextInt(3)).name());
         }
         world.runUntil(world.now() + random.nextDouble() * LEASE_MS);
-        List<Acceptor> wanted = new ArrayList<>(world.all().stream().map(Sidecar::self).toList());
+        List<Acceptor> wanted =
+                new ArrayList<>(world.all().stream().map(Sidecar::self).toList());
         if (random.nextBoolean()) {
             wanted.addAll(spares);
         } else {
--- a/fleet/src/test/java/dewplank/duty/VoterTest.java
+++ b/fleet/src/test/java/dewplank/duty/VoterTest.java
@@ -3,11 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
+import dewplank.duty.VoteReply.Verdict;
+import dewplank.duty.VoteRequest.Kind;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import dewplank.duty.VoteReply.Verdict;
-import dewplank.duty.VoteRequest.Kind;
 import org.junit.jupiter.api.Test;
 
 class VoterTest {
@@ -123,9 +123,12 @@
             assertEquals(6, reply.number());
             assertEquals(1_000, reply.remainingMs());
         }
-        assertEquals(Verdict.REFUSED, vote(restarted, 3_000, Kind.ASK, "b", 6, 0).verdict());
-        assertEquals(Verdict.GRANTED, vote(restarted, 3_000, Kind.RENEW, "a", 6, 0).verdict());
-        assertEquals(Verdict.REFUSED, vote(restarted, 3_000, Kind.ASK, "b", 7, 0).verdict());
+        assertEquals(
+                Verdict.REFUSED, vote(restarted, 3_000, Kind.ASK, "b", 6, 0).verdict());
+        assertEquals(
+                Verdict.GRANTED, vote(restarted, 3_000, Kind.RENEW, "a", 6, 0).verdict());
+        assertEquals(
+                Verdict.REFUSED, vote(restarted, 3_000, Kind.ASK, "b", 7, 0).verdict());
         assertEquals(List.of(), seen.kept);
     }
 
--- a/fleet/src/test/java/dewplank/membership/AcceptorPlanTest.java
+++ b/fleet/src/test/java/dewplank/membership/AcceptorPlanTest.java
@@ -3,13 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.List;
 import dewplank.membership.AcceptorPlan.Sighting;
 import dewplank.membership.AcceptorPlan.Timing;
 import dewplank.register.Acceptor;
 import dewplank.register.AcceptorSet;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class AcceptorPlanTest {
@@ -46,7 +46,7 @@
     /** The bound that a second loss after a replacement rests on: the whole has to fit into catch_up_s. */
     @Test
     void aSuccessorHasItsPlaceLongBeforeTheNextLossMayCome() {
-        double startedAt = 1_000;          // the lost one was last heard at 0
+        double startedAt = 1_000; // the lost one was last heard at 0
         double linkedAt = startedAt + 1_000;
         double replacedAt = Double.NaN;
         for (double now = 0; now < 10_000 && Double.isNaN(replacedAt); now += LOOK_MS) {
@@ -72,8 +72,8 @@
         assertEquals(set.members(), plan.wanted(0, set, allOld(0, C, D, E, f, g)));
         double gone = TIMING.goneMs();
         assertEquals(List.of(f, B, C, D, E), plan.wanted(gone, set, allOld(gone, C, D, E, f, g)));
-        assertEquals(List.of(f, g, C, D, E),
-            plan.wanted(gone + 1, set(f, B, C, D, E), allOld(gone + 1, C, D, E, f, g)));
+        assertEquals(
+                List.of(f, g, C, D, E), plan.wanted(gone + 1, set(f, B, C, D, E), allOld(gone + 1, C, D, E, f, g)));
     }
 
     @Test
@@ -81,16 +81,21 @@
         Sighting again = new Sighting(A_AGAIN, 100, 0);
         assertEquals(List.of(A, B, C), plan.wanted(100, set(A, B, C), List.of(again, old(100, B), old(100, C))));
         double settled = TIMING.settledMs();
-        assertEquals(List.of(A_AGAIN, B, C), plan.wanted(settled, set(A, B, C),
-            List.of(new Sighting(A_AGAIN, settled, 0), old(settled, B), old(settled, C))));
+        assertEquals(
+                List.of(A_AGAIN, B, C),
+                plan.wanted(
+                        settled,
+                        set(A, B, C),
+                        List.of(new Sighting(A_AGAIN, settled, 0), old(settled, B), old(settled, C))));
     }
 
     /** Late words of an earlier life at the same address make the identity unsettled, not the other way round. */
     @Test
     void anIdentityThatHasJustChangedDoesNotReplaceAnybody() {
         Sighting flipped = new Sighting(A, 5_000, 4_990);
-        assertEquals(List.of(A_AGAIN, B, C),
-            plan.wanted(5_000, set(A_AGAIN, B, C), List.of(flipped, old(5_000, B), old(5_000, C))));
+        assertEquals(
+                List.of(A_AGAIN, B, C),
+                plan.wanted(5_000, set(A_AGAIN, B, C), List.of(flipped, old(5_000, B), old(5_000, C))));
     }
 
     @Test
@@ -118,8 +123,9 @@
             many.add(new Acceptor("m" + i, "disk-" + i));
         }
         List<Sighting> seen = many.stream().map(a -> old(0, a)).toList();
-        assertEquals(AcceptorPlan.MOST_ACCEPTORS,
-            plan.wanted(0, AcceptorSet.of(many.subList(0, 3)), seen).size());
+        assertEquals(
+                AcceptorPlan.MOST_ACCEPTORS,
+                plan.wanted(0, AcceptorSet.of(many.subList(0, 3)), seen).size());
     }
 
     @Test
--- a/fleet/src/test/java/dewplank/register/AcceptorRulesTest.java
+++ b/fleet/src/test/java/dewplank/register/AcceptorRulesTest.java
@@ -7,15 +7,15 @@
 
 /** What an acceptor may answer, and when. */
 class AcceptorRulesTest {
-    private static final AcceptorSet SET = AcceptorSet.of(List.of(new Acceptor("here", "me"),
-        new Acceptor("there", "you"), new Acceptor("far", "she")));
+    private static final AcceptorSet SET = AcceptorSet.of(
+            List.of(new Acceptor("here", "me"), new Acceptor("there", "you"), new Acceptor("far", "she")));
     private static final Ballot LOW = new Ballot(1, "you.1");
     private static final Ballot HIGH = new Ballot(2, "she.1");
     private static final RegisterValue VALUE = new RegisterValue(SET, 1, new byte[] {1});
 
     private final RecordedOutput out = new RecordedOutput();
-    private final Register register = new Register(new Register.Settings("here", SET, 300, 20, 400, 500),
-        DurableState.fresh("me"), new SplittableRandom(1));
+    private final Register register = new Register(
+            new Register.Settings("here", SET, 300, 20, 400, 500), DurableState.fresh("me"), new SplittableRandom(1));
 
     private void prepare(String identity, Ballot ballot) {
         register.received(0, new Prepare("there", "you", identity, ballot, Ballot.NONE), out);
--- a/fleet/src/test/java/dewplank/register/CalmFleetTest.java
+++ b/fleet/src/test/java/dewplank/register/CalmFleetTest.java
@@ -11,7 +11,7 @@
     private static final double PATIENCE = 3000;
 
     private final SimulatedFleet fleet =
-        new SimulatedFleet(4, 3, new SimulationRules(false, false, false), new SplittableRandom(3));
+            new SimulatedFleet(4, 3, new SimulationRules(false, false, false), new SplittableRandom(3));
     private final List<Outcome> outcomes = new ArrayList<>();
 
     private SimulatedProcess process(int index) {
