--- a/fleet/src/test/java/dewplank/register/CatchUpTest.java
+++ b/fleet/src/test/java/dewplank/register/CatchUpTest.java
@@ -20,7 +20,7 @@
     private static final double STORE_MS = 5;
     private static final double TICK_MS = 25;
     private static final double SWEEP_MS = 400;
-    private static final double FEW_MS = 200;   // five changes a second
+    private static final double FEW_MS = 200; // five changes a second
 
     /** The longest period of a sweep, three ways, one of them with a value, and the steps' ticks. */
     private static final double CAUGHT_UP_MS = SWEEP_MS * 1.25 + 3 * LINK_MS + VALUE_BYTES / BYTES_PER_MS + 2 * TICK_MS;
@@ -29,7 +29,7 @@
      * Values sent for each change to one that cannot accept it, as its disk is full or the acceptance is meant for the
      * disk it lost: that one, and one fetch; and the one fetch in two seconds that was under way before.
      */
-    private static final double ACCEPT_AND_FETCH = 2.11;   // ten changes: 2 + 1 / 10
+    private static final double ACCEPT_AND_FETCH = 2.11; // ten changes: 2 + 1 / 10
 
     /** What an unlucky fetch waits for besides: a round's time, and a sweep to hear of the value again. */
     private static final double FETCHED_ANEW_MS = 250 + SWEEP_MS * 1.25;
@@ -62,8 +62,8 @@
 
         void start() {
             life++;
-            register = new Register(new Register.Settings(address, initial, 250, 10, 120, SWEEP_MS), disk,
-                random.split());
+            register =
+                    new Register(new Register.Settings(address, initial, 250, 10, 120, SWEEP_MS), disk, random.split());
             tick(life);
         }
 
@@ -89,7 +89,7 @@
             int bytes = bytes(message);
             boolean slow = target.bytesPerMs < BYTES_PER_MS;
             if (losesValues && message instanceof Report && bytes > 0
-                || losesAccepts && message instanceof Accept && slow) {
+                    || losesAccepts && message instanceof Accept && slow) {
                 return;
             }
             if (target == this) {
@@ -195,9 +195,13 @@
         while (events.playOne(end)) {
             lag = Math.max(lag, nodes.get(0).version() - node.version());
         }
-        double values = (double) (node.received - first) / VALUE_BYTES / Math.max(1, nodes.get(0).version() - from);
-        System.out.printf("%s: caught up after %.0f ms and %d bytes; then %d changes behind at most, %.2f values sent "
-            + "for each change%n", what, caughtUpMs, first, lag, values);
+        double values = (double) (node.received - first)
+                / VALUE_BYTES
+                / Math.max(1, nodes.get(0).version() - from);
+        System.out.printf(
+                "%s: caught up after %.0f ms and %d bytes; then %d changes behind at most, %.2f values sent "
+                        + "for each change%n",
+                what, caughtUpMs, first, lag, values);
         Assertions.assertTrue(caughtUpMs < withinMs, what + " took " + caughtUpMs);
         Assertions.assertTrue(first <= 6L * VALUE_BYTES, what + " took " + first + " bytes");
         Assertions.assertTrue(values < valuesEach, what + " is sent " + values);
@@ -220,8 +224,10 @@
     void anAnswerWithoutAValueIsNotAskedForAtOnce() {
         RecordedOutput out = new RecordedOutput();
         Acceptor other = new Acceptor("b", "2");
-        Register register = new Register(new Register.Settings("a", AcceptorSet.of(List.of(other)), 250, 10, 120,
-            SWEEP_MS), DurableState.fresh("1"), random);
+        Register register = new Register(
+                new Register.Settings("a", AcceptorSet.of(List.of(other)), 250, 10, 120, SWEEP_MS),
+                DurableState.fresh("1"),
+                random);
         Ballot told = new Ballot(7, "b.1");
         register.received(0, new Chosen("b", "2", "1", told, 3), out);
         for (int answer = 0; answer < 3; answer++) {
--- a/fleet/src/test/java/dewplank/register/CurrentRulesTest.java
+++ b/fleet/src/test/java/dewplank/register/CurrentRulesTest.java
@@ -17,8 +17,10 @@
     private static final double ASKED = 100;
 
     private final RecordedOutput out = new RecordedOutput();
-    private final Register register = new Register(new Register.Settings("a", SET, 300, 20, 400, 500),
-        new DurableState("1", OLD, OLD, value(1), OLD, value(1)), new SplittableRandom(1));
+    private final Register register = new Register(
+            new Register.Settings("a", SET, 300, 20, 400, 500),
+            new DurableState("1", OLD, OLD, value(1), OLD, value(1)),
+            new SplittableRandom(1));
 
     private static RegisterValue value(long revision) {
         return new RegisterValue(SET, revision, new byte[] {(byte) revision});
@@ -31,8 +33,19 @@
         for (Query query : asked) {
             question = query.fetching() ? question : query.question();
         }
-        register.received(ASKED, new Report(from.address(), from.identity(), "1", question, accepted,
-            accepted.isAfter(OLD) ? SET : null, chosen, 1, null), out);
+        register.received(
+                ASKED,
+                new Report(
+                        from.address(),
+                        from.identity(),
+                        "1",
+                        question,
+                        accepted,
+                        accepted.isAfter(OLD) ? SET : null,
+                        chosen,
+                        1,
+                        null),
+                out);
     }
 
     @Test
--- a/fleet/src/test/java/dewplank/register/EarlierLivesTest.java
+++ b/fleet/src/test/java/dewplank/register/EarlierLivesTest.java
@@ -92,8 +92,10 @@
         for (long question : new long[] {old, own}) {
             for (Acceptor from : List.of(B, C)) {
                 Assertions.assertTrue(out.completed.isEmpty());
-                present.received(1, new Report(from.address(), from.identity(), "1", question, ballot, null, ballot, 1,
-                    null), out);
+                present.received(
+                        1,
+                        new Report(from.address(), from.identity(), "1", question, ballot, null, ballot, 1, null),
+                        out);
             }
         }
         Assertions.assertEquals(1, out.completed.size());
--- a/fleet/src/test/java/dewplank/register/HistoryCheck.java
+++ b/fleet/src/test/java/dewplank/register/HistoryCheck.java
@@ -48,8 +48,9 @@
     void confirmed(RegisterValue value, long floorAtStart) {
         saw(value);
         confirmed++;
-        check(value.revision() >= floorAtStart, "went backwards: revision " + value.revision() + " after "
-            + floorAtStart);
+        check(
+                value.revision() >= floorAtStart,
+                "went backwards: revision " + value.revision() + " after " + floorAtStart);
         newestRevision = Math.max(newestRevision, value.revision());
     }
 
--- a/fleet/src/test/java/dewplank/register/LoadedFleetTest.java
+++ b/fleet/src/test/java/dewplank/register/LoadedFleetTest.java
@@ -53,8 +53,9 @@
 
     private double settledAt(int at, long generation) {
         while (process(at).register().acceptors().generation() < generation) {
-            Assertions.assertTrue(fleet.events().playOne(LOADED_FROM + 10 * REPAIRED_WITHIN),
-                "the set never becomes generation " + generation);
+            Assertions.assertTrue(
+                    fleet.events().playOne(LOADED_FROM + 10 * REPAIRED_WITHIN),
+                    "the set never becomes generation " + generation);
         }
         return fleet.now();
     }
@@ -65,8 +66,15 @@
         for (long seed = 0; seed < SEEDS; seed++) {
             begin(5, 3, seed);
             double began = fleet.now();
-            fleet.replace(process(1), 0, List.of(process(3).acceptor(), process(1).acceptor(),
-                process(2).acceptor()), REPAIR_PATIENCE, outcome -> { });
+            fleet.replace(
+                    process(1),
+                    0,
+                    List.of(
+                            process(3).acceptor(),
+                            process(1).acceptor(),
+                            process(2).acceptor()),
+                    REPAIR_PATIENCE,
+                    outcome -> {});
             longest = Math.max(longest, settledAt(1, 2) - began);
         }
         System.out.println("replacement under eight operators: " + Math.round(longest) + " ms at most");
@@ -78,8 +86,15 @@
         double longest = 0;
         for (long seed = 0; seed < SEEDS; seed++) {
             begin(5, 3, seed);
-            fleet.replace(process(0), 0, List.of(process(3).acceptor(), process(1).acceptor(),
-                process(2).acceptor()), REPAIR_PATIENCE, outcome -> { });
+            fleet.replace(
+                    process(0),
+                    0,
+                    List.of(
+                            process(3).acceptor(),
+                            process(1).acceptor(),
+                            process(2).acceptor()),
+                    REPAIR_PATIENCE,
+                    outcome -> {});
             while (!process(1).register().acceptors().isJoint()) {
                 Assertions.assertTrue(fleet.events().playOne(LOADED_FROM + REPAIRED_WITHIN));
             }
@@ -96,8 +111,10 @@
         RecordedOutput out = new RecordedOutput();
         Acceptor self = new Acceptor("a", "1");
         Acceptor other = new Acceptor("b", "2");
-        Register register = new Register(new Register.Settings("a", AcceptorSet.of(List.of(self, other)), 300, 20,
-            400, 500), DurableState.fresh("1"), new SplittableRandom(1));
+        Register register = new Register(
+                new Register.Settings("a", AcceptorSet.of(List.of(self, other)), 300, 20, 400, 500),
+                DurableState.fresh("1"),
+                new SplittableRandom(1));
         for (int request = 0; request < Register.MOST_PENDING; request++) {
             register.change(0, request, payload -> new Decision(null, "read"), 100_000, out);
         }
@@ -114,7 +131,8 @@
                 register.received(now, new Promise("b", "2", "1", newest, Ballot.NONE, null), out);
             }
         }
-        Assertions.assertTrue(out.messages(Accept.class).get(0).value().acceptors().isJoint());
+        Assertions.assertTrue(
+                out.messages(Accept.class).get(0).value().acceptors().isJoint());
     }
 
     @Test
--- a/fleet/src/test/java/dewplank/register/ModelProcess.java
+++ b/fleet/src/test/java/dewplank/register/ModelProcess.java
@@ -10,7 +10,12 @@
     private static final double LONG = 1e9;
 
     /** What becomes of the store that a step asks for. */
-    enum Disk { WORKS, FAILS, KILLED_AFTER_WRITE, LATER }
+    enum Disk {
+        WORKS,
+        FAILS,
+        KILLED_AFTER_WRITE,
+        LATER
+    }
 
     /**
      * A process after a step.
@@ -21,9 +26,12 @@
      * @param perhaps what a failed store may have left on the disk, or null
      * @param proposals what it proposes, and on which acceptors' decision
      */
-    record Result(ModelProcess process, ModelStep output, List<DurableState> kept, DurableState perhaps,
-                  List<ModelProposal> proposals) {
-    }
+    record Result(
+            ModelProcess process,
+            ModelStep output,
+            List<DurableState> kept,
+            DurableState perhaps,
+            List<ModelProposal> proposals) {}
 
     /** A step, given the register and where its wishes go. */
     interface Action {
@@ -69,8 +77,13 @@
 
     /** A process with an emptied disk knows no acceptors to begin with. */
     ModelProcess wiped(String identity) {
-        Register.Settings blank = new Register.Settings(settings.address(), AcceptorSet.of(List.of()),
-            settings.roundTimeoutMs(), settings.retryMinimumMs(), settings.retryMaximumMs(), settings.sweepMs());
+        Register.Settings blank = new Register.Settings(
+                settings.address(),
+                AcceptorSet.of(List.of()),
+                settings.roundTimeoutMs(),
+                settings.retryMinimumMs(),
+                settings.retryMaximumMs(),
+                settings.sweepMs());
         return started(blank, lost, DurableState.fresh(identity), life + 1);
     }
 
@@ -80,25 +93,33 @@
 
     /** Every timeout passes: a round is given up and begun anew, what is stuck is finished. */
     Result timeout(Disk disk) {
-        return step((next, out) -> {
-            next.tick(LONG, out);
-            next.tick(2 * LONG, out);
-        }, disk);
+        return step(
+                (next, out) -> {
+                    next.tick(LONG, out);
+                    next.tick(2 * LONG, out);
+                },
+                disk);
     }
 
     /** The result of the store under way, where stores take time. */
     Result stored(boolean works) {
         long ticket = (Long) RegisterImage.at(register, "voter", "ticket");
         DurableState state = storing();
-        Result result = step((next, out) -> {
-            if (works) {
-                next.stored(0, ticket, out);
-            } else {
-                next.storeFailed(0, ticket, out);
-            }
-        }, Disk.LATER);
-        return new Result(result.process, result.output, works ? List.of(state) : List.of(),
-            works ? null : state, result.proposals);
+        Result result = step(
+                (next, out) -> {
+                    if (works) {
+                        next.stored(0, ticket, out);
+                    } else {
+                        next.storeFailed(0, ticket, out);
+                    }
+                },
+                Disk.LATER);
+        return new Result(
+                result.process,
+                result.output,
+                works ? List.of(state) : List.of(),
+                works ? null : state,
+                result.proposals);
     }
 
     /** A step with all that follows from it in the same process: what it tells itself comes at once. */
@@ -131,8 +152,8 @@
     }
 
     private Result killed(DurableState written) {
-        return new Result(restarted(written), new ModelStep(settings.address(), lost), List.of(written), null,
-            List.of());
+        return new Result(
+                restarted(written), new ModelStep(settings.address(), lost), List.of(written), null, List.of());
     }
 
     private static List<ModelProposal> proposals(Register next, ModelStep out) {
--- a/fleet/src/test/java/dewplank/register/ModelProposal.java
+++ b/fleet/src/test/java/dewplank/register/ModelProposal.java
@@ -25,8 +25,10 @@
         List<Integer> before = versions(older);
         List<Integer> after = versions(newer);
         return older.ballot.compareTo(newer.ballot) < 0
-            && older.value.acceptors().generation() <= newer.value.acceptors().generation()
-            && before.size() <= after.size() && before.equals(after.subList(0, before.size()));
+                && older.value.acceptors().generation()
+                        <= newer.value.acceptors().generation()
+                && before.size() <= after.size()
+                && before.equals(after.subList(0, before.size()));
     }
 
     boolean holds(int version) {
--- a/fleet/src/test/java/dewplank/register/ModelScenario.java
+++ b/fleet/src/test/java/dewplank/register/ModelScenario.java
@@ -30,8 +30,8 @@
             AcceptorSet initial = AcceptorSet.of(index < members ? first : List.of());
             DurableState disk = DurableState.fresh(identity(index, 0));
             disks.add(disk);
-            processes.add(ModelProcess.started(new Register.Settings(address(index), initial, 300, 20, 400, 500),
-                Set.of(lost), disk, 0));
+            processes.add(ModelProcess.started(
+                    new Register.Settings(address(index), initial, 300, 20, 400, 500), Set.of(lost), disk, 0));
         }
     }
 
@@ -54,7 +54,7 @@
 
     static ModelProcess.Action replace(long generation, Acceptor... wanted) {
         return (register, out) ->
-            register.replaceAcceptors(0, generation + 1000, generation, List.of(wanted), NEVER, out);
+                register.replaceAcceptors(0, generation + 1000, generation, List.of(wanted), NEVER, out);
     }
 
     ModelScenario with(int timeoutsEach, int killsInAll, int failuresInAll) {
--- a/fleet/src/test/java/dewplank/register/ModelState.java
+++ b/fleet/src/test/java/dewplank/register/ModelState.java
@@ -18,6 +18,7 @@
     int[] messages = new int[0];
     /** Proposals made, sorted, each followed by the set of acceptors that voted for it, or by -1 once chosen. */
     int[] votes = new int[0];
+
     ModelState before;
     String step;
 
--- a/fleet/src/test/java/dewplank/register/ModelStep.java
+++ b/fleet/src/test/java/dewplank/register/ModelStep.java
@@ -9,12 +9,10 @@
 /** Records what one step of one process sent, asked to store and answered. */
 final class ModelStep implements Register.Output {
     /** An answer for certain. */
-    record Answer(long request, Outcome.Confirmed outcome) {
-    }
+    record Answer(long request, Outcome.Confirmed outcome) {}
 
     /** A message and where it goes. */
-    record Sent(String address, RegisterMessage message) {
-    }
+    record Sent(String address, RegisterMessage message) {}
 
     final List<Sent> sent = new ArrayList<>();
     final List<Answer> answers = new ArrayList<>();
--- a/fleet/src/test/java/dewplank/register/NewcomerRulesTest.java
+++ b/fleet/src/test/java/dewplank/register/NewcomerRulesTest.java
@@ -20,8 +20,8 @@
     private final Register newcomer = register(NEWCOMER, UNKNOWN, DurableState.fresh("9"));
 
     private static Register register(Acceptor self, AcceptorSet initial, DurableState recovered) {
-        return new Register(new Register.Settings(self.address(), initial, 300, 20, 400, 500), recovered,
-            new SplittableRandom(1));
+        return new Register(
+                new Register.Settings(self.address(), initial, 300, 20, 400, 500), recovered, new SplittableRandom(1));
     }
 
     private static RegisterMessage last(RecordedOutput out) {
--- a/fleet/src/test/java/dewplank/register/Operators.java
+++ b/fleet/src/test/java/dewplank/register/Operators.java
@@ -50,7 +50,8 @@
 
     private void note(Outcome outcome) {
         if (outcome instanceof Outcome.Confirmed) {
-            newestSeen = VersionHistory.newest(((Outcome.Confirmed) outcome).value().payload());
+            newestSeen =
+                    VersionHistory.newest(((Outcome.Confirmed) outcome).value().payload());
         }
     }
 }
--- a/fleet/src/test/java/dewplank/register/ProposerRulesTest.java
+++ b/fleet/src/test/java/dewplank/register/ProposerRulesTest.java
@@ -24,17 +24,23 @@
     private final Register register = process(1);
 
     private static Register process(long seed) {
-        return new Register(new Register.Settings("a", SET, 300, 20, 400, 500), DurableState.fresh("1"),
-            new SplittableRandom(seed));
+        return new Register(
+                new Register.Settings("a", SET, 300, 20, 400, 500),
+                DurableState.fresh("1"),
+                new SplittableRandom(seed));
     }
 
     private void promise(Acceptor from, Ballot accepted, RegisterValue value) {
-        Ballot ballot = out.messages(Prepare.class).get(out.messages(Prepare.class).size() - 1).ballot();
+        Ballot ballot = out.messages(Prepare.class)
+                .get(out.messages(Prepare.class).size() - 1)
+                .ballot();
         register.received(1, new Promise(from.address(), from.identity(), "1", ballot, accepted, value), out);
     }
 
     private void accepted(Acceptor from) {
-        Ballot ballot = out.messages(Accept.class).get(out.messages(Accept.class).size() - 1).ballot();
+        Ballot ballot = out.messages(Accept.class)
+                .get(out.messages(Accept.class).size() - 1)
+                .ballot();
         register.received(2, new Accepted(from.address(), from.identity(), "1", ballot), out);
     }
 
@@ -111,8 +117,9 @@
         RecordedOutput again = new RecordedOutput();
         register.change(0, 1, TAKING, 1000, out);
         process(2).change(0, 1, TAKING, 1000, again);
-        Assertions.assertNotEquals(out.messages(Prepare.class).get(0).ballot(),
-            again.messages(Prepare.class).get(0).ballot());
+        Assertions.assertNotEquals(
+                out.messages(Prepare.class).get(0).ballot(),
+                again.messages(Prepare.class).get(0).ballot());
     }
 
     @Test
@@ -145,8 +152,8 @@
     }
 
     @Property(tries = 500)
-    void quorumsOfNeighbouringSetsMeet(@ForAll @IntRange(min = 0, max = 255) int first,
-                                       @ForAll @IntRange(min = 0, max = 255) int second) {
+    void quorumsOfNeighbouringSetsMeet(
+            @ForAll @IntRange(min = 0, max = 255) int first, @ForAll @IntRange(min = 0, max = 255) int second) {
         AcceptorSet joint = new AcceptorSet(1, List.of(A, B, C), List.of(B, C, D));
         AcceptorSet settled = joint.settled();
         Set<Acceptor> one = chosenBy(first);
--- a/fleet/src/test/java/dewplank/register/RecordedOutput.java
+++ b/fleet/src/test/java/dewplank/register/RecordedOutput.java
@@ -5,14 +5,11 @@
 
 /** Keeps what a register wanted done. */
 final class RecordedOutput implements Register.Output {
-    record Sent(String address, RegisterMessage message) {
-    }
+    record Sent(String address, RegisterMessage message) {}
 
-    record Stored(long ticket, DurableState state) {
-    }
+    record Stored(long ticket, DurableState state) {}
 
-    record Completed(long request, Outcome outcome) {
-    }
+    record Completed(long request, Outcome outcome) {}
 
     final List<Sent> sent = new ArrayList<>();
     final List<Stored> stored = new ArrayList<>();
--- a/fleet/src/test/java/dewplank/register/RegisterImage.java
+++ b/fleet/src/test/java/dewplank/register/RegisterImage.java
@@ -17,17 +17,31 @@
  */
 final class RegisterImage {
     /** The parts of a register that change; everything else is immutable or a collection. */
-    private static final Set<Class<?>> PARTS = Set.of(Register.class, Voter.class, Learner.class, Proposer.class,
-        Reader.class, Sweep.class, Finisher.class, Questions.class, Round.class);
+    private static final Set<Class<?>> PARTS = Set.of(
+            Register.class,
+            Voter.class,
+            Learner.class,
+            Proposer.class,
+            Reader.class,
+            Sweep.class,
+            Finisher.class,
+            Questions.class,
+            Round.class);
 
     /** Without influence on messages or votes: the tally of the sweeps, and what only says how to reach the rest. */
-    private static final Set<String> LEFT_OUT = Set.of("Sweep.question", "Sweep.answered", "Sweep.newestReported",
-        "Sweep.newestOfQuorum", "Questions.last", "Proposer.attempts", "Voter.ticket", "ChangeTask.change");
+    private static final Set<String> LEFT_OUT = Set.of(
+            "Sweep.question",
+            "Sweep.answered",
+            "Sweep.newestReported",
+            "Sweep.newestOfQuorum",
+            "Questions.last",
+            "Proposer.attempts",
+            "Voter.ticket",
+            "ChangeTask.change");
 
     private static final Map<Class<?>, List<Field>> FIELDS = new HashMap<>();
 
-    private RegisterImage() {
-    }
+    private RegisterImage() {}
 
     static Register copy(Register register, Register.Settings settings, FixedRandom random) {
         Register copy = new Register(settings, DurableState.fresh(""), random);
@@ -126,7 +140,8 @@
         } else if (PARTS.contains(object.getClass()) && seen.put(object, object) != null) {
             text.append('^');
         } else if (object.getClass().getPackage() == Register.class.getPackage()
-            && !(object instanceof FixedRandom) && !(object instanceof Register.Settings)) {
+                && !(object instanceof FixedRandom)
+                && !(object instanceof Register.Settings)) {
             printFields(object, text, seen);
         }
     }
--- a/fleet/src/test/java/dewplank/register/RegisterModel.java
+++ b/fleet/src/test/java/dewplank/register/RegisterModel.java
@@ -16,16 +16,13 @@
     private static final int STORED = -1;
     private static final int STORE_FAILED = -2;
 
-    private record Key(int process, int action, ModelProcess.Disk disk) {
-    }
+    private record Key(int process, int action, ModelProcess.Disk disk) {}
 
     /** A result by the numbers of its parts; null in its place means that the step does not exist. */
-    private record Effect(int process, int[] kept, int perhaps, int[] proposals, int[] sent,
-                          List<ModelStep.Answer> answers) {
-    }
+    private record Effect(
+            int process, int[] kept, int perhaps, int[] proposals, int[] sent, List<ModelStep.Answer> answers) {}
 
-    private record Outgoing(int recipient, String identity, RegisterMessage message) {
-    }
+    private record Outgoing(int recipient, String identity, RegisterMessage message) {}
 
     private final ModelScenario scenario;
     private final boolean traced;
@@ -188,8 +185,9 @@
         if (!outgoing.identity.isEmpty() && !outgoing.identity.equals(identity)) {
             return null;
         }
-        Effect effect = effects.computeIfAbsent(new Key(state.processes[process], message, disk),
-            key -> effect(before.receive(outgoing.message, disk)));
+        Effect effect = effects.computeIfAbsent(
+                new Key(state.processes[process], message, disk),
+                key -> effect(before.receive(outgoing.message, disk)));
         boolean fails = disk == ModelProcess.Disk.FAILS;
         boolean killed = disk == ModelProcess.Disk.KILLED_AFTER_WRITE;
         if (fails && effect.perhaps == 0 || killed && effect.kept.length == 0 || skips(state, effect, outgoing)) {
@@ -219,15 +217,17 @@
         String tally = message instanceof Promise ? "promised" : "accepted";
         Register register = processes.get(state.processes[process]).register();
         Set<?> counted = (Set<?>) RegisterImage.at(register, "proposer", "round", tally);
-        return counted != null && counted.stream().map(each -> ((Acceptor) each).address())
-            .anyMatch(address -> !address.equals(ModelScenario.address(process))
-                && address.compareTo(message.sender()) > 0);
+        return counted != null
+                && counted.stream()
+                        .map(each -> ((Acceptor) each).address())
+                        .anyMatch(address -> !address.equals(ModelScenario.address(process))
+                                && address.compareTo(message.sender()) > 0);
     }
 
     private ModelState timeout(ModelState state, int process, ModelProcess.Disk disk) {
         ModelProcess before = processes.get(state.processes[process]);
-        Effect effect = effects.computeIfAbsent(new Key(state.processes[process], TIMEOUT, disk),
-            key -> effect(before.timeout(disk)));
+        Effect effect = effects.computeIfAbsent(
+                new Key(state.processes[process], TIMEOUT, disk), key -> effect(before.timeout(disk)));
         ModelState next = next(state, () -> "timeout at " + process);
         next.timeouts = ModelState.with(state.timeouts, process, state.timeouts[process] - 1);
         apply(next, process, effect);
@@ -238,7 +238,8 @@
         ModelProcess before = processes.get(state.processes[process]);
         int action = works ? STORED : STORE_FAILED;
         Effect effect = effects.computeIfAbsent(
-            new Key(state.processes[process], action, ModelProcess.Disk.LATER), key -> effect(before.stored(works)));
+                new Key(state.processes[process], action, ModelProcess.Disk.LATER),
+                key -> effect(before.stored(works)));
         ModelState next = next(state, () -> (works ? "stored at " : "store failed at ") + process);
         next.failures -= works ? 0 : 1;
         apply(next, process, effect);
@@ -278,16 +279,23 @@
     }
 
     private Effect begun(ModelProcess process, DurableState found) {
-        return new Effect(processes.number(process.print(), process), new int[] {number(found)}, 0, new int[0],
-            new int[0], List.of());
+        return new Effect(
+                processes.number(process.print(), process),
+                new int[] {number(found)},
+                0,
+                new int[0],
+                new int[0],
+                List.of());
     }
 
     private Effect effect(ModelProcess.Result result) {
-        return new Effect(processes.number(result.process().print(), result.process()),
-            result.kept().stream().mapToInt(this::number).toArray(),
-            result.perhaps() == null ? 0 : number(result.perhaps()),
-            result.proposals().stream().mapToInt(this::number).toArray(),
-            result.output().sent.stream().mapToInt(this::number).toArray(), result.output().answers);
+        return new Effect(
+                processes.number(result.process().print(), result.process()),
+                result.kept().stream().mapToInt(this::number).toArray(),
+                result.perhaps() == null ? 0 : number(result.perhaps()),
+                result.proposals().stream().mapToInt(this::number).toArray(),
+                result.output().sent.stream().mapToInt(this::number).toArray(),
+                result.output().answers);
     }
 
     private void apply(ModelState next, int process, Effect effect) {
--- a/fleet/src/test/java/dewplank/register/RegisterModelTest.java
+++ b/fleet/src/test/java/dewplank/register/RegisterModelTest.java
@@ -32,10 +32,10 @@
         long began = System.nanoTime();
         model.explore(depth + Integer.getInteger("register.model.deeper", 0));
         System.out.println("register model, " + model.name() + ": " + model.states() + " states, depth "
-            + model.depth() + (model.isExhausted() ? " (all there are)" : "") + ", " + model.chosenAtMost()
-            + " values chosen, " + (System.nanoTime() - began) / 1_000_000 + " ms");
-        Assertions.assertTrue(model.chosenAtMost() >= leastChosen, "hardly anything was chosen: "
-            + model.chosenAtMost());
+                + model.depth() + (model.isExhausted() ? " (all there are)" : "") + ", " + model.chosenAtMost()
+                + " values chosen, " + (System.nanoTime() - began) / 1_000_000 + " ms");
+        Assertions.assertTrue(
+                model.chosenAtMost() >= leastChosen, "hardly anything was chosen: " + model.chosenAtMost());
     }
 
     private static RegisterModel twoChanges(ModelScenario scenario) {
@@ -63,7 +63,12 @@
 
     @Test
     void disksThatTakeTheirTimeFailAndAreKilled() {
-        explore(twoChanges(new ModelScenario("slow disks", 3, 3, HINTS).with(1, 1, 1).withSlowDisks()), 7, 1);
+        explore(
+                twoChanges(new ModelScenario("slow disks", 3, 3, HINTS)
+                        .with(1, 1, 1)
+                        .withSlowDisks()),
+                7,
+                1);
     }
 
     @Test
@@ -73,53 +78,78 @@
 
     @Test
     void aReplacementThatIsBegunAgain() {
-        explore(changeAndReplacement(new ModelScenario("replacement with timeouts", 4, 3, HINTS).with(1, 0, 0),
-            A, B, D), 10, 2);
+        explore(
+                changeAndReplacement(
+                        new ModelScenario("replacement with timeouts", 4, 3, HINTS).with(1, 0, 0), A, B, D),
+                10,
+                2);
     }
 
     @Test
     void aReplacementWithAKill() {
-        explore(changeAndReplacement(new ModelScenario("replacement with kill and failed store", 4, 3, HINTS)
-            .with(0, 1, 1), A, B, D), 7, 2);
+        explore(
+                changeAndReplacement(
+                        new ModelScenario("replacement with kill and failed store", 4, 3, HINTS).with(0, 1, 1),
+                        A,
+                        B,
+                        D),
+                7,
+                2);
     }
 
     @Test
     void twoKeepersThatWantDifferentSets() {
-        explore(model(new ModelScenario("two keepers", 4, 3, HINTS))
-            .begin(0, ModelScenario.replace(0, A, B, D)).begin(1, ModelScenario.replace(0, B, C, D)), 13, 2);
+        explore(
+                model(new ModelScenario("two keepers", 4, 3, HINTS))
+                        .begin(0, ModelScenario.replace(0, A, B, D))
+                        .begin(1, ModelScenario.replace(0, B, C, D)),
+                13,
+                2);
     }
 
     @Test
     void aWipeAndItsReplacement() {
-        explore(changeAndReplacement(new ModelScenario("wipe", 3, 3, HINTS).with(1, 0, 0).wiping(2),
-            A, B, C_WIPED), 9, 2);
+        explore(
+                changeAndReplacement(
+                        new ModelScenario("wipe", 3, 3, HINTS).with(1, 0, 0).wiping(2), A, B, C_WIPED),
+                9,
+                2);
     }
 
     /** The joint set is chosen and known to one process, which may be killed; the others may finish. */
     @Test
     void theWindowBetweenJointAndSettled() {
-        explore(model(new ModelScenario("joint", 4, 3, HINTS).with(1, 1, 0))
-            .begin(1, ModelScenario.replace(0, A, B, D))
-            .playUntil(registers -> registers.get(1).acceptors().isJoint())
-            .begin(0, ModelScenario.change(2, 0)), 8, 3);
+        explore(
+                model(new ModelScenario("joint", 4, 3, HINTS).with(1, 1, 0))
+                        .begin(1, ModelScenario.replace(0, A, B, D))
+                        .playUntil(registers -> registers.get(1).acceptors().isJoint())
+                        .begin(0, ModelScenario.change(2, 0)),
+                8,
+                3);
     }
 
     /** The set is settled and two know; then an old member's disk is lost, and it is replaced. */
     @Test
     void aLossRightAfterTheSetSettled() {
-        explore(model(new ModelScenario("settled, then a wipe", 4, 3, Query.class, Refuse.class)
-            .with(1, 0, 0).wiping(2))
-            .begin(1, ModelScenario.change(1, 0))
-            .begin(1, ModelScenario.replace(0, D, B, C))
-            .playUntil(registers -> registers.get(3).acceptors().generation() == 2)
-            .begin(1, ModelScenario.replace(2, D, B, C_WIPED)).begin(3, ModelScenario.change(2, 1)), 8, 3);
+        explore(
+                model(new ModelScenario("settled, then a wipe", 4, 3, Query.class, Refuse.class)
+                                .with(1, 0, 0)
+                                .wiping(2))
+                        .begin(1, ModelScenario.change(1, 0))
+                        .begin(1, ModelScenario.replace(0, D, B, C))
+                        .playUntil(registers -> registers.get(3).acceptors().generation() == 2)
+                        .begin(1, ModelScenario.replace(2, D, B, C_WIPED))
+                        .begin(3, ModelScenario.change(2, 1)),
+                8,
+                3);
     }
 
     @Test
     void aWipedDiskThatKeptItsIdentityIsNoticed() {
-        ModelScenario broken = new ModelScenario("kept identity", 3, 3, HINTS).wiping(2).keepingIdentity();
-        AssertionError noticed = Assertions.assertThrows(AssertionError.class,
-            () -> twoChanges(broken).explore(10));
+        ModelScenario broken =
+                new ModelScenario("kept identity", 3, 3, HINTS).wiping(2).keepingIdentity();
+        AssertionError noticed = Assertions.assertThrows(
+                AssertionError.class, () -> twoChanges(broken).explore(10));
         Assertions.assertTrue(noticed.getMessage().startsWith("chosen are"), noticed.getMessage());
     }
 }
--- a/fleet/src/test/java/dewplank/register/ReplacementRulesTest.java
+++ b/fleet/src/test/java/dewplank/register/ReplacementRulesTest.java
@@ -12,7 +12,7 @@
     private static final double SETTLED = 1500;
 
     private final SimulatedFleet fleet =
-        new SimulatedFleet(5, 3, new SimulationRules(false, false, false), new SplittableRandom(5));
+            new SimulatedFleet(5, 3, new SimulationRules(false, false, false), new SplittableRandom(5));
     private final List<Outcome> outcomes = new ArrayList<>();
 
     private SimulatedProcess process(int index) {
@@ -32,21 +32,23 @@
     }
 
     private Replacement answer(int index) {
-        return (Replacement) Assertions.assertInstanceOf(Outcome.Confirmed.class, outcomes.get(index)).answer();
+        return (Replacement) Assertions.assertInstanceOf(Outcome.Confirmed.class, outcomes.get(index))
+                .answer();
     }
 
     private void assertSet(long generation, List<Acceptor> members) {
         for (int index = 0; index < 5; index++) {
             if (process(index).isUp() && members.contains(process(index).acceptor())) {
-                Assertions.assertEquals(new AcceptorSet(generation, members, List.of()),
-                    process(index).register().acceptors());
+                Assertions.assertEquals(
+                        new AcceptorSet(generation, members, List.of()),
+                        process(index).register().acceptors());
             }
         }
     }
 
     @Test
     void aKeeperThatWasFrozenDoesNotPutBackWhoWasReplaced() {
-        fleet.change(process(0), 1, 0, PATIENCE, outcome -> { });
+        fleet.change(process(0), 1, 0, PATIENCE, outcome -> {});
         fleet.events().playUntil(SETTLED);
         replace(1, 0, acceptors(0, 1, 3));
         fleet.events().playUntil(2 * SETTLED);
@@ -117,7 +119,8 @@
         RegisterValue settled = new RegisterValue(AcceptorSet.of(acceptors(0, 1, 2)), 3, null);
         RegisterValue joint = settled.withAcceptors(settled.acceptors().joinedBy(acceptors(0, 1, 3)));
         ReplaceTask other = new ReplaceTask(1, 0, acceptors(0, 1, 4), PATIENCE);
-        Assertions.assertEquals(joint.acceptors(), other.propose(joint, settled).value().acceptors());
+        Assertions.assertEquals(
+                joint.acceptors(), other.propose(joint, settled).value().acceptors());
         Assertions.assertFalse(other.isDoneWith(other.propose(joint, settled)));
         Proposal second = other.propose(joint, joint);
         Assertions.assertTrue(other.isDoneWith(second));
--- a/fleet/src/test/java/dewplank/register/SimulatedFleet.java
+++ b/fleet/src/test/java/dewplank/register/SimulatedFleet.java
@@ -78,7 +78,9 @@
     RegisterValue newestChosen() {
         RegisterValue newest = null;
         for (SimulatedProcess process : processes) {
-            RegisterValue known = process.isUp() ? process.register().chosen() : process.disk().chosen();
+            RegisterValue known = process.isUp()
+                    ? process.register().chosen()
+                    : process.disk().chosen();
             if (known != null && (newest == null || known.revision() > newest.revision())) {
                 newest = known;
             }
@@ -112,12 +114,15 @@
         replace(process, known, wanted, patience, listener);
     }
 
-    void replace(SimulatedProcess process, long expected, List<Acceptor> wanted, double patience,
-                 Consumer<Outcome> listener) {
+    void replace(
+            SimulatedProcess process,
+            long expected,
+            List<Acceptor> wanted,
+            double patience,
+            Consumer<Outcome> listener) {
         long request = expect(process, patience, checked(history.floor(), listener));
-        step(process,
-            () -> process.register().replaceAcceptors(now(), request, expected, wanted, now() + patience,
-                process));
+        step(process, () -> process.register()
+                .replaceAcceptors(now(), request, expected, wanted, now() + patience, process));
     }
 
     void completed(long request, Outcome outcome) {
--- a/fleet/src/test/java/dewplank/register/SimulatedNetwork.java
+++ b/fleet/src/test/java/dewplank/register/SimulatedNetwork.java
@@ -10,8 +10,7 @@
     private static final double USUAL_DELAY = 20;
     private static final double LONG_DELAY = 900;
 
-    private record Link(String from, String to) {
-    }
+    private record Link(String from, String to) {}
 
     private final EventQueue events;
     private final SplittableRandom random;
--- a/fleet/src/test/java/dewplank/register/SimulationRules.java
+++ b/fleet/src/test/java/dewplank/register/SimulationRules.java
@@ -7,5 +7,4 @@
  * @param resizes whether acceptor sets are changed at random, also by two processes at once
  * @param wipedKeepsIdentity breaks the rule that a new disk is a new acceptor, to see that the check notices
  */
-record SimulationRules(boolean wipes, boolean resizes, boolean wipedKeepsIdentity) {
-}
+record SimulationRules(boolean wipes, boolean resizes, boolean wipedKeepsIdentity) {}
--- a/fleet/src/test/java/dewplank/register/SuccessiveLossesTest.java
+++ b/fleet/src/test/java/dewplank/register/SuccessiveLossesTest.java
@@ -59,7 +59,7 @@
             }
             List<Acceptor> wanted = new ArrayList<>(set.isJoint() ? set.joining() : set.members());
             wanted.replaceAll(each -> each.equals(old) ? by : each);
-            fleet.replace(process(at), set.generation(), wanted, PATIENCE, outcome -> { });
+            fleet.replace(process(at), set.generation(), wanted, PATIENCE, outcome -> {});
             fleet.events().playUntil(fleet.now() + PAUSE);
         }
         Assertions.fail("the lost acceptor is not replaced");
@@ -85,7 +85,8 @@
 
     private void checkReach(int moment, int last) {
         if (moment == 0 || moment == last) {
-            Assertions.assertEquals(moment == 0 ? 0 : 2, process(1).register().acceptors().generation());
+            Assertions.assertEquals(
+                    moment == 0 ? 0 : 2, process(1).register().acceptors().generation());
         }
     }
 
@@ -101,8 +102,15 @@
             begin(5, 3);
             change(1);
             Acceptor leaving = process(0).acceptor();
-            fleet.replace(process(1), 0, List.of(process(3).acceptor(), process(1).acceptor(),
-                process(2).acceptor()), PATIENCE, outcome -> { });
+            fleet.replace(
+                    process(1),
+                    0,
+                    List.of(
+                            process(3).acceptor(),
+                            process(1).acceptor(),
+                            process(2).acceptor()),
+                    PATIENCE,
+                    outcome -> {});
             play(moment);
             checkReach(moment, MOMENTS - 1);
             Acceptor lost = lose(1);
@@ -144,7 +152,7 @@
             for (int index = 1; index < 5; index++) {
                 wanted.add(process(index).acceptor());
             }
-            fleet.replace(process(1), 0, wanted, PATIENCE, outcome -> { });
+            fleet.replace(process(1), 0, wanted, PATIENCE, outcome -> {});
             play(moment);
             checkReach(moment, MOMENTS - 3);
             Acceptor first = lose(1);
@@ -173,8 +181,12 @@
         fleet.network().cut(process(0).address(), process(3).address());
         fleet.network().cut(process(1).address(), process(3).address());
         fleet.network().cut(process(2).address(), process(3).address());
-        fleet.replace(process(1), 0, List.of(process(3).acceptor(), process(1).acceptor(), process(2).acceptor()),
-            PATIENCE, outcome -> { });
+        fleet.replace(
+                process(1),
+                0,
+                List.of(process(3).acceptor(), process(1).acceptor(), process(2).acceptor()),
+                PATIENCE,
+                outcome -> {});
         while (process(1).register().acceptors().generation() < 2) {
             Assertions.assertTrue(fleet.events().playOne(Double.MAX_VALUE));
         }
--- a/fleet/src/test/java/dewplank/register/Troubles.java
+++ b/fleet/src/test/java/dewplank/register/Troubles.java
@@ -133,7 +133,8 @@
         AcceptorSet set = newestSet(asked);
         fleet.replace(asked, set.generation(), withoutLost(set), PATIENCE, outcome -> {
             boolean confirmed = outcome instanceof Outcome.Confirmed;
-            if (confirmed && !((Outcome.Confirmed) outcome).value().acceptors().all().contains(lost)) {
+            if (confirmed
+                    && !((Outcome.Confirmed) outcome).value().acceptors().all().contains(lost)) {
                 wiped = null;
             } else {
                 replaceLost();
@@ -165,6 +166,6 @@
                 wanted.add(process.acceptor());
             }
         }
-        fleet.replace(asked, wanted, PATIENCE, outcome -> { });
+        fleet.replace(asked, wanted, PATIENCE, outcome -> {});
     }
 }
--- a/fleet/src/test/java/dewplank/register/VersionHistory.java
+++ b/fleet/src/test/java/dewplank/register/VersionHistory.java
@@ -9,8 +9,7 @@
     static final String TAKEN = "taken";
     static final String REFUSED = "refused";
 
-    private VersionHistory() {
-    }
+    private VersionHistory() {}
 
     static List<Integer> read(byte[] payload) {
         List<Integer> versions = new ArrayList<>();
--- a/fleet/src/test/java/dewplank/routing/RetryBudgetTest.java
+++ b/fleet/src/test/java/dewplank/routing/RetryBudgetTest.java
@@ -60,8 +60,8 @@
      * both sides of a cut. All ask for all that they may have.
      */
     @Property(tries = 200)
-    void theFleetKeepsToTheBudgetWhileListsAreShort(@ForAll @IntRange(min = 2, max = 12) int sidecars,
-                                                    @ForAll @LongRange long seed) {
+    void theFleetKeepsToTheBudgetWhileListsAreShort(
+            @ForAll @IntRange(min = 2, max = 12) int sidecars, @ForAll @LongRange long seed) {
         java.util.SplittableRandom random = new java.util.SplittableRandom(seed);
         List<RetryBudget> budgets = new ArrayList<>();
         List<FleetSize> sizes = new ArrayList<>();
@@ -69,7 +69,7 @@
             budgets.add(new RetryBudget(RATIO, WINDOW_MS, SLACK));
             sizes.add(new FleetSize(WINDOW_MS));
         }
-        double wholeFrom = 0.2 * WINDOW_MS * random.nextDouble();   // all sessions stand: by then all are told of all
+        double wholeFrom = 0.2 * WINDOW_MS * random.nextDouble(); // all sessions stand: by then all are told of all
         double cutFrom = WINDOW_MS + 2 * WINDOW_MS * random.nextDouble();
         double cutTo = cutFrom + 4 * WINDOW_MS * random.nextDouble();
         List<Double> repeats = new ArrayList<>();
--- a/fleet/src/test/java/dewplank/routing/ServerChoiceTest.java
+++ b/fleet/src/test/java/dewplank/routing/ServerChoiceTest.java
@@ -115,8 +115,8 @@
     void theHomeOfAPrefixIsTakenUnlessItIsBusierByMoreThanItSpares() {
         List<ServerState> servers = servers(3);
         ServerState home = PrefixAffinity.home("5c1e07a2", servers);
-        ServerChoice.Query query = new ServerChoice.Query(servers, s -> true, s -> (double) s.tokensInFlight(), home,
-            1_000, false);
+        ServerChoice.Query query =
+                new ServerChoice.Query(servers, s -> true, s -> (double) s.tokensInFlight(), home, 1_000, false);
         home.began(0, 900);
         assertEquals(home, choice.pick(0, query));
         home.began(0, 200);
--- a/lab/src/main/java/dewplank/lab/Auditor.java
+++ b/lab/src/main/java/dewplank/lab/Auditor.java
@@ -24,12 +24,22 @@
 
     /** What was broken. */
     public enum Rule {
-        ANSWERED_TWICE, NOT_ANSWERED, ANSWERED_LATE, LOST, WRONG_ANSWER, SENT_TWICE, EFFECT_TWICE, REFUSED_AFTER_RUN,
-        KEYED_TOO_LATE, KEYED_ELSEWHERE, SENT_TO_DRAINED, COLD_PUSHED_OVER
+        ANSWERED_TWICE,
+        NOT_ANSWERED,
+        ANSWERED_LATE,
+        LOST,
+        WRONG_ANSWER,
+        SENT_TWICE,
+        EFFECT_TWICE,
+        REFUSED_AFTER_RUN,
+        KEYED_TOO_LATE,
+        KEYED_ELSEWHERE,
+        SENT_TO_DRAINED,
+        COLD_PUSHED_OVER
     }
 
     /** One finding; {@code line}: all that is known of the request, one event a line, in the order of time. */
-    public record Violation(Rule rule, double at, long request, String what, String line) { }
+    public record Violation(Rule rule, double at, long request, String what, String line) {}
 
     private static final int KEPT = 50;
     private static final double REMEMBER_MS = 3_000;
@@ -39,7 +49,7 @@
     private static final class Life {
         final Note asked;
         final List<Note> notes = new ArrayList<>(8);
-        final Map<Integer, Integer> received = new HashMap<>(4);   // by server; those turned away are taken off
+        final Map<Integer, Integer> received = new HashMap<>(4); // by server; those turned away are taken off
         double firstRunAt = Double.NaN;
         int firstServer = -1;
         int ran;
@@ -55,7 +65,7 @@
         }
     }
 
-    private record Push(double at, double work, boolean told) { }
+    private record Push(double at, double work, boolean told) {}
 
     private final Scenario scenario;
     private final double slackMs;
@@ -100,9 +110,11 @@
     }
 
     public String verdict() {
-        return counts.isEmpty() ? "kept all rules (" + asked + " requests)" : counts.entrySet().stream()
-            .map(e -> e.getKey().name().toLowerCase(Locale.ROOT).replace('_', ' ') + ": " + e.getValue())
-            .collect(Collectors.joining(", ", "broken: ", ""));
+        return counts.isEmpty()
+                ? "kept all rules (" + asked + " requests)"
+                : counts.entrySet().stream()
+                        .map(e -> e.getKey().name().toLowerCase(Locale.ROOT).replace('_', ' ') + ": " + e.getValue())
+                        .collect(Collectors.joining(", ", "broken: ", ""));
     }
 
     @Override
@@ -125,7 +137,7 @@
                 startedAt.put(n.server(), n.at());
                 pushes.put(n.server(), new ArrayDeque<>());
             }
-            case SERVER_DOWN -> { }
+            case SERVER_DOWN -> {}
             case SERVER_FELL -> fell(n);
         }
     }
@@ -189,7 +201,7 @@
             broken(Rule.ANSWERED_TWICE, life, n, "it had an answer before");
         }
         if (life.answers > 1) {
-            return;   // one that was on its way when the client left
+            return; // one that was on its way when the client left
         }
         double until = life.asked.value() + scenario.rules().answerSlackMs() + slackMs;
         switch (n.what()) {
@@ -205,13 +217,20 @@
             }
             default -> {
                 if (n.at() > until) {
-                    broken(Rule.ANSWERED_LATE, life, n, "%.0f ms after its time".formatted(n.at() - life.asked.value()));
+                    broken(
+                            Rule.ANSWERED_LATE,
+                            life,
+                            n,
+                            "%.0f ms after its time".formatted(n.at() - life.asked.value()));
                 }
             }
         }
         if (n.what() == What.SERVED && (n.value() != n.request() || !life.everReceived)) {
-            broken(Rule.WRONG_ANSWER, life, n, life.everReceived ? "the answer was made for another request"
-                : "no server ever had it");
+            broken(
+                    Rule.WRONG_ANSWER,
+                    life,
+                    n,
+                    life.everReceived ? "the answer was made for another request" : "no server ever had it");
         }
         if (n.what() == What.REFUSED) {
             life.refused = true;
@@ -316,8 +335,12 @@
         double all = own.stream().mapToDouble(Push::work).sum();
         double told = own.stream().filter(Push::told).mapToDouble(Push::work).sum();
         if (all > 0 && told >= TOLD_PART * all) {
-            broken(Rule.COLD_PUSHED_OVER, null, n, "server %d got %.0f ms of work in %.1f s, %.0f %% from those told"
-                .formatted(n.server(), all, scenario.rules().fallMs() / 1000, 100 * told / all));
+            broken(
+                    Rule.COLD_PUSHED_OVER,
+                    null,
+                    n,
+                    "server %d got %.0f ms of work in %.1f s, %.0f %% from those told"
+                            .formatted(n.server(), all, scenario.rules().fallMs() / 1000, 100 * told / all));
         }
     }
 
@@ -326,14 +349,23 @@
     private void broken(Rule rule, Life life, Note n, String what) {
         counts.merge(rule, 1, Integer::sum);
         if (kept.size() < KEPT) {
-            kept.add(new Violation(rule, n.at(), n.request(), what, life == null ? line(n) : life.notes.stream()
-                .map(Auditor::line).collect(Collectors.joining("\n"))));
+            kept.add(new Violation(
+                    rule,
+                    n.at(),
+                    n.request(),
+                    what,
+                    life == null
+                            ? line(n)
+                            : life.notes.stream().map(Auditor::line).collect(Collectors.joining("\n"))));
         }
     }
 
     private static String line(Note n) {
-        StringBuilder text = new StringBuilder(String.format(Locale.ROOT, "%12.3f  %-13s", n.at(),
-            n.what().name().toLowerCase(Locale.ROOT).replace('_', ' ')));
+        StringBuilder text = new StringBuilder(String.format(
+                Locale.ROOT,
+                "%12.3f  %-13s",
+                n.at(),
+                n.what().name().toLowerCase(Locale.ROOT).replace('_', ' ')));
         if (n.request() >= 0) {
             text.append(" request ").append(n.request());
         }
--- a/lab/src/main/java/dewplank/lab/Comparison.java
+++ b/lab/src/main/java/dewplank/lab/Comparison.java
@@ -14,9 +14,9 @@
  */
 public final class Comparison {
     /** {@code difference}: of the second to the first. */
-    public record Row(String place, String first, String second, Statistics difference, Statistics of, Statistics to) { }
+    public record Row(String place, String first, String second, Statistics difference, Statistics of, Statistics to) {}
 
-    private Comparison() { }
+    private Comparison() {}
 
     /** Pairs runs of the same policy in two folders. */
     public static List<Row> folders(List<Result> a, List<Result> b, String figure) {
@@ -58,24 +58,45 @@
             Result other = byWorld.get(r.world());
             if (other != null) {
                 pairs.computeIfAbsent(r.place(), p -> new ArrayList<>())
-                    .add(new double[] {other.figure(figure), r.figure(figure)});
+                        .add(new double[] {other.figure(figure), r.figure(figure)});
             }
         }
         List<Row> rows = new ArrayList<>();
-        pairs.forEach((place, values) -> rows.add(new Row(place, first, second,
-            Statistics.of(values.stream().map(v -> v[1] - v[0]).toList()),
-            Statistics.of(values.stream().map(v -> v[0]).toList()), Statistics.of(values.stream().map(v -> v[1]).toList()))));
+        pairs.forEach((place, values) -> rows.add(new Row(
+                place,
+                first,
+                second,
+                Statistics.of(values.stream().map(v -> v[1] - v[0]).toList()),
+                Statistics.of(values.stream().map(v -> v[0]).toList()),
+                Statistics.of(values.stream().map(v -> v[1]).toList()))));
         return rows;
     }
 
     /** A table for a terminal; a star marks differences that are more than chance. */
     public static String table(List<Row> rows, String figure) {
-        StringBuilder text = new StringBuilder(String.format(Locale.ROOT, "%-34s %-18s %-18s %9s %9s %9s %9s  n%n", "scenario",
-            "first", "second", figure + " 1", figure + " 2", "change", "+-"));
+        StringBuilder text = new StringBuilder(String.format(
+                Locale.ROOT,
+                "%-34s %-18s %-18s %9s %9s %9s %9s  n%n",
+                "scenario",
+                "first",
+                "second",
+                figure + " 1",
+                figure + " 2",
+                "change",
+                "+-"));
         for (Row r : rows) {
-            text.append(String.format(Locale.ROOT, "%-34s %-18s %-18s %9.4f %9.4f %+9.4f %9.4f %2d%s%n", r.place(), r.first(),
-                r.second(), r.of().mean(), r.to().mean(), r.difference().mean(), r.difference().half(),
-                r.difference().n(), r.difference().differs() ? " *" : ""));
+            text.append(String.format(
+                    Locale.ROOT,
+                    "%-34s %-18s %-18s %9.4f %9.4f %+9.4f %9.4f %2d%s%n",
+                    r.place(),
+                    r.first(),
+                    r.second(),
+                    r.of().mean(),
+                    r.to().mean(),
+                    r.difference().mean(),
+                    r.difference().half(),
+                    r.difference().n(),
+                    r.difference().differs() ? " *" : ""));
         }
         return text.toString();
     }
--- a/lab/src/main/java/dewplank/lab/Experiment.java
+++ b/lab/src/main/java/dewplank/lab/Experiment.java
@@ -17,14 +17,14 @@
  * What is to be run: every scenario with every value of what is varied, every policy and every seed. All of it is read
  * and checked before anything runs.
  */
-public record Experiment(String name, String about, List<Cell> cells, List<String> policies, List<Long> seeds,
-                         String baseline) {
+public record Experiment(
+        String name, String about, List<Cell> cells, List<String> policies, List<Long> seeds, String baseline) {
 
     /** One world without its seed. */
-    public record Cell(String scenarioName, String parameters, Scenario scenario) { }
+    public record Cell(String scenarioName, String parameters, Scenario scenario) {}
 
     /** One run. */
-    public record Job(Cell cell, String policy, long seed) { }
+    public record Job(Cell cell, String policy, long seed) {}
 
     private static final int MOST_SEEDS = 10_000;
 
@@ -81,10 +81,13 @@
         }
         String parameter = varied.get(0).getKey();
         for (double value : varied.get(0).getValue()) {
-            String text = value == Math.rint(value) ? Long.toString((long) value) : String.format(Locale.ROOT, "%s", value);
+            String text =
+                    value == Math.rint(value) ? Long.toString((long) value) : String.format(Locale.ROOT, "%s", value);
             String parameters = (cell.parameters().isEmpty() ? "" : cell.parameters() + " ") + parameter + "=" + text;
-            expand(new Cell(cell.scenarioName(), parameters, cell.scenario().with(parameter, value)),
-                varied.subList(1, varied.size()), into);
+            expand(
+                    new Cell(cell.scenarioName(), parameters, cell.scenario().with(parameter, value)),
+                    varied.subList(1, varied.size()),
+                    into);
         }
     }
 
--- a/lab/src/main/java/dewplank/lab/LiveTrial.java
+++ b/lab/src/main/java/dewplank/lab/LiveTrial.java
@@ -2,7 +2,6 @@
 
 import dewplank.emulator.Clients;
 import dewplank.emulator.Note;
-import dewplank.emulator.Note.What;
 import dewplank.emulator.Scenario;
 import dewplank.emulator.Server;
 import dewplank.emulator.World;
@@ -17,6 +16,7 @@
 public final class LiveTrial implements LoopbackRun.Observer {
     /** On sockets each time limit is longer by so much, as the platform's protocol has it. */
     private static final double SLACK_MS = 50;
+
     private static final double LINE_MS = 1_000;
 
     private final Scenario scenario;
@@ -52,13 +52,25 @@
             trial.auditor.end(trial.world.now());
             if (outcome.unsound()) {
                 lines.accept("UNSOUND: the emulator itself ran late, by %.0f ms at the most; run it on quieter cores"
-                    .formatted(outcome.latestMs()));
+                        .formatted(outcome.latestMs()));
             }
             if (scenario.messages().given()) {
-                lines.accept(outcome.messages() + " datagrams between sidecars, " + outcome.messagesLost() + " more were lost");
+                lines.accept(outcome.messages() + " datagrams between sidecars, " + outcome.messagesLost()
+                        + " more were lost");
             }
-            return new Trial(trial.service, trial.auditor, new Cost(0, outcome.sends(), 0, outcome.handshakes(),
-                outcome.directoryCalls(), outcome.directoryLines(), 0), outcome.unsound(), null);
+            return new Trial(
+                    trial.service,
+                    trial.auditor,
+                    new Cost(
+                            0,
+                            outcome.sends(),
+                            0,
+                            outcome.handshakes(),
+                            outcome.directoryCalls(),
+                            outcome.directoryLines(),
+                            0),
+                    outcome.unsound(),
+                    null);
         }
     }
 
@@ -85,7 +97,7 @@
             case SERVER_FELL -> event("server " + n.server() + " broke down, cold, under too much work");
             case SERVER_STARTED -> event("server " + n.server() + " came back, cold");
             case SIDECAR_KILLED -> event("sidecar " + n.sidecar() + " was killed");
-            default -> { }
+            default -> {}
         }
     }
 
@@ -96,9 +108,19 @@
     }
 
     private void line() {
-        long up = world.servers.stream().filter(s -> s.state() == Server.State.UP).count();
-        lines.accept(String.format(Locale.ROOT, "%6d %6d %7d %8d %7d %6d %6d of %d", ++second, asked, served, refused, others,
-            sends, up, world.servers.size()));
+        long up =
+                world.servers.stream().filter(s -> s.state() == Server.State.UP).count();
+        lines.accept(String.format(
+                Locale.ROOT,
+                "%6d %6d %7d %8d %7d %6d %6d of %d",
+                ++second,
+                asked,
+                served,
+                refused,
+                others,
+                sends,
+                up,
+                world.servers.size()));
         asked = served = refused = others = sends = 0;
         if (world.now() - begun < scenario.lengthMs() + LINE_MS / 2) {
             world.later(LINE_MS, this::line);
--- a/lab/src/main/java/dewplank/lab/LossSplit.java
+++ b/lab/src/main/java/dewplank/lab/LossSplit.java
@@ -51,7 +51,7 @@
     private final Note.Recorder recorder;
     private final Clients.Tally tally;
     private final Map<Long, Open> open = new HashMap<>();
-    private final Map<Cause, double[]> lost = new EnumMap<>(Cause.class);   // by class, worth
+    private final Map<Cause, double[]> lost = new EnumMap<>(Cause.class); // by class, worth
     private World world;
     private Note last;
     private Open lastOpen;
@@ -86,7 +86,7 @@
                     lastOpen.roomAtRefusal = room(n);
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 
@@ -107,7 +107,8 @@
         Scenario.Kind k = scenario.classes().get(kind);
         asked += k.worth();
         if (!(tookMs <= k.aimMs())) {
-            lost.computeIfAbsent(cause(tries), c -> new double[scenario.classes().size()])[kind] += k.worth();
+            lost.computeIfAbsent(
+                            cause(tries), c -> new double[scenario.classes().size()])[kind] += k.worth();
         }
     }
 
@@ -115,8 +116,9 @@
         int received = lastOpen == null ? 0 : lastOpen.received;
         return switch (last.what()) {
             case SERVED -> tries > 1 ? Cause.LATE_RETRIED : Cause.LATE_FIRST;
-            case REFUSED -> received > 0 ? Cause.REFUSED_AFTER_ATTEMPTS
-                : lastOpen != null && lastOpen.roomAtRefusal ? Cause.REFUSED_NEEDLESSLY : Cause.REFUSED_NO_ROOM;
+            case REFUSED -> received > 0
+                    ? Cause.REFUSED_AFTER_ATTEMPTS
+                    : lastOpen != null && lastOpen.roomAtRefusal ? Cause.REFUSED_NEEDLESSLY : Cause.REFUSED_NO_ROOM;
             case FAILED -> received > 0 ? Cause.FAILED_SENT : Cause.FAILED_UNSENT;
             case UNREACHABLE -> Cause.UNREACHABLE;
             default -> Cause.LEFT;
@@ -140,8 +142,11 @@
         scenario.classNames().forEach(n -> text.append(String.format(Locale.ROOT, " %10s", n)));
         text.append('\n');
         parts().forEach((cause, part) -> {
-            text.append(String.format(Locale.ROOT, "%-24s %8.2f", cause.name().toLowerCase(Locale.ROOT).replace('_', ' '),
-                100 * part));
+            text.append(String.format(
+                    Locale.ROOT,
+                    "%-24s %8.2f",
+                    cause.name().toLowerCase(Locale.ROOT).replace('_', ' '),
+                    100 * part));
             for (double worth : lost.get(cause)) {
                 text.append(String.format(Locale.ROOT, " %10.2f", 100 * worth / asked));
             }
--- a/lab/src/main/java/dewplank/lab/Report.java
+++ b/lab/src/main/java/dewplank/lab/Report.java
@@ -30,28 +30,46 @@
 public final class Report {
     private static final int WIDTH = 900;
     private static final int HEIGHT = 420;
-    private static final List<String> COLUMNS = List.of("service", "worst_class", "worst_spell", "refused", "failed",
-        "tries_each", "sends_each", "p50_ms", "p99_ms", "violations");
+    private static final List<String> COLUMNS = List.of(
+            "service",
+            "worst_class",
+            "worst_spell",
+            "refused",
+            "failed",
+            "tries_each",
+            "sends_each",
+            "p50_ms",
+            "p99_ms",
+            "violations");
 
-    private Report() { }
+    private Report() {}
 
     public static void write(List<Result> results, String title, String about, String baseline, Path file)
             throws IOException {
         StringBuilder html = new StringBuilder("<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>")
-            .append(escape(title)).append("</title><style>body{font:15px/1.5 sans-serif;max-width:60em;margin:2em auto;"
-                + "padding:0 1em;color:#222}table{border-collapse:collapse;margin:1em 0}td,th{padding:.2em .7em;"
-                + "border-bottom:1px solid #ddd;text-align:right;font-variant-numeric:tabular-nums}td:first-child,"
-                + "th:first-child{text-align:left}.bad{background:#fdd}.best{font-weight:bold}svg{max-width:100%;"
-                + "height:auto}</style></head><body><h1>").append(escape(title)).append("</h1><p>").append(escape(about))
-            .append("</p><p>").append(results.size()).append(" runs. Service: worth answered within its aim, over the worth "
-                + "asked for. Means over seeds, with 95 % intervals (Student's t).</p>");
+                .append(escape(title))
+                .append("</title><style>body{font:15px/1.5 sans-serif;max-width:60em;margin:2em auto;"
+                        + "padding:0 1em;color:#222}table{border-collapse:collapse;margin:1em 0}td,th{padding:.2em .7em;"
+                        + "border-bottom:1px solid #ddd;text-align:right;font-variant-numeric:tabular-nums}td:first-child,"
+                        + "th:first-child{text-align:left}.bad{background:#fdd}.best{font-weight:bold}svg{max-width:100%;"
+                        + "height:auto}</style></head><body><h1>")
+                .append(escape(title))
+                .append("</h1><p>")
+                .append(escape(about))
+                .append("</p><p>")
+                .append(results.size())
+                .append(" runs. Service: worth answered within its aim, over the worth "
+                        + "asked for. Means over seeds, with 95 % intervals (Student's t).</p>");
         html.append(chartOf(results));
         html.append(overview(results));
         if (Comparison.policies(results).size() > 1) {
             html.append("<h2>Against ").append(escape(baseline)).append("</h2>").append(differences(results, baseline));
         }
         for (Map.Entry<String, List<Result>> scenario : byPlace(results).entrySet()) {
-            html.append("<h2>").append(escape(scenario.getKey())).append("</h2>").append(table(scenario.getValue()));
+            html.append("<h2>")
+                    .append(escape(scenario.getKey()))
+                    .append("</h2>")
+                    .append(table(scenario.getValue()));
         }
         html.append("</body></html>\n");
         Files.writeString(file, html.toString());
@@ -59,12 +77,16 @@
 
     private static Map<String, List<Result>> byPlace(List<Result> results) {
         Map<String, List<Result>> by = new LinkedHashMap<>();
-        results.forEach(r -> by.computeIfAbsent(r.place(), p -> new ArrayList<>()).add(r));
+        results.forEach(
+                r -> by.computeIfAbsent(r.place(), p -> new ArrayList<>()).add(r));
         return by;
     }
 
     private static Statistics of(List<Result> results, String policy, String figure) {
-        return Statistics.of(results.stream().filter(r -> r.policy().equals(policy)).map(r -> r.figure(figure)).toList());
+        return Statistics.of(results.stream()
+                .filter(r -> r.policy().equals(policy))
+                .map(r -> r.figure(figure))
+                .toList());
     }
 
     private static String overview(List<Result> results) {
@@ -74,30 +96,47 @@
         html.append("</tr>");
         byPlace(results).forEach((place, runs) -> {
             html.append("<tr><td>").append(escape(place)).append("</td>");
-            double best = policies.stream().filter(p -> !p.equals("oracle")).mapToDouble(p -> of(runs, p, "service").mean())
-                .max().orElse(0);
+            double best = policies.stream()
+                    .filter(p -> !p.equals("oracle"))
+                    .mapToDouble(p -> of(runs, p, "service").mean())
+                    .max()
+                    .orElse(0);
             for (String p : policies) {
                 Statistics s = of(runs, p, "service");
                 boolean broken = of(runs, p, "violations").most() > 0;
-                html.append("<td class=\"").append(broken ? "bad" : s.mean() >= best ? "best" : "").append("\">")
-                    .append(number(s.mean())).append(Double.isNaN(s.half()) ? "" : " &plusmn; " + number(s.half()))
-                    .append("</td>");
+                html.append("<td class=\"")
+                        .append(broken ? "bad" : s.mean() >= best ? "best" : "")
+                        .append("\">")
+                        .append(number(s.mean()))
+                        .append(Double.isNaN(s.half()) ? "" : " &plusmn; " + number(s.half()))
+                        .append("</td>");
             }
             html.append("</tr>");
         });
         return html.append("</table><p>Bold: the best that does not see the true state. Red: a rule was broken.</p>")
-            .toString();
+                .toString();
     }
 
     private static String differences(List<Result> results, String baseline) {
-        StringBuilder html = new StringBuilder("<table><tr><th>scenario</th><th>policy</th><th>service</th><th>less the "
-            + "baseline's</th><th>&plusmn;</th><th>pairs</th></tr>");
+        StringBuilder html =
+                new StringBuilder("<table><tr><th>scenario</th><th>policy</th><th>service</th><th>less the "
+                        + "baseline's</th><th>&plusmn;</th><th>pairs</th></tr>");
         for (Comparison.Row r : Comparison.policies(results, baseline, "service")) {
-            html.append("<tr><td>").append(escape(r.place())).append("</td><td>").append(escape(r.second()))
-                .append("</td><td>").append(number(r.to().mean())).append("</td><td class=\"")
-                .append(r.difference().differs() ? "best" : "").append("\">").append(signed(r.difference().mean()))
-                .append("</td><td>").append(number(r.difference().half())).append("</td><td>").append(r.difference().n())
-                .append("</td></tr>");
+            html.append("<tr><td>")
+                    .append(escape(r.place()))
+                    .append("</td><td>")
+                    .append(escape(r.second()))
+                    .append("</td><td>")
+                    .append(number(r.to().mean()))
+                    .append("</td><td class=\"")
+                    .append(r.difference().differs() ? "best" : "")
+                    .append("\">")
+                    .append(signed(r.difference().mean()))
+                    .append("</td><td>")
+                    .append(number(r.difference().half()))
+                    .append("</td><td>")
+                    .append(r.difference().n())
+                    .append("</td></tr>");
         }
         return html.append("</table>").toString();
     }
@@ -110,8 +149,11 @@
             html.append("<tr><td>").append(escape(p)).append("</td>");
             for (String c : COLUMNS) {
                 Statistics s = of(runs, p, c);
-                html.append("<td class=\"").append(c.equals("violations") && s.most() > 0 ? "bad" : "").append("\">")
-                    .append(number(s.mean())).append("</td>");
+                html.append("<td class=\"")
+                        .append(c.equals("violations") && s.most() > 0 ? "bad" : "")
+                        .append("\">")
+                        .append(number(s.mean()))
+                        .append("</td>");
             }
             html.append("</tr>");
         }
@@ -131,15 +173,20 @@
         Set<String> scenarios = new LinkedHashSet<>();
         results.forEach(r -> scenarios.add(r.scenario()));
         for (String s : scenarios) {
-            html.append(svg(lines(results.stream().filter(r -> r.scenario().equals(s)).toList(), s)));
+            html.append(svg(
+                    lines(results.stream().filter(r -> r.scenario().equals(s)).toList(), s)));
         }
         return html.toString();
     }
 
     private static CategoryChart bars(List<Result> results) {
         Map<String, List<Result>> places = byPlace(results);
-        CategoryChart chart = new CategoryChartBuilder().width(WIDTH).height(HEIGHT).title("Service by scenario")
-            .yAxisTitle("service").build();
+        CategoryChart chart = new CategoryChartBuilder()
+                .width(WIDTH)
+                .height(HEIGHT)
+                .title("Service by scenario")
+                .yAxisTitle("service")
+                .build();
         style(chart.getStyler());
         chart.getStyler().setAvailableSpaceFill(0.8).setXAxisLabelRotation(45);
         for (String p : Comparison.policies(results)) {
@@ -156,20 +203,30 @@
     }
 
     private static void style(AxesChartStyler styler) {
-        styler.setYAxisMin(0.0).setYAxisMax(1.0).setPlotBorderVisible(false).setChartBackgroundColor(Color.WHITE)
-            .setLegendPosition(LegendPosition.OutsideS).setLegendLayout(LegendLayout.Horizontal)
-            .setLegendBorderColor(Color.WHITE);
+        styler.setYAxisMin(0.0)
+                .setYAxisMax(1.0)
+                .setPlotBorderVisible(false)
+                .setChartBackgroundColor(Color.WHITE)
+                .setLegendPosition(LegendPosition.OutsideS)
+                .setLegendLayout(LegendLayout.Horizontal)
+                .setLegendBorderColor(Color.WHITE);
     }
 
     private static XYChart lines(List<Result> results, String scenario) {
         String parameter = results.get(0).parameters().replaceAll("=.*", "");
-        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(scenario).xAxisTitle(parameter)
-            .yAxisTitle("service").build();
+        XYChart chart = new XYChartBuilder()
+                .width(WIDTH)
+                .height(HEIGHT)
+                .title(scenario)
+                .xAxisTitle(parameter)
+                .yAxisTitle("service")
+                .build();
         style(chart.getStyler());
         for (String p : Comparison.policies(results)) {
             Map<Double, List<Result>> by = new TreeMap<>();
-            results.stream().filter(r -> r.policy().equals(p)).forEach(r -> by
-                .computeIfAbsent(Double.parseDouble(r.parameters().replaceAll(".*=", "")), v -> new ArrayList<>()).add(r));
+            results.stream().filter(r -> r.policy().equals(p)).forEach(r -> by.computeIfAbsent(
+                            Double.parseDouble(r.parameters().replaceAll(".*=", "")), v -> new ArrayList<>())
+                    .add(r));
             List<Double> means = new ArrayList<>();
             List<Double> halves = new ArrayList<>();
             by.values().forEach(runs -> {
@@ -184,8 +241,13 @@
 
     /** Service second by second, for one run. */
     static XYChart timeLine(Service service, String title) {
-        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).xAxisTitle("second")
-            .yAxisTitle("service").build();
+        XYChart chart = new XYChartBuilder()
+                .width(WIDTH)
+                .height(HEIGHT)
+                .title(title)
+                .xAxisTitle("second")
+                .yAxisTitle("service")
+                .build();
         style(chart.getStyler());
         chart.getStyler().setLegendVisible(false);
         List<Double> at = new ArrayList<>();
@@ -207,14 +269,15 @@
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         VectorGraphicsEncoder.saveVectorGraphic(chart, out, VectorGraphicsFormat.SVG);
         String svg = out.toString(StandardCharsets.UTF_8);
-        return svg.substring(svg.indexOf("<svg"));   // inside HTML there is no XML declaration
+        return svg.substring(svg.indexOf("<svg")); // inside HTML there is no XML declaration
     }
 
     private static String number(double value) {
         if (Double.isNaN(value)) {
             return "";
         }
-        return String.format(Locale.ROOT, Math.abs(value) >= 100 ? "%.0f" : Math.abs(value) >= 10 ? "%.1f" : "%.3f", value);
+        return String.format(
+                Locale.ROOT, Math.abs(value) >= 100 ? "%.0f" : Math.abs(value) >= 10 ? "%.1f" : "%.3f", value);
     }
 
     private static String signed(double value) {
@@ -222,6 +285,9 @@
     }
 
     private static String escape(String text) {
-        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
+        return text.replace("&", "&amp;")
+                .replace("<", "&lt;")
+                .replace(">", "&gt;")
+                .replace("\"", "&quot;");
     }
 }
--- a/lab/src/main/java/dewplank/lab/Result.java
+++ b/lab/src/main/java/dewplank/lab/Result.java
@@ -12,9 +12,26 @@
  * empty. Figures are held in the order of {@link #FIGURES}; shares are parts of 1, times are milliseconds.
  */
 public record Result(String scenario, String parameters, String policy, long seed, Map<String, Double> figures) {
-    public static final List<String> FIGURES = List.of("service", "worst_class", "worst_spell", "refused", "failed",
-        "tries_each", "sends_each", "p50_ms", "p90_ms", "p99_ms", "requests", "violations", "probes", "handshakes",
-        "directory_calls", "directory_lines", "events", "unsound", "worst_tenant");
+    public static final List<String> FIGURES = List.of(
+            "service",
+            "worst_class",
+            "worst_spell",
+            "refused",
+            "failed",
+            "tries_each",
+            "sends_each",
+            "p50_ms",
+            "p90_ms",
+            "p99_ms",
+            "requests",
+            "violations",
+            "probes",
+            "handshakes",
+            "directory_calls",
+            "directory_lines",
+            "events",
+            "unsound",
+            "worst_tenant");
     private static final int KEYS = 4;
 
     static String header() {
@@ -38,8 +55,11 @@
         StringBuilder line = new StringBuilder(scenario + "," + parameters + "," + policy + "," + seed);
         for (String f : FIGURES) {
             double value = figures.get(f);
-            line.append(',').append(value == Math.rint(value) && Math.abs(value) < 1e12 ? Long.toString((long) value)
-                : String.format(Locale.ROOT, "%.6f", value));
+            line.append(',')
+                    .append(
+                            value == Math.rint(value) && Math.abs(value) < 1e12
+                                    ? Long.toString((long) value)
+                                    : String.format(Locale.ROOT, "%.6f", value));
         }
         return line.toString();
     }
--- a/lab/src/main/java/dewplank/lab/Runner.java
+++ b/lab/src/main/java/dewplank/lab/Runner.java
@@ -62,9 +62,15 @@
                 Result result = results[finished(done.take())];
                 part.write(result.line() + "\n");
                 part.flush();
-                progress.accept("%d of %d: %s %s seed %d: service %.3f%s".formatted(n, jobs.size(), result.place(),
-                    result.policy(), result.seed(), result.figure("service"),
-                    result.figure("violations") > 0 ? ", RULES BROKEN" : ""));
+                progress.accept("%d of %d: %s %s seed %d: service %.3f%s"
+                        .formatted(
+                                n,
+                                jobs.size(),
+                                result.place(),
+                                result.policy(),
+                                result.seed(),
+                                result.figure("service"),
+                                result.figure("violations") > 0 ? ", RULES BROKEN" : ""));
             }
         } finally {
             crew.shutdownNow();
@@ -78,10 +84,12 @@
     private static Result play(Job job) {
         try {
             return Trial.play(job.cell().scenario(), job.policy(), job.seed(), false)
-                .result(job.cell().scenarioName(), job.cell().parameters(), job.policy(), job.seed());
+                    .result(job.cell().scenarioName(), job.cell().parameters(), job.policy(), job.seed());
         } catch (RuntimeException e) {
-            throw new IllegalStateException("scenario " + job.cell().scenarioName() + " " + job.cell().parameters()
-                + ", policy " + job.policy() + ", seed " + job.seed() + ": " + e, e);
+            throw new IllegalStateException(
+                    "scenario " + job.cell().scenarioName() + " " + job.cell().parameters() + ", policy " + job.policy()
+                            + ", seed " + job.seed() + ": " + e,
+                    e);
         }
     }
 
--- a/lab/src/main/java/dewplank/lab/Service.java
+++ b/lab/src/main/java/dewplank/lab/Service.java
@@ -15,12 +15,12 @@
 public final class Service implements Clients.Tally {
     private static final double FROM_MS = 1_000;
     private static final long MOST_US = 600_000_000L;
-    private static final int SPELL = 10;   // seconds that the worst spell lasts
+    private static final int SPELL = 10; // seconds that the worst spell lasts
 
     /** Figures of one class. {@code refused}, {@code failed}: those whose last try ended so. */
     public static final class OfClass {
         final Kind kind;
-        final Histogram latency = new Histogram(MOST_US, 3);   // of those served, microseconds from the first try on
+        final Histogram latency = new Histogram(MOST_US, 3); // of those served, microseconds from the first try on
         long asked;
         long inAim;
         long served;
@@ -48,8 +48,8 @@
     private final double startedAt;
     private final List<OfClass> classes = new ArrayList<>();
     private final Scenario scenario;
-    private final List<double[][]> tenantSeconds = new ArrayList<>();   // by second and tenant: asked, in aim
-    private final List<double[]> seconds = new ArrayList<>();   // worth asked, worth in aim, by the second asked in
+    private final List<double[][]> tenantSeconds = new ArrayList<>(); // by second and tenant: asked, in aim
+    private final List<double[]> seconds = new ArrayList<>(); // worth asked, worth in aim, by the second asked in
 
     public Service(Scenario scenario, double startedAt) {
         this.startedAt = startedAt;
@@ -101,8 +101,11 @@
     }
 
     public double share() {
-        double asked = classes.stream().mapToDouble(c -> c.asked * c.kind.worth()).sum();
-        return asked == 0 ? 1 : classes.stream().mapToDouble(c -> c.inAim * c.kind.worth()).sum() / asked;
+        double asked =
+                classes.stream().mapToDouble(c -> c.asked * c.kind.worth()).sum();
+        return asked == 0
+                ? 1
+                : classes.stream().mapToDouble(c -> c.inAim * c.kind.worth()).sum() / asked;
     }
 
     public double worstClass() {
@@ -115,17 +118,19 @@
      */
     public double worstTenant() {
         double worst = 1;
-        double meanWorth = asked() == 0 ? 1
-            : classes.stream().mapToDouble(c -> c.asked * c.kind.worth()).sum() / asked();
+        double meanWorth = asked() == 0
+                ? 1
+                : classes.stream().mapToDouble(c -> c.asked * c.kind.worth()).sum() / asked();
         for (int t = 0; t < scenario.subjects().tenants().size(); t++) {
             double allowed = scenario.allowancePerS(t) * meanWorth;
             double asked = 0;
             double got = 0;
             for (double[][] second : tenantSeconds.subList(Math.min(1, tenantSeconds.size()), tenantSeconds.size())) {
                 double within = second[t][0] <= 0 ? 0 : Math.min(1, allowed / second[t][0]);
-                double counted = second[t][0] * (within + (1 - within) * scenario.subjects().overShareWorth());
+                double counted = second[t][0]
+                        * (within + (1 - within) * scenario.subjects().overShareWorth());
                 asked += counted;
-                got += Math.min(counted, second[t][1]);   // what is served counts as what is within the share first
+                got += Math.min(counted, second[t][1]); // what is served counts as what is within the share first
             }
             worst = asked > 0 ? Math.min(worst, got / asked) : worst;
         }
--- a/lab/src/main/java/dewplank/lab/Statistics.java
+++ b/lab/src/main/java/dewplank/lab/Statistics.java
@@ -12,8 +12,11 @@
         SummaryStatistics s = new SummaryStatistics();
         values.forEach(s::addValue);
         int n = (int) s.getN();
-        double half = n < 2 ? Double.NaN : new TDistribution(null, n - 1).inverseCumulativeProbability(TAIL)
-            * s.getStandardDeviation() / Math.sqrt(n);
+        double half = n < 2
+                ? Double.NaN
+                : new TDistribution(null, n - 1).inverseCumulativeProbability(TAIL)
+                        * s.getStandardDeviation()
+                        / Math.sqrt(n);
         return new Statistics(n, s.getMean(), half, s.getMin(), s.getMax());
     }
 
--- a/lab/src/main/java/dewplank/lab/bench/DecisionBench.java
+++ b/lab/src/main/java/dewplank/lab/bench/DecisionBench.java
@@ -41,7 +41,7 @@
     private static final double GAP_MS = 0.06;
     private static final double SERVED_MS = 1;
 
-    private record Due(double at, long timer) { }
+    private record Due(double at, long timer) {}
 
     /** Servers listed. */
     @Param({"6", "60", "200", "2000"})
@@ -69,7 +69,8 @@
     }
 
     private static Entry entry(int number, double rating) {
-        return new Entry("server-" + number, number % 2 == 0 ? "a" : "b", "kind", number / 5, Availability.UP, rating, null);
+        return new Entry(
+                "server-" + number, number % 2 == 0 ? "a" : "b", "kind", number / 5, Availability.UP, rating, null);
     }
 
     private void tell(Event event) {
@@ -105,14 +106,24 @@
 
     /** Runs both and returns a table: servers, microseconds, half width of the 99.9 % interval. */
     public static String table(int forks, int seconds) throws RunnerException {
-        Options options = new OptionsBuilder().include(DecisionBench.class.getName()).forks(forks).warmupIterations(3)
-            .warmupTime(TimeValue.seconds(seconds)).measurementIterations(5).measurementTime(TimeValue.seconds(seconds))
-            .jvmArgsAppend("-XX:+UseSerialGC", "-Xmx256m").build();
+        Options options = new OptionsBuilder()
+                .include(DecisionBench.class.getName())
+                .forks(forks)
+                .warmupIterations(3)
+                .warmupTime(TimeValue.seconds(seconds))
+                .measurementIterations(5)
+                .measurementTime(TimeValue.seconds(seconds))
+                .jvmArgsAppend("-XX:+UseSerialGC", "-Xmx256m")
+                .build();
         Collection<RunResult> results = new Runner(options).run();
         StringBuilder text = new StringBuilder("benchmark,servers,microseconds,error\n");
         for (RunResult r : results) {
-            text.append("%s,%s,%.3f,%.3f%n".formatted(r.getPrimaryResult().getLabel(), r.getParams().getParam("servers"),
-                r.getPrimaryResult().getScore(), r.getPrimaryResult().getScoreError()));
+            text.append("%s,%s,%.3f,%.3f%n"
+                    .formatted(
+                            r.getPrimaryResult().getLabel(),
+                            r.getParams().getParam("servers"),
+                            r.getPrimaryResult().getScore(),
+                            r.getPrimaryResult().getScoreError()));
         }
         return text.toString();
     }
--- a/lab/src/main/java/dewplank/lab/load/Arrivals.java
+++ b/lab/src/main/java/dewplank/lab/load/Arrivals.java
@@ -12,7 +12,13 @@
 
     double next();
 
-    enum Shape { POISSON, UNIFORM, BURSTS, RAMP, STEPS }
+    enum Shape {
+        POISSON,
+        UNIFORM,
+        BURSTS,
+        RAMP,
+        STEPS
+    }
 
     /**
      * @param perS     requests a second; at the beginning, where they change
@@ -21,8 +27,14 @@
      * @param swing    in bursts: how much more than {@code perS} it is for one half of a period, and less in the other
      * @param periodMs of bursts
      */
-    record Plan(Shape shape, double perS, double toPerS, List<Double> steps, double swing, double periodMs,
-                double lengthMs) {
+    record Plan(
+            Shape shape,
+            double perS,
+            double toPerS,
+            List<Double> steps,
+            double swing,
+            double periodMs,
+            double lengthMs) {
 
         /** Requests a millisecond, at that time. */
         double rate(double at) {
--- a/lab/src/main/java/dewplank/lab/load/LoadPlan.java
+++ b/lab/src/main/java/dewplank/lab/load/LoadPlan.java
@@ -16,21 +16,40 @@
  * What a load run is to do. {@code trace}: recorded start times in milliseconds, or null; {@code headers}: with
  * {@code {id}} and {@code {class}} to be filled in.
  */
-public record LoadPlan(List<Target> targets, Arrivals.Plan arrivals, double[] trace, List<Kind> kinds,
-                       List<String> headers, int connections, int threads, double timeoutMs, int sources, long seed) {
+public record LoadPlan(
+        List<Target> targets,
+        Arrivals.Plan arrivals,
+        double[] trace,
+        List<Kind> kinds,
+        List<String> headers,
+        int connections,
+        int threads,
+        double timeoutMs,
+        int sources,
+        long seed) {
 
     /** The same for so long at its first rate, to warm up code and connections. */
     public LoadPlan warmUp(double lengthMs) {
-        double perS = arrivals.shape() == Arrivals.Shape.STEPS ? arrivals.steps().get(0) : arrivals.perS();
-        return new LoadPlan(targets, new Arrivals.Plan(Arrivals.Shape.POISSON, perS, 0, List.of(), 0, 1, lengthMs), null, kinds,
-            headers, connections, threads, timeoutMs, sources, seed + 1);
+        double perS =
+                arrivals.shape() == Arrivals.Shape.STEPS ? arrivals.steps().get(0) : arrivals.perS();
+        return new LoadPlan(
+                targets,
+                new Arrivals.Plan(Arrivals.Shape.POISSON, perS, 0, List.of(), 0, 1, lengthMs),
+                null,
+                kinds,
+                headers,
+                connections,
+                threads,
+                timeoutMs,
+                sources,
+                seed + 1);
     }
 
     /** One address, and the path to ask for there. */
-    public record Target(InetSocketAddress address, String host, String path) { }
+    public record Target(InetSocketAddress address, String host, String path) {}
 
     /** A class of requests, drawn by its weight. */
-    public record Kind(String name, double weight, String method, int bodyBytes) { }
+    public record Kind(String name, double weight, String method, int bodyBytes) {}
 
     /** Reads {@code http://host:port/path}. Names are looked up once, before the run. */
     public static Target target(String url) {
@@ -42,8 +61,10 @@
             int port = uri.getPort() < 0 ? 80 : uri.getPort();
             String path = uri.getRawPath() == null || uri.getRawPath().isEmpty() ? "/" : uri.getRawPath();
             String query = uri.getRawQuery() == null ? "" : "?" + uri.getRawQuery();
-            return new Target(new InetSocketAddress(InetAddress.getByName(uri.getHost()), port), uri.getAuthority(),
-                path + query);
+            return new Target(
+                    new InetSocketAddress(InetAddress.getByName(uri.getHost()), port),
+                    uri.getAuthority(),
+                    path + query);
         } catch (URISyntaxException e) {
             throw new BadInput("target " + url + ": " + e.getMessage());
         } catch (UnknownHostException e) {
--- a/lab/src/main/java/dewplank/lab/load/LoadReport.java
+++ b/lab/src/main/java/dewplank/lab/load/LoadReport.java
@@ -13,26 +13,58 @@
 public final class LoadReport {
     private static final List<Double> PERCENTILES = List.of(50.0, 75.0, 90.0, 95.0, 99.0, 99.9, 99.99, 100.0);
 
-    private LoadReport() { }
+    private LoadReport() {}
 
     public static String table(Outcome o) {
-        StringBuilder text = new StringBuilder(String.format(Locale.ROOT, "%-14s %9s %9s %8s %7s %7s %8s %9s %9s %9s %9s%n", "class",
-            "sent", "ok", "refused", "other", "broken", "timeout", "p50 ms", "p99 ms", "p99.9 ms", "max ms"));
+        StringBuilder text = new StringBuilder(String.format(
+                Locale.ROOT,
+                "%-14s %9s %9s %8s %7s %7s %8s %9s %9s %9s %9s%n",
+                "class",
+                "sent",
+                "ok",
+                "refused",
+                "other",
+                "broken",
+                "timeout",
+                "p50 ms",
+                "p99 ms",
+                "p99.9 ms",
+                "max ms"));
         o.kinds().forEach(k -> row(text, k));
         if (o.kinds().size() > 1) {
             row(text, o.all());
         }
-        return text.append(String.format(Locale.ROOT, "%.0f answered a second over %.1f s, %d connections opened, own lag p99 %.2f ms, "
-            + "own loops busy %.2f%n",
-            o.all().answered() / o.tookS(), o.tookS(), o.connectionsOpened(), o.lag().getValueAtPercentile(99) / 1000.0, o.busy()))
-            .append(o.sound() ? "" : "UNSOUND: the tool itself was late or had no time left; give it more threads or less load\n")
-            .toString();
+        return text.append(String.format(
+                        Locale.ROOT,
+                        "%.0f answered a second over %.1f s, %d connections opened, own lag p99 %.2f ms, "
+                                + "own loops busy %.2f%n",
+                        o.all().answered() / o.tookS(),
+                        o.tookS(),
+                        o.connectionsOpened(),
+                        o.lag().getValueAtPercentile(99) / 1000.0,
+                        o.busy()))
+                .append(
+                        o.sound()
+                                ? ""
+                                : "UNSOUND: the tool itself was late or had no time left; give it more threads or less load\n")
+                .toString();
     }
 
     private static void row(StringBuilder text, OfKind k) {
-        text.append(String.format(Locale.ROOT, "%-14s %9d %9d %8d %7d %7d %8d %9.2f %9.2f %9.2f %9.2f%n", k.name, k.sent, k.ok,
-            k.refused, k.otherStatus, k.broken, k.timedOut, ms(k.latency, 50), ms(k.latency, 99), ms(k.latency, 99.9),
-            ms(k.latency, 100)));
+        text.append(String.format(
+                Locale.ROOT,
+                "%-14s %9d %9d %8d %7d %7d %8d %9.2f %9.2f %9.2f %9.2f%n",
+                k.name,
+                k.sent,
+                k.ok,
+                k.refused,
+                k.otherStatus,
+                k.broken,
+                k.timedOut,
+                ms(k.latency, 50),
+                ms(k.latency, 99),
+                ms(k.latency, 99.9),
+                ms(k.latency, 100)));
     }
 
     static double ms(Histogram h, double percentile) {
--- a/lab/src/main/java/dewplank/lab/load/LoadRun.java
+++ b/lab/src/main/java/dewplank/lab/load/LoadRun.java
@@ -100,13 +100,16 @@
 
         Part(int number) throws IOException {
             this.number = number;
-            this.arrivals = plan.trace() != null ? Arrivals.of(plan.trace(), number, plan.threads())
-                : Arrivals.of(plan.arrivals(), number, plan.threads(), plan.seed());
+            this.arrivals = plan.trace() != null
+                    ? Arrivals.of(plan.trace(), number, plan.threads())
+                    : Arrivals.of(plan.arrivals(), number, plan.threads(), plan.seed());
             this.random = new Draws(plan.seed()).stream("kinds", number);
             plan.kinds().forEach(k -> kinds.add(new OfKind(k.name())));
-            int each = Math.max(1, plan.connections() / plan.threads() / plan.targets().size());
+            int each = Math.max(
+                    1, plan.connections() / plan.threads() / plan.targets().size());
             for (int t = 0; t < plan.targets().size(); t++) {
-                clients.add(new HttpClient(loop, plan.targets().get(t).address(), each, sources(number)).forgetBodies());
+                clients.add(
+                        new HttpClient(loop, plan.targets().get(t).address(), each, sources(number)).forgetBodies());
             }
             boolean template = plan.headers().stream().anyMatch(h -> h.contains("{id}"));
             fixed = new ByteBuffer[plan.targets().size()][plan.kinds().size()];
@@ -128,7 +131,7 @@
         /** Sends all that is due, and sleeps until the next is. */
         private void pump() {
             double now = loop.now();
-            lag.recordValue(micros(now - planned));   // a loop that can't keep up comes late to this
+            lag.recordValue(micros(now - planned)); // a loop that can't keep up comes late to this
             while (due <= now) {
                 send(due);
                 due = start + arrivals.next();
@@ -161,8 +164,9 @@
             if (client.waiting() == 0) {
                 lag.recordValue(micros(loop.now() - intended));
             }
-            ByteBuffer bytes = fixed[target][kind] != null ? fixed[target][kind]
-                : request(target, kind, Long.toHexString(((long) number << 48) + ++ids + (plan.seed() << 20)));
+            ByteBuffer bytes = fixed[target][kind] != null
+                    ? fixed[target][kind]
+                    : request(target, kind, Long.toHexString(((long) number << 48) + ++ids + (plan.seed() << 20)));
             HttpClient.Call[] call = new HttpClient.Call[1];
             boolean[] over = new boolean[1];
             call[0] = client.call(bytes, (answer, body) -> {
@@ -242,10 +246,13 @@
         MessageWriter writer = MessageWriter.request(k.method(), t.path(), t.host());
         for (String header : plan.headers()) {
             int colon = header.indexOf(':');
-            writer.header(header.substring(0, colon).strip(),
-                header.substring(colon + 1).strip().replace("{id}", id).replace("{class}", k.name()));
+            writer.header(
+                    header.substring(0, colon).strip(),
+                    header.substring(colon + 1).strip().replace("{id}", id).replace("{class}", k.name()));
         }
-        return k.bodyBytes() == 0 && (k.method().equals("GET") || k.method().equals("HEAD")) ? writer.noBody() : writer.body(new byte[k.bodyBytes()]);
+        return k.bodyBytes() == 0 && (k.method().equals("GET") || k.method().equals("HEAD"))
+                ? writer.noBody()
+                : writer.body(new byte[k.bodyBytes()]);
     }
 
     /** Runs to the end of the plan, and until all is answered or timed out. */
@@ -275,9 +282,13 @@
     private static String line(int second, List<Part> parts) {
         Histogram interval = new Histogram(MOST_US, 3);
         parts.forEach(p -> interval.add(p.recent.getIntervalHistogram()));
-        return "%4d s  %8d answered  p50 %8.2f ms  p99 %8.2f ms  max %8.2f ms".formatted(second, interval.getTotalCount(),
-            interval.getValueAtPercentile(50) / 1000.0, interval.getValueAtPercentile(99) / 1000.0,
-            interval.getMaxValue() / 1000.0);
+        return "%4d s  %8d answered  p50 %8.2f ms  p99 %8.2f ms  max %8.2f ms"
+                .formatted(
+                        second,
+                        interval.getTotalCount(),
+                        interval.getValueAtPercentile(50) / 1000.0,
+                        interval.getValueAtPercentile(99) / 1000.0,
+                        interval.getMaxValue() / 1000.0);
     }
 
     private Outcome merge(List<Part> parts, double took) {
@@ -295,6 +306,7 @@
             lag.add(p.lag);
             opened += p.clients.stream().mapToLong(HttpClient::opened).sum();
         }
-        return new Outcome(kinds, lag, parts.stream().mapToDouble(p -> p.busy).max().orElse(0), took, opened);
+        return new Outcome(
+                kinds, lag, parts.stream().mapToDouble(p -> p.busy).max().orElse(0), took, opened);
     }
 }
--- a/lab/src/main/java/dewplank/lab/policies/Policies.java
+++ b/lab/src/main/java/dewplank/lab/policies/Policies.java
@@ -30,7 +30,7 @@
         ALL.put("oracle", Oracle::new);
     }
 
-    private Policies() { }
+    private Policies() {}
 
     public static List<String> names() {
         return List.copyOf(ALL.keySet());
@@ -120,7 +120,7 @@
                         p.ejectedUntil = now + EJECT_MS * ++p.ejections;
                     }
                 }
-                default -> { }
+                default -> {}
             }
         }
     }
@@ -132,8 +132,9 @@
     private static final class Oracle extends Textbook {
         /** Longer than a message takes within a zone or across: what was sent before has come. */
         private static final double ON_THE_WAY_MS = 3;
+
         private static final Map<World, Map<Server, ArrayDeque<Double>>> ON_THE_WAY =
-            Collections.synchronizedMap(new WeakHashMap<>());
+                Collections.synchronizedMap(new WeakHashMap<>());
 
         private final World world;
         private final Map<Server, ArrayDeque<Double>> onTheWay;
@@ -190,7 +191,10 @@
         boolean refuses(RequestClass rules, Peer best, double leftMs) {
             double aim = Math.min(leftMs, rules.aimMs());
             double density = rules.worth() / works.get(rules.name());
-            double most = settings.classes().stream().mapToDouble(c -> c.worth() / works.get(c.name())).max().orElse(1);
+            double most = settings.classes().stream()
+                    .mapToDouble(c -> c.worth() / works.get(c.name()))
+                    .max()
+                    .orElse(1);
             return soonest > aim * (0.6 + 0.6 * density / most);
         }
     }
--- a/lab/src/main/java/dewplank/lab/policies/Textbook.java
+++ b/lab/src/main/java/dewplank/lab/policies/Textbook.java
@@ -51,7 +51,7 @@
     private final Map<Long, Open> open = new HashMap<>();
     private Consumer<Action> out;
     private boolean watching;
-    private final List<Peer> usable = new ArrayList<>();   // those up, in the list's order
+    private final List<Peer> usable = new ArrayList<>(); // those up, in the list's order
     private boolean anyCold;
 
     Textbook(Settings settings, long seed) {
@@ -64,10 +64,10 @@
     abstract Peer pick(List<Peer> from);
 
     /** What became of an attempt at that server. */
-    void learn(Peer peer, Outcome outcome) { }
+    void learn(Peer peer, Outcome outcome) {}
 
     /** An attempt goes there now. */
-    void sent(Peer peer) { }
+    void sent(Peer peer) {}
 
     /** Whether to refuse at once. */
     boolean refuses(RequestClass rules, Peer best, double leftMs) {
@@ -175,12 +175,15 @@
             open.remove(e.request());
             return;
         }
-        boolean never = e.outcome() == Outcome.FULL || e.outcome() == Outcome.CONNECT_FAILED
-            || e.outcome() == Outcome.NEVER_SENT;
+        boolean never = e.outcome() == Outcome.FULL
+                || e.outcome() == Outcome.CONNECT_FAILED
+                || e.outcome() == Outcome.NEVER_SENT;
         o.mayHaveRun |= !never;
-        boolean may = !o.mayHaveRun || o.rules.effect() == Effect.SAFE
-            || o.rules.effect() == Effect.KEYED && o.rules.scope() == Scope.ALL
-                && now - o.firstSentAt < o.rules.memoryMs();
+        boolean may = !o.mayHaveRun
+                || o.rules.effect() == Effect.SAFE
+                || o.rules.effect() == Effect.KEYED
+                        && o.rules.scope() == Scope.ALL
+                        && now - o.firstSentAt < o.rules.memoryMs();
         if (may && o.attempts < settings.limits().maxAttempts() && now < o.until - 1) {
             attempt(o);
         } else {
--- a/lab/src/test/java/dewplank/lab/AuditorTest.java
+++ b/lab/src/test/java/dewplank/lab/AuditorTest.java
@@ -21,18 +21,20 @@
 /** Eight ways to break a rule, each found; and the real module, with nothing to find on the same days. */
 public class AuditorTest {
     private static final Map<Way, Set<Rule>> FOUND_AS = Map.of(
-        Way.NEVER_ANSWERS, EnumSet.of(Rule.NOT_ANSWERED),
-        Way.RESENDS_ORDERS, EnumSet.of(Rule.SENT_TWICE, Rule.EFFECT_TWICE),
-        Way.REFUSES_AFTER_RUN, EnumSet.of(Rule.REFUSED_AFTER_RUN),
-        Way.KEYED_PAST_WINDOW, EnumSet.of(Rule.KEYED_TOO_LATE, Rule.EFFECT_TWICE),
-        Way.SENDS_TO_DRAINED, EnumSet.of(Rule.SENT_TO_DRAINED),
-        Way.FLOODS_COLD, EnumSet.of(Rule.COLD_PUSHED_OVER));
+            Way.NEVER_ANSWERS, EnumSet.of(Rule.NOT_ANSWERED),
+            Way.RESENDS_ORDERS, EnumSet.of(Rule.SENT_TWICE, Rule.EFFECT_TWICE),
+            Way.REFUSES_AFTER_RUN, EnumSet.of(Rule.REFUSED_AFTER_RUN),
+            Way.KEYED_PAST_WINDOW, EnumSet.of(Rule.KEYED_TOO_LATE, Rule.EFFECT_TWICE),
+            Way.SENDS_TO_DRAINED, EnumSet.of(Rule.SENT_TO_DRAINED),
+            Way.FLOODS_COLD, EnumSet.of(Rule.COLD_PUSHED_OVER));
 
     /** A day on which every way of breaking a rule has its occasion. */
     private static Scenario busyDay() {
         try {
             Path file = Files.createTempFile("day", ".toml");
-            Files.writeString(file, """
+            Files.writeString(
+                    file,
+                    """
                 name = "busy"
                 like = "fleet"
                 length_s = 25
@@ -82,7 +84,7 @@
     }
 
     private static VirtualRun.Sidecars whole() {
-        return (run, n) -> new EmulatedSidecar(run, n) { };
+        return (run, n) -> new EmulatedSidecar(run, n) {};
     }
 
     private static Auditor play(Way way) {
@@ -100,20 +102,28 @@
     @Test
     public void anAnswerGivenTwiceOrToTheWrongClientIsFound() {
         VirtualRun.Policy plain = (settings, seed, world, me) -> new Broken.Plain(settings, seed, Way.NONE);
-        assertEquals(Set.of(Rule.ANSWERED_TWICE), play(plain, Broken.AnswersTwice::new).counts().keySet());
-        assertEquals(Set.of(Rule.WRONG_ANSWER), play(plain, Broken.MixesUp::new).counts().keySet());
+        assertEquals(
+                Set.of(Rule.ANSWERED_TWICE),
+                play(plain, Broken.AnswersTwice::new).counts().keySet());
+        assertEquals(
+                Set.of(Rule.WRONG_ANSWER),
+                play(plain, Broken.MixesUp::new).counts().keySet());
     }
 
     @Test
     public void theRealModuleAndAPlainBalancerKeepTheRulesOnThatDay() {
-        assertEquals("kept all rules", play(Policies.named("choice"), whole()).verdict().substring(0, 14));
+        assertEquals(
+                "kept all rules",
+                play(Policies.named("choice"), whole()).verdict().substring(0, 14));
         assertEquals("kept all rules", play(Way.NONE).verdict().substring(0, 14));
     }
 
     @Test
     public void aFindingTellsTheRequestsWholeTimeLine() {
-        Auditor.Violation v = play(Way.RESENDS_ORDERS).kept().stream().filter(x -> x.rule() == Rule.SENT_TWICE).findFirst()
-            .orElseThrow();
+        Auditor.Violation v = play(Way.RESENDS_ORDERS).kept().stream()
+                .filter(x -> x.rule() == Rule.SENT_TWICE)
+                .findFirst()
+                .orElseThrow();
         assertTrue(v.line(), v.line().matches("(?s).*asked.*received.*begun.*received.*"));
     }
 
@@ -123,8 +133,10 @@
         for (String name : ScenarioFile.names()) {
             for (long seed = 1; seed <= 2; seed++) {
                 Trial trial = Trial.play(ScenarioFile.named(name).with("length_s", 25), "choice", seed, true);
-                assertTrue(name + " seed " + seed + ": " + trial.auditor().verdict() + trial.auditor().kept(),
-                    trial.auditor().violations() == 0);
+                assertTrue(
+                        name + " seed " + seed + ": " + trial.auditor().verdict()
+                                + trial.auditor().kept(),
+                        trial.auditor().violations() == 0);
             }
         }
     }
--- a/lab/src/test/java/dewplank/lab/Broken.java
+++ b/lab/src/test/java/dewplank/lab/Broken.java
@@ -14,9 +14,17 @@
 
 /** Balancers and sidecars that each break one rule on purpose. */
 final class Broken {
-    private Broken() { }
+    private Broken() {}
 
-    enum Way { NONE, NEVER_ANSWERS, RESENDS_ORDERS, REFUSES_AFTER_RUN, KEYED_PAST_WINDOW, SENDS_TO_DRAINED, FLOODS_COLD }
+    enum Way {
+        NONE,
+        NEVER_ANSWERS,
+        RESENDS_ORDERS,
+        REFUSES_AFTER_RUN,
+        KEYED_PAST_WINDOW,
+        SENDS_TO_DRAINED,
+        FLOODS_COLD
+    }
 
     /** A plain balancer that keeps the rules but for its one way of breaking them. */
     static final class Plain implements Balancer {
@@ -61,10 +69,13 @@
 
         private void send(Arrived e) {
             List<Entry> from = new ArrayList<>();
-            for (Entry x : list.values().stream().sorted((a, b) -> a.server().compareTo(b.server())).toList()) {
+            for (Entry x : list.values().stream()
+                    .sorted((a, b) -> a.server().compareTo(b.server()))
+                    .toList()) {
                 boolean fit = x.availability() == Availability.UP
-                    || way == Way.SENDS_TO_DRAINED && x.availability() == Availability.DRAINING;
-                boolean cold = x.startedAt() != null && now - x.startedAt() < settings.safety().coldMs();
+                        || way == Way.SENDS_TO_DRAINED && x.availability() == Availability.DRAINING;
+                boolean cold = x.startedAt() != null
+                        && now - x.startedAt() < settings.safety().coldMs();
                 if (way == Way.FLOODS_COLD && cold && fit) {
                     from = List.of(x);
                     break;
@@ -79,7 +90,8 @@
                 return;
             }
             attempts.merge(e.request(), 1, Integer::sum);
-            out.accept(new Send(e.request(), from.get(random.nextInt(from.size())).server(), 0));
+            out.accept(
+                    new Send(e.request(), from.get(random.nextInt(from.size())).server(), 0));
         }
 
         private void ended(Ended e) {
@@ -88,18 +100,24 @@
                 open.remove(e.request());
                 return;
             }
-            RequestClass c = settings.classes().stream().filter(x -> x.name().equals(a.requestClass())).findFirst().orElseThrow();
-            boolean may = c.effect() == Effect.SAFE || e.outcome() == Outcome.FULL && attempts.get(e.request()) == 1
-                || way == Way.RESENDS_ORDERS && c.effect() == Effect.UNSAFE && e.outcome() == Outcome.RESET
-                || way == Way.KEYED_PAST_WINDOW && c.effect() == Effect.KEYED;
+            RequestClass c = settings.classes().stream()
+                    .filter(x -> x.name().equals(a.requestClass()))
+                    .findFirst()
+                    .orElseThrow();
+            boolean may = c.effect() == Effect.SAFE
+                    || e.outcome() == Outcome.FULL && attempts.get(e.request()) == 1
+                    || way == Way.RESENDS_ORDERS && c.effect() == Effect.UNSAFE && e.outcome() == Outcome.RESET
+                    || way == Way.KEYED_PAST_WINDOW && c.effect() == Effect.KEYED;
             if (may && attempts.get(e.request()) < 3) {
                 send(a);
                 return;
             }
             open.remove(e.request());
             boolean never = e.outcome() == Outcome.FULL || e.outcome() == Outcome.CONNECT_FAILED;
-            out.accept(way == Way.REFUSES_AFTER_RUN || never && attempts.get(e.request()) == 1
-                ? new Refuse(e.request(), 0) : new Fail(e.request()));
+            out.accept(
+                    way == Way.REFUSES_AFTER_RUN || never && attempts.get(e.request()) == 1
+                            ? new Refuse(e.request(), 0)
+                            : new Fail(e.request()));
         }
     }
 
--- a/lab/src/test/java/dewplank/lab/BuoysTest.java
+++ b/lab/src/test/java/dewplank/lab/BuoysTest.java
@@ -25,13 +25,20 @@
 
     /** The mean of a figure over the seeds; a broken rule on any fails. */
     private static double mean(Scenario scenario, String policy, ToDoubleFunction<Trial> figure) {
-        return IntStream.rangeClosed(1, SEEDS).parallel().mapToDouble(seed -> {
-            Trial trial = Trial.play(scenario, policy, seed, false);
-            if (policy.equals("choice")) {
-                assertEquals("seed " + seed + ": " + trial.auditor().kept(), 0, trial.auditor().violations());
-            }
-            return figure.applyAsDouble(trial);
-        }).average().orElseThrow();
+        return IntStream.rangeClosed(1, SEEDS)
+                .parallel()
+                .mapToDouble(seed -> {
+                    Trial trial = Trial.play(scenario, policy, seed, false);
+                    if (policy.equals("choice")) {
+                        assertEquals(
+                                "seed " + seed + ": " + trial.auditor().kept(),
+                                0,
+                                trial.auditor().violations());
+                    }
+                    return figure.applyAsDouble(trial);
+                })
+                .average()
+                .orElseThrow();
     }
 
     private static double service(String name) {
@@ -47,7 +54,8 @@
     /** Three of twelve servers and a quarter of the sidecars are gone for 12 s: what those held is their own loss. */
     @Test
     public void aBuildingLostWithItsSidecarsAndBackColdBreaksNoRule() {
-        double near = mean(scenario("buoys-building"), "oracle", t -> t.service().share());
+        double near =
+                mean(scenario("buoys-building"), "oracle", t -> t.service().share());
         double service = service("buoys-building");
         assertTrue(service + " of the oracle's " + near, service > near - 0.04);
     }
@@ -61,8 +69,10 @@
     /** A fast failure must not look like a fast server: a policy that sees times and loads alone sends them all. */
     @Test
     public void serversThatFailQuicklyGetNoMoreThanTheirTrials() {
-        double blind = mean(scenario("buoys-errors"), "two-choices", t -> t.service().failedShare());
-        double failed = mean(scenario("buoys-errors"), "choice", t -> t.service().failedShare());
+        double blind =
+                mean(scenario("buoys-errors"), "two-choices", t -> t.service().failedShare());
+        double failed =
+                mean(scenario("buoys-errors"), "choice", t -> t.service().failedShare());
         assertTrue(failed + " failed, blind " + blind, failed < 0.5 * blind);
     }
 
@@ -89,15 +99,25 @@
 
     /** One sidecar of five that tells the others what it likes. */
     private static double withLiar(Scenario scenario, boolean lies) {
-        return IntStream.rangeClosed(1, SEEDS).parallel().mapToDouble(seed -> {
-            Auditor auditor = new Auditor(scenario, 50);
-            Service service = new Service(scenario, 0);
-            VirtualRun run = new VirtualRun(scenario, seed, Policies.named("choice"), auditor, service, false,
-                (r, n) -> n == 0 && lies ? new Liar(r, n) : new Plain(r, n));
-            run.run();
-            assertEquals(auditor.kept().toString(), 0, auditor.violations());
-            return service.share();
-        }).average().orElseThrow();
+        return IntStream.rangeClosed(1, SEEDS)
+                .parallel()
+                .mapToDouble(seed -> {
+                    Auditor auditor = new Auditor(scenario, 50);
+                    Service service = new Service(scenario, 0);
+                    VirtualRun run = new VirtualRun(
+                            scenario,
+                            seed,
+                            Policies.named("choice"),
+                            auditor,
+                            service,
+                            false,
+                            (r, n) -> n == 0 && lies ? new Liar(r, n) : new Plain(r, n));
+                    run.run();
+                    assertEquals(auditor.kept().toString(), 0, auditor.violations());
+                    return service.share();
+                })
+                .average()
+                .orElseThrow();
     }
 
     private static class Plain extends EmulatedSidecar {
@@ -116,7 +136,10 @@
 
         @Override
         protected byte[] message(byte[] said) {
-            List<Integer> some = world.servers.stream().limit(world.servers.size() / 3).map(s -> s.id.hashCode()).toList();
+            List<Integer> some = world.servers.stream()
+                    .limit(world.servers.size() / 3)
+                    .map(s -> s.id.hashCode())
+                    .toList();
             return new Summary(Summary.of(said).toldAt(), some).bytes();
         }
     }
@@ -133,7 +156,8 @@
     public void aSidecarThatHearsNoPeerGoesByItsOwnSight() {
         Scenario errors = scenario("buoys-errors");
         double heard = mean(errors, "choice", t -> t.service().share());
-        double alone = mean(errors.with("messages.lost", 1), "choice", t -> t.service().share());
+        double alone =
+                mean(errors.with("messages.lost", 1), "choice", t -> t.service().share());
         assertTrue(alone + " alone, " + heard + " with peers", alone > heard - 0.04);
     }
 }
--- a/lab/src/test/java/dewplank/lab/LossSplitTest.java
+++ b/lab/src/test/java/dewplank/lab/LossSplitTest.java
@@ -19,8 +19,9 @@
     public void theCausesAddUpToAllThatWasLost() {
         for (String scenario : new String[] {"overload", "sidecar-kill", "class-errors"}) {
             Trial trial = split(scenario, "choice");
-            double lost = trial.losses().parts().values().stream().mapToDouble(d -> d).sum();
-            assertEquals(scenario, 1 - trial.service().share(), lost, 0.03);   // the first second counts here only
+            double lost =
+                    trial.losses().parts().values().stream().mapToDouble(d -> d).sum();
+            assertEquals(scenario, 1 - trial.service().share(), lost, 0.03); // the first second counts here only
             assertTrue(lost > 0);
         }
     }
--- a/lab/src/test/java/dewplank/lab/RunnerTest.java
+++ b/lab/src/test/java/dewplank/lab/RunnerTest.java
@@ -15,7 +15,8 @@
 
 public class RunnerTest {
     private static Experiment experiment() {
-        return Experiment.of(TomlFile.read("""
+        return Experiment.of(TomlFile.read(
+                """
             name = "e"
             scenarios = ["crash", "overload"]
             policies = ["choice", "two-choices", "oracle"]
@@ -24,7 +25,8 @@
             [[vary]]
             parameter = "load.share"
             values = [0.5, 0.8]
-            """, "e.toml"));
+            """,
+                "e.toml"));
     }
 
     /** Same seeds, same bytes, on one thread and on eight. */
@@ -32,9 +34,10 @@
     public void theNumberOfThreadsDoesNotShowInTheResults() throws Exception {
         Path one = Files.createTempDirectory("one");
         Path eight = Files.createTempDirectory("eight");
-        new Runner(one, 1, line -> { }).run(experiment());
-        List<Result> results = new Runner(eight, 8, line -> { }).run(experiment());
-        assertArrayEquals(Files.readAllBytes(one.resolve(Runner.TABLE)), Files.readAllBytes(eight.resolve(Runner.TABLE)));
+        new Runner(one, 1, line -> {}).run(experiment());
+        List<Result> results = new Runner(eight, 8, line -> {}).run(experiment());
+        assertArrayEquals(
+                Files.readAllBytes(one.resolve(Runner.TABLE)), Files.readAllBytes(eight.resolve(Runner.TABLE)));
         assertEquals(24, results.size());
         assertEquals(results.get(3).figure("service"), Runner.read(eight).get(3).figure("service"), 1e-6);
         Report.write(results, "e", "<about>", "choice", eight.resolve("report.html"));
@@ -69,22 +72,25 @@
 
     @Test
     public void aWrongExperimentIsRefusedBeforeAnythingRuns() {
-        assertEquals("x.toml:3: key policies is wrong: there is no policy best; known: choice, random, round-robin, "
-            + "least-outstanding, two-choices, oracle", wrong("name = \"x\"\nscenarios = [\"crash\"]\npolicies = [\"best\"]"));
+        assertEquals(
+                "x.toml:3: key policies is wrong: there is no policy best; known: choice, random, round-robin, "
+                        + "least-outstanding, two-choices, oracle",
+                wrong("name = \"x\"\nscenarios = [\"crash\"]\npolicies = [\"best\"]"));
         assertTrue(wrong("name = \"x\"\nscenarios = [\"nowhere\"]").contains("there is no scenario file nowhere"));
         assertTrue(wrong("name = \"x\"\nscenarios = [\"crash\"]\n[[vary]]\nparameter = \"moon\"\nvalues = [1]")
-            .contains("no such parameter: moon"));
+                .contains("no such parameter: moon"));
     }
 
     private static String wrong(String text) {
-        return assertThrows(BadInput.class, () -> Experiment.of(TomlFile.read(text, "x.toml"))).getMessage();
+        return assertThrows(BadInput.class, () -> Experiment.of(TomlFile.read(text, "x.toml")))
+                .getMessage();
     }
 
     @Test
     public void pairsCancelWhatTheSeedsDo() {
         Statistics s = Statistics.of(List.of(0.10, 0.12, 0.11, 0.13));
         assertEquals(0.115, s.mean(), 1e-12);
-        assertEquals(0.02054, s.half(), 1e-4);   // t(3) = 3.182, deviation 0.01291, over the root of 4
+        assertEquals(0.02054, s.half(), 1e-4); // t(3) = 3.182, deviation 0.01291, over the root of 4
         assertTrue(s.differs());
         assertTrue(!Statistics.of(List.of(-0.1, 0.1, 0.02)).differs());
         assertTrue(Double.isNaN(Statistics.of(List.of(1.0)).half()));
--- a/lab/src/test/java/dewplank/lab/load/LoadRunTest.java
+++ b/lab/src/test/java/dewplank/lab/load/LoadRunTest.java
@@ -9,11 +9,11 @@
 import dewplank.config.BadInput;
 import dewplank.emulator.Draws;
 import dewplank.emulator.Scenario.Distribution;
-import dewplank.lab.load.Arrivals.Plan;
-import dewplank.lab.load.Arrivals.Shape;
 import dewplank.emulator.loopback.HttpEnd;
 import dewplank.http.MessageWriter;
 import dewplank.http.RequestParser;
+import dewplank.lab.load.Arrivals.Plan;
+import dewplank.lab.load.Arrivals.Shape;
 import dewplank.net.EventLoop;
 import dewplank.net.Listener;
 import java.net.InetAddress;
@@ -29,9 +29,17 @@
 
     private static LoadPlan plan(StandIn target, Plan arrivals, int connections) {
         InetSocketAddress at = target.addresses().get(0);
-        return new LoadPlan(List.of(LoadPlan.target("http://" + at.getHostString() + ":" + at.getPort() + "/a?b=c")), arrivals,
-            null, List.of(LoadPlan.kind("read:3"), LoadPlan.kind("write:1:POST:100")), List.of("X-Id: {id}"), connections, 2,
-            5_000, 3, 1);
+        return new LoadPlan(
+                List.of(LoadPlan.target("http://" + at.getHostString() + ":" + at.getPort() + "/a?b=c")),
+                arrivals,
+                null,
+                List.of(LoadPlan.kind("read:3"), LoadPlan.kind("write:1:POST:100")),
+                List.of("X-Id: {id}"),
+                connections,
+                2,
+                5_000,
+                3,
+                1);
     }
 
     private static Plan steady(Shape shape, double perS, double seconds) {
@@ -48,9 +56,9 @@
             times.add(ms);
             return ms;
         })) {
-            new LoadRun(plan(target, steady(Shape.POISSON, 600, 2), 800), line -> { }).run();   // code gets warm
+            new LoadRun(plan(target, steady(Shape.POISSON, 600, 2), 800), line -> {}).run(); // code gets warm
             times.clear();
-            LoadRun.Outcome o = new LoadRun(plan(target, steady(Shape.POISSON, 600, 5), 800), line -> { }).run();
+            LoadRun.Outcome o = new LoadRun(plan(target, steady(Shape.POISSON, 600, 5), 800), line -> {}).run();
             double[] sorted = times.stream().mapToDouble(d -> d).sorted().toArray();
             assertEquals(sorted.length, o.all().ok);
             for (double p : new double[] {50, 90, 99}) {
@@ -66,10 +74,11 @@
         try (StandIn target = new StandIn(List.of(ANY), Distribution.FIXED, 0, 0, 1)) {
             int[] seconds = new int[1];
             LoadRun.Outcome o = new LoadRun(plan(target, steady(Shape.UNIFORM, 400, 5), 40), line -> {
-                if (++seconds[0] == 2) {
-                    target.stall(1_000);
-                }
-            }).run();
+                        if (++seconds[0] == 2) {
+                            target.stall(1_000);
+                        }
+                    })
+                    .run();
             assertEquals(2_000, o.all().ok);
             assertTrue("p99 " + LoadReport.ms(o.all().latency, 99), LoadReport.ms(o.all().latency, 99) > 800);
             assertTrue("p50 " + LoadReport.ms(o.all().latency, 50), LoadReport.ms(o.all().latency, 50) < 100);
@@ -80,8 +89,9 @@
     public void whatNobodyAnswersIsCountedAndTimed() throws Exception {
         try (StandIn target = new StandIn(List.of(ANY), Distribution.FIXED, 60_000, 0, 1)) {
             LoadPlan p = plan(target, steady(Shape.UNIFORM, 50, 1), 100);
-            LoadPlan impatient = new LoadPlan(p.targets(), p.arrivals(), null, p.kinds(), p.headers(), 100, 2, 300, 0, 1);
-            LoadRun.Outcome o = new LoadRun(impatient, line -> { }).run();
+            LoadPlan impatient =
+                    new LoadPlan(p.targets(), p.arrivals(), null, p.kinds(), p.headers(), 100, 2, 300, 0, 1);
+            LoadRun.Outcome o = new LoadRun(impatient, line -> {}).run();
             assertEquals(50, o.all().timedOut);
             assertTrue(LoadReport.ms(o.all().latency, 50) >= 299);
             JsonObject json = JsonParser.parseString(LoadReport.json(o)).getAsJsonObject();
@@ -90,7 +100,7 @@
         StandIn gone = new StandIn(List.of(ANY), Distribution.FIXED, 0, 0, 1);
         gone.close();
         LoadPlan nobody = plan(gone, steady(Shape.UNIFORM, 50, 1), 10);
-        assertEquals(50, new LoadRun(nobody, line -> { }).run().all().broken);
+        assertEquals(50, new LoadRun(nobody, line -> {}).run().all().broken);
     }
 
     /** Any target: long bodies, whatever their framing, no body where there must be none, and statuses of all kinds. */
@@ -102,15 +112,30 @@
                 @Override
                 protected void request(RequestParser request) {
                     byte[] body = new byte[300_000];
-                    ByteBuffer whole = MessageWriter.response(request.method().equals("PUT") ? 500 : 200).body(body);
+                    ByteBuffer whole = MessageWriter.response(request.method().equals("PUT") ? 500 : 200)
+                            .body(body);
                     answer(request.method().equals("HEAD") ? whole.limit(whole.limit() - body.length) : whole);
                 }
             });
             loop.execute(listener::accept);
             InetSocketAddress at = (InetSocketAddress) listener.address();
-            LoadRun.Outcome o = new LoadRun(new LoadPlan(List.of(LoadPlan.target("http://127.0.0.1:" + at.getPort())),
-                steady(Shape.UNIFORM, 100, 1), null, List.of(LoadPlan.kind("long:1"), LoadPlan.kind("head:1:HEAD"),
-                    LoadPlan.kind("bad:1:PUT:10")), List.of(), 10, 1, 5_000, 0, 2), line -> { }).run();
+            LoadRun.Outcome o = new LoadRun(
+                            new LoadPlan(
+                                    List.of(LoadPlan.target("http://127.0.0.1:" + at.getPort())),
+                                    steady(Shape.UNIFORM, 100, 1),
+                                    null,
+                                    List.of(
+                                            LoadPlan.kind("long:1"),
+                                            LoadPlan.kind("head:1:HEAD"),
+                                            LoadPlan.kind("bad:1:PUT:10")),
+                                    List.of(),
+                                    10,
+                                    1,
+                                    5_000,
+                                    0,
+                                    2),
+                            line -> {})
+                    .run();
             assertEquals(100, o.all().answered());
             assertEquals(o.kinds().get(2).sent, o.kinds().get(2).otherStatus);
             assertEquals(o.kinds().get(1).sent, o.kinds().get(1).ok);
@@ -148,9 +173,11 @@
 
     @Test
     public void wrongInputIsNamed() {
-        assertEquals("class x:0: should be NAME:WEIGHT[:METHOD[:BODY_BYTES]], with a weight above 0",
-            assertThrows(BadInput.class, () -> LoadPlan.kind("x:0")).getMessage());
-        assertEquals("target ftp://h/: only http://host:port/path is known",
-            assertThrows(BadInput.class, () -> LoadPlan.target("ftp://h/")).getMessage());
+        assertEquals(
+                "class x:0: should be NAME:WEIGHT[:METHOD[:BODY_BYTES]], with a weight above 0",
+                assertThrows(BadInput.class, () -> LoadPlan.kind("x:0")).getMessage());
+        assertEquals(
+                "target ftp://h/: only http://host:port/path is known",
+                assertThrows(BadInput.class, () -> LoadPlan.target("ftp://h/")).getMessage());
     }
 }
--- a/messages/src/main/java/dewplank/message/Deflated.java
+++ b/messages/src/main/java/dewplank/message/Deflated.java
@@ -9,7 +9,7 @@
 public final class Deflated {
     private static final int PIECE = 8 * 1024;
 
-    private Deflated() { }
+    private Deflated() {}
 
     public static byte[] of(byte[] plain) {
         Deflater deflater = new Deflater(Deflater.BEST_SPEED);
--- a/messages/src/main/java/dewplank/message/FleetMessages.java
+++ b/messages/src/main/java/dewplank/message/FleetMessages.java
@@ -1,19 +1,26 @@
 package dewplank.message;
 
-import java.util.ArrayList;
-import java.util.List;
-import dewplank.register.RegisterMessages;
 import dewplank.duty.VoteReply;
 import dewplank.duty.VoteRequest;
+import dewplank.register.RegisterMessages;
+import java.util.ArrayList;
+import java.util.List;
 
 /** All kinds of messages between the system's processes, in the order that numbers them on the wire: add at the end. */
 public final class FleetMessages {
-    private FleetMessages() { }
+    private FleetMessages() {}
 
     public static MessageCodec codec() {
-        List<Class<?>> types = new ArrayList<>(List.of(ControlHello.class, SessionOpen.class, SessionQuestion.class,
-            SessionAnswer.class, Update.class, SessionsTold.class, ServerList.class, VoteRequest.class,
-            VoteReply.class));
+        List<Class<?>> types = new ArrayList<>(List.of(
+                ControlHello.class,
+                SessionOpen.class,
+                SessionQuestion.class,
+                SessionAnswer.class,
+                Update.class,
+                SessionsTold.class,
+                ServerList.class,
+                VoteRequest.class,
+                VoteReply.class));
         types.addAll(RegisterMessages.TYPES);
         return new MessageCodec(types);
     }
--- a/messages/src/main/java/dewplank/message/FramedConnection.java
+++ b/messages/src/main/java/dewplank/message/FramedConnection.java
@@ -28,8 +28,8 @@
     }
 
     /** Opens a connection within so many milliseconds. */
-    public static FramedConnection open(EventLoop loop, InetSocketAddress to, double timeoutMs, MessageCodec codec,
-                                        Handler handler) {
+    public static FramedConnection open(
+            EventLoop loop, InetSocketAddress to, double timeoutMs, MessageCodec codec, Handler handler) {
         FramedConnection framed = new FramedConnection(codec, handler);
         framed.connecting = Connection.open(loop, to, framed, framed::accepted, e -> framed.end());
         loop.after(timeoutMs, () -> {
--- a/messages/src/main/java/dewplank/message/MessageCodec.java
+++ b/messages/src/main/java/dewplank/message/MessageCodec.java
@@ -17,6 +17,7 @@
 public final class MessageCodec {
     /** A frame holds one configuration at the most, which operators may send with up to 4 MiB. */
     static final int MOST_BYTES = 8 * 1024 * 1024;
+
     private static final int HEAD_BYTES = Integer.BYTES + 1;
     private static final int BUFFER_BYTES = 1024;
 
@@ -45,7 +46,11 @@
         } finally {
             buffer.clear();
         }
-        return ByteBuffer.allocate(HEAD_BYTES + body.length).putInt(body.length).put((byte) number).put(body).flip();
+        return ByteBuffer.allocate(HEAD_BYTES + body.length)
+                .putInt(body.length)
+                .put((byte) number)
+                .put(body)
+                .flip();
     }
 
     private Object decode(int number, byte[] body) throws BadFrameException {
@@ -57,7 +62,7 @@
             Object message = schema.newMessage();
             ProtostuffIOUtil.mergeFrom(body, message, schema);
             return message;
-        } catch (RuntimeException | OutOfMemoryError e) {   // a length that no body of this size can hold
+        } catch (RuntimeException | OutOfMemoryError e) { // a length that no body of this size can hold
             throw new BadFrameException("a message's body can't be read: " + e);
         }
     }
--- a/messages/src/main/java/dewplank/message/MessageLink.java
+++ b/messages/src/main/java/dewplank/message/MessageLink.java
@@ -4,7 +4,7 @@
 public interface MessageLink {
     /** Whoever uses the connection. */
     interface Handler {
-        default void opened(MessageLink connection) { }
+        default void opened(MessageLink connection) {}
 
         void received(MessageLink connection, Object message);
 
--- a/messages/src/main/java/dewplank/message/MessageTransport.java
+++ b/messages/src/main/java/dewplank/message/MessageTransport.java
@@ -17,5 +17,5 @@
      * @param handlers gives the handler of each connection that is accepted
      */
     ServerEndpoint listen(InetSocketAddress at, int most, Supplier<? extends MessageLink.Handler> handlers)
-        throws IOException;
+            throws IOException;
 }
--- a/messages/src/main/java/dewplank/message/ServerEntry.java
+++ b/messages/src/main/java/dewplank/message/ServerEntry.java
@@ -14,8 +14,15 @@
     /** prefill, decode, or null for a plain server. */
     public final String stage;
 
-    public ServerEntry(String instanceId, String service, String address, String zone, int slotCount, boolean draining,
-                       double coldRemainingMs, String stage) {
+    public ServerEntry(
+            String instanceId,
+            String service,
+            String address,
+            String zone,
+            int slotCount,
+            boolean draining,
+            double coldRemainingMs,
+            String stage) {
         this.instanceId = instanceId;
         this.service = service;
         this.address = address;
@@ -28,8 +35,12 @@
 
     /** Equal but for the cold time, which counts down by itself. */
     public boolean sameAs(ServerEntry e) {
-        return e.instanceId.equals(instanceId) && e.service.equals(service) && e.address.equals(address)
-            && Objects.equals(e.zone, zone) && e.slotCount == slotCount && e.draining == draining
-            && Objects.equals(e.stage, stage);
+        return e.instanceId.equals(instanceId)
+                && e.service.equals(service)
+                && e.address.equals(address)
+                && Objects.equals(e.zone, zone)
+                && e.slotCount == slotCount
+                && e.draining == draining
+                && Objects.equals(e.stage, stage);
     }
 }
--- a/messages/src/main/java/dewplank/message/SessionQuestion.java
+++ b/messages/src/main/java/dewplank/message/SessionQuestion.java
@@ -8,6 +8,7 @@
     public final long sequence;
     /** 0: none. */
     public final long configurationVersion;
+
     public final ListVersion listVersion;
     /** Digest of the members held; 0: none. */
     public final long membersDigest;
--- a/messages/src/main/java/dewplank/message/SessionsTold.java
+++ b/messages/src/main/java/dewplank/message/SessionsTold.java
@@ -1,8 +1,8 @@
 package dewplank.message;
 
+import dewplank.membership.Member;
 import java.util.ArrayList;
 import java.util.List;
-import dewplank.membership.Member;
 
 /** A control sidecar tells another the sessions that it holds, and the control sidecars that it knows. */
 public final class SessionsTold {
--- a/messages/src/main/java/dewplank/message/Update.java
+++ b/messages/src/main/java/dewplank/message/Update.java
@@ -1,20 +1,26 @@
 package dewplank.message;
 
-import java.util.List;
 import dewplank.membership.Member;
+import java.util.List;
 
 /** What is newer than a data plane holds; a part that has not changed is null. */
 public final class Update {
     /** The configuration, deflated: whole, or as a delta on {@link #baseVersion}. */
     public final byte[] configuration;
+
     public final long configurationVersion;
     /** 0: the configuration is whole. */
     public final long baseVersion;
+
     public final ServerList servers;
     public final List<Member> members;
 
-    public Update(byte[] configuration, long configurationVersion, long baseVersion, ServerList servers,
-                  List<Member> members) {
+    public Update(
+            byte[] configuration,
+            long configurationVersion,
+            long baseVersion,
+            ServerList servers,
+            List<Member> members) {
         this.configuration = configuration;
         this.configurationVersion = configurationVersion;
         this.baseVersion = baseVersion;
--- a/messages/src/test/java/dewplank/message/DeflatedTest.java
+++ b/messages/src/test/java/dewplank/message/DeflatedTest.java
@@ -36,7 +36,7 @@
             assertThrows(BadFrameException.class, () -> Deflated.plain(part));
         }
         byte[] spoilt = deflated.clone();
-        spoilt[spoilt.length - 1] ^= 1;   // of the checksum
+        spoilt[spoilt.length - 1] ^= 1; // of the checksum
         assertThrows(BadFrameException.class, () -> Deflated.plain(spoilt));
         assertThrows(BadFrameException.class, () -> Deflated.plain(new byte[] {1, 2, 3, 4, 5, 6, 7, 8}));
     }
--- a/messages/src/test/java/dewplank/message/FramedConnectionTest.java
+++ b/messages/src/test/java/dewplank/message/FramedConnectionTest.java
@@ -73,8 +73,11 @@
     @BeforeEach
     void begin() throws IOException {
         loop = new EventLoop();
-        listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10,
-            () -> new FramedConnection(codec, there));
+        listener = new Listener(
+                loop,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                10,
+                () -> new FramedConnection(codec, there));
         loop.execute(listener::accept);
     }
 
@@ -131,7 +134,7 @@
         assertEquals(dialled, Heard.next(here.closed));
         assertEquals(accepted, Heard.next(there.closed));
         OnLoop.run(loop, () -> {
-            dialled.send(question(1));   // lost
+            dialled.send(question(1)); // lost
             accepted.send(question(2));
             accepted.end();
         });
@@ -142,7 +145,8 @@
 
     @Test
     void nothingIsSentBeforeItIsOpenNorRemembered() throws Exception {
-        OnLoop.run(loop, () -> FramedConnection.open(loop, address(), OPEN_MS, codec, here).send(question(1)));
+        OnLoop.run(loop, () -> FramedConnection.open(loop, address(), OPEN_MS, codec, here)
+                .send(question(1)));
         FramedConnection dialled = Heard.next(here.opened);
         OnLoop.run(loop, () -> dialled.send(question(2)));
         assertEquals(2, there.nextSequence());
@@ -180,8 +184,8 @@
             assertEquals(given, Heard.next(here.closed));
             late.letIn();
             late.nextConnection().awaitEnd();
-            late.nextConnection().awaitEnd();   // the crowd's
-            OnLoop.run(loop, () -> { });
+            late.nextConnection().awaitEnd(); // the crowd's
+            OnLoop.run(loop, () -> {});
             assertTrue(here.opened.isEmpty());
         }
     }
@@ -243,7 +247,7 @@
         FramedConnection dialled = open(address(), OPEN_MS);
         Heard.next(here.opened);
         ByteBuffer frame = codec.encode(new Update(new byte[4 << 20], 1, 0, null, null));
-        for (int i = 0; i < 12; i++) {   // more than may wait at once
+        for (int i = 0; i < 12; i++) { // more than may wait at once
             OnLoop.run(loop, () -> dialled.send(frame.duplicate()));
             Heard.next(there.messages);
         }
--- a/messages/src/test/java/dewplank/message/MessageCodecTest.java
+++ b/messages/src/test/java/dewplank/message/MessageCodecTest.java
@@ -9,6 +9,16 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assertions.fail;
 
+import dewplank.duty.VoteReply;
+import dewplank.duty.VoteRequest;
+import dewplank.membership.Member;
+import dewplank.register.Acceptor;
+import dewplank.register.AcceptorSet;
+import dewplank.register.Ballot;
+import dewplank.register.Promise;
+import dewplank.register.RegisterMessages;
+import dewplank.register.RegisterValue;
+import dewplank.register.Report;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -20,16 +30,6 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
-import dewplank.membership.Member;
-import dewplank.register.Acceptor;
-import dewplank.register.AcceptorSet;
-import dewplank.register.Ballot;
-import dewplank.register.Promise;
-import dewplank.register.RegisterMessages;
-import dewplank.register.RegisterValue;
-import dewplank.register.Report;
-import dewplank.duty.VoteReply;
-import dewplank.duty.VoteRequest;
 import org.junit.jupiter.api.Test;
 
 class MessageCodecTest {
@@ -51,24 +51,51 @@
         Set<Class<?>> known = new HashSet<>();
         Messages.kinds().forEach(m -> known.add(m.getClass()));
         assertTrue(known.containsAll(RegisterMessages.TYPES));
-        assertTrue(known.containsAll(List.of(VoteRequest.class, VoteReply.class, ControlHello.class, SessionOpen.class,
-            SessionQuestion.class, SessionAnswer.class, Update.class, SessionsTold.class, ServerList.class)));
+        assertTrue(known.containsAll(List.of(
+                VoteRequest.class,
+                VoteReply.class,
+                ControlHello.class,
+                SessionOpen.class,
+                SessionQuestion.class,
+                SessionAnswer.class,
+                Update.class,
+                SessionsTold.class,
+                ServerList.class)));
     }
 
     /** The numbers on the wire are those of the version before: kinds are added at the end. */
     @Test
     void theNumbersOfKindsStay() {
-        List<String> names = Messages.kinds().stream().map(m -> m.getClass().getSimpleName()).toList();
-        assertEquals(List.of("ControlHello", "SessionOpen", "SessionQuestion", "SessionAnswer", "Update",
-            "SessionsTold",
-            "ServerList", "VoteRequest", "VoteReply", "Prepare", "Promise", "Accept", "Accepted", "Refuse", "Query",
-            "Report", "Chosen"), names.subList(0, 17));
+        List<String> names =
+                Messages.kinds().stream().map(m -> m.getClass().getSimpleName()).toList();
+        assertEquals(
+                List.of(
+                        "ControlHello",
+                        "SessionOpen",
+                        "SessionQuestion",
+                        "SessionAnswer",
+                        "Update",
+                        "SessionsTold",
+                        "ServerList",
+                        "VoteRequest",
+                        "VoteReply",
+                        "Prepare",
+                        "Promise",
+                        "Accept",
+                        "Accepted",
+                        "Refuse",
+                        "Query",
+                        "Report",
+                        "Chosen"),
+                names.subList(0, 17));
     }
 
     /** Encoded one behind another, cut anywhere, decoded: equal field by field and in order. */
     @Property(tries = 300)
-    void messagesComeBackAsTheyWereHoweverTheyAreCut(@ForAll long seed, @ForAll @IntRange(min = 1, max = 6) int count,
-                                                     @ForAll @IntRange(min = 1, max = 2_000) int mostPiece)
+    void messagesComeBackAsTheyWereHoweverTheyAreCut(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 1, max = 6) int count,
+            @ForAll @IntRange(min = 1, max = 2_000) int mostPiece)
             throws Exception {
         Random random = new Random(seed);
         List<Object> kinds = Messages.kinds();
@@ -82,7 +109,7 @@
         List<Object> received = new ArrayList<>();
         MessageCodec.Reader reader = codec.reader();
         byte[] bytes = Arrays.copyOf(all.array(), all.position());
-        for (int at = 0; at < bytes.length;) {
+        for (int at = 0; at < bytes.length; ) {
             int end = Math.min(bytes.length, at + 1 + random.nextInt(mostPiece));
             ByteBuffer piece = ByteBuffer.wrap(bytes, at, end - at);
             for (Object m = reader.next(piece); m != null; m = reader.next(piece)) {
@@ -93,7 +120,9 @@
         }
         assertEquals(sent.size(), received.size());
         for (int i = 0; i < count; i++) {
-            assertNull(Messages.difference(sent.get(i), received.get(i)), sent.get(i).getClass().getSimpleName());
+            assertNull(
+                    Messages.difference(sent.get(i), received.get(i)),
+                    sent.get(i).getClass().getSimpleName());
         }
     }
 
@@ -110,7 +139,9 @@
         Random random = new Random(seed);
         for (Object kind : Messages.kinds()) {
             Object message = withoutEmptyMembers(Messages.drawn(kind, random));
-            assertNull(Messages.difference(message, roundTrip(message)), kind.getClass().getSimpleName());
+            assertNull(
+                    Messages.difference(message, roundTrip(message)),
+                    kind.getClass().getSimpleName());
         }
     }
 
@@ -137,7 +168,9 @@
         byte[] large = new byte[4 << 20];
         new Random(1).nextBytes(large);
         for (byte[] payload : new byte[][] {null, new byte[0], {0}, large}) {
-            for (AcceptorSet set : List.of(AcceptorSet.of(List.of()), AcceptorSet.of(List.of(a)),
+            for (AcceptorSet set : List.of(
+                    AcceptorSet.of(List.of()),
+                    AcceptorSet.of(List.of(a)),
                     new AcceptorSet(7, List.of(a, b), List.of(b)))) {
                 RegisterValue value = new RegisterValue(set, 9, payload);
                 Promise promise = roundTrip(new Promise("s", "si", "ri", new Ballot(3, "p"), Ballot.NONE, value));
@@ -172,8 +205,15 @@
     void aListOfThousandsOfServersComesBack() throws Exception {
         List<ServerEntry> servers = new ArrayList<>();
         for (int i = 0; i < 10_000; i++) {
-            servers.add(new ServerEntry("i-" + i, "s", "10.0.0.1:" + i, i % 2 == 0 ? null : "z", i, i % 3 == 0, i / 2.0,
-                i % 5 == 0 ? null : "prefill"));
+            servers.add(new ServerEntry(
+                    "i-" + i,
+                    "s",
+                    "10.0.0.1:" + i,
+                    i % 2 == 0 ? null : "z",
+                    i,
+                    i % 3 == 0,
+                    i / 2.0,
+                    i % 5 == 0 ? null : "prefill"));
         }
         ServerList back = roundTrip(new ServerList(new ListVersion(1, 2), servers));
         for (int i = 0; i < servers.size(); i++) {
@@ -206,14 +246,18 @@
             assertThrows(BadFrameException.class, () -> codec.reader().next(Messages.frame(number, new byte[0])));
         }
         for (int length : new int[] {-1, Integer.MIN_VALUE, Integer.MAX_VALUE, MORE_THAN_A_FRAME}) {
-            ByteBuffer head = ByteBuffer.allocate(5).putInt(length).put((byte) 0).flip();
+            ByteBuffer head =
+                    ByteBuffer.allocate(5).putInt(length).put((byte) 0).flip();
             assertThrows(BadFrameException.class, () -> codec.reader().next(head), "length " + length);
         }
     }
 
     @Test
     void aFrameOfTheLongestLengthIsWaitedFor() throws Exception {
-        ByteBuffer head = ByteBuffer.allocate(5).putInt(MessageCodec.MOST_BYTES).put((byte) 0).flip();
+        ByteBuffer head = ByteBuffer.allocate(5)
+                .putInt(MessageCodec.MOST_BYTES)
+                .put((byte) 0)
+                .flip();
         assertNull(codec.reader().next(head));
     }
 
@@ -257,7 +301,7 @@
             assertNotNull(codec.reader().next(Messages.frame(number, body)));
         } catch (BadFrameException e) {
             assertNotNull(e.getMessage());
-        } catch (OutOfMemoryError e) {   // which would end the whole run
+        } catch (OutOfMemoryError e) { // which would end the whole run
             fail("kind " + number + " asks for memory: " + e.getMessage());
         }
     }
@@ -266,11 +310,15 @@
     @Test
     void lengthsBeyondTheBodyAreTold() {
         List<Object> kinds = Messages.kinds();
-        byte[] length = {-1, -1, -1, -1, 7};   // the largest number, as a varint
+        byte[] length = {-1, -1, -1, -1, 7}; // the largest number, as a varint
         for (int number = 0; number < kinds.size(); number++) {
             for (int field = 1; field <= 9; field++) {
-                byte[] body = ByteBuffer.allocate(8).put((byte) (field << 3 | 2)).put(length).put((byte) 0)
-                    .put((byte) 0).array();
+                byte[] body = ByteBuffer.allocate(8)
+                        .put((byte) (field << 3 | 2))
+                        .put(length)
+                        .put((byte) 0)
+                        .put((byte) 0)
+                        .array();
                 assertIsMessageOrTold(number, body);
             }
         }
--- a/messages/src/test/java/dewplank/message/Messages.java
+++ b/messages/src/test/java/dewplank/message/Messages.java
@@ -19,7 +19,7 @@
 
     private static final List<Object> KINDS = readKinds();
 
-    private Messages() { }
+    private Messages() {}
 
     /** One empty message of each kind that the codec knows, by their numbers. */
     static List<Object> kinds() {
@@ -34,13 +34,16 @@
                 kinds.add(codec.reader().next(frame(kinds.size(), new byte[0])));
             }
         } catch (BadFrameException e) {
-            return kinds;   // none has that number
+            return kinds; // none has that number
         }
     }
 
     static ByteBuffer frame(int number, byte[] body) {
-        return ByteBuffer.allocate(Integer.BYTES + 1 + body.length).putInt(body.length).put((byte) number).put(body)
-            .flip();
+        return ByteBuffer.allocate(Integer.BYTES + 1 + body.length)
+                .putInt(body.length)
+                .put((byte) number)
+                .put(body)
+                .flip();
     }
 
     /** A message of the same kind with drawn values. */
@@ -103,9 +106,9 @@
     private static List<Object> list(ParameterizedType generic, Random random) throws ReflectiveOperationException {
         Class<?> element = (Class<?>) generic.getActualTypeArguments()[0];
         List<Object> list = new ArrayList<>();
-        for (int count = random.nextInt(MOST_ELEMENTS); list.size() < count;) {
+        for (int count = random.nextInt(MOST_ELEMENTS); list.size() < count; ) {
             Object value = value(element, element, random);
-            if (value != null) {   // no list of ours holds a hole
+            if (value != null) { // no list of ours holds a hole
                 list.add(value);
             }
         }
--- a/shared/src/main/java/dewplank/config/Addresses.java
+++ b/shared/src/main/java/dewplank/config/Addresses.java
@@ -6,7 +6,7 @@
 
 /** Reads {@code host:port}, the host as a literal address: there is no DNS beside a sidecar. */
 public final class Addresses {
-    private Addresses() { }
+    private Addresses() {}
 
     public static InetSocketAddress parse(Fields fields, String key) {
         String text = fields.text(key);
--- a/shared/src/main/java/dewplank/config/FileWatch.java
+++ b/shared/src/main/java/dewplank/config/FileWatch.java
@@ -15,7 +15,7 @@
  * Links are followed. A file that is missing, or is no plain one (a pipe, say), is never a change.
  */
 public final class FileWatch {
-    private record State(FileTime modified, long size, Object key) { }
+    private record State(FileTime modified, long size, Object key) {}
 
     private final Path file;
     private State read;
@@ -49,7 +49,7 @@
         try {
             BasicFileAttributes a = Files.readAttributes(file, BasicFileAttributes.class);
             return a.isRegularFile() ? new State(a.lastModifiedTime(), a.size(), a.fileKey()) : null;
-        } catch (IOException e) {   // missing, or out of reach for now: what was read stays
+        } catch (IOException e) { // missing, or out of reach for now: what was read stays
             return null;
         }
     }
--- a/shared/src/main/java/dewplank/config/Json.java
+++ b/shared/src/main/java/dewplank/config/Json.java
@@ -14,7 +14,7 @@
 
 /** Reads one JSON text into lists, maps, strings, longs, doubles, booleans and nulls. */
 public final class Json {
-    private Json() { }
+    private Json() {}
 
     public static Map<String, Object> object(String text) {
         return read(text, JsonToken.BEGIN_OBJECT, "a JSON object", Json::fields);
@@ -67,7 +67,7 @@
             try {
                 return Long.valueOf(text);
             } catch (NumberFormatException e) {
-                return Double.valueOf(text);   // beyond any integer that is asked for
+                return Double.valueOf(text); // beyond any integer that is asked for
             }
         }
         return Double.valueOf(text);
--- a/shared/src/main/java/dewplank/config/NodeSettings.java
+++ b/shared/src/main/java/dewplank/config/NodeSettings.java
@@ -22,25 +22,46 @@
  * @param dataDirectory null where the machine has no disk
  * @param counted       whether the machine's loss is counted
  */
-public record NodeSettings(String node, String address, String zone, InetSocketAddress front,
-                           InetSocketAddress readiness, InetSocketAddress control, int[] internalPorts, List<InetSocketAddress> seeds,
-                           boolean initialStart, boolean counted, Path dataDirectory, Resources resources,
-                           Bounds bounds, Platform platform) {
+public record NodeSettings(
+        String node,
+        String address,
+        String zone,
+        InetSocketAddress front,
+        InetSocketAddress readiness,
+        InetSocketAddress control,
+        int[] internalPorts,
+        List<InetSocketAddress> seeds,
+        boolean initialStart,
+        boolean counted,
+        Path dataDirectory,
+        Resources resources,
+        Bounds bounds,
+        Platform platform) {
     /** The variable that holds the file's path. */
     public static final String VARIABLE = "DEWPLANK_NODE_FILE";
 
     /** What the process may use. */
-    public record Resources(int fileDescriptors, long diskBytes) { }
+    public record Resources(int fileDescriptors, long diskBytes) {}
 
     /** Bounds of the operators' rules. Times in milliseconds. */
-    public record Bounds(double drainMs, double graceMs, double configApplyMs, double retryRatio, double retryWindowMs,
-                         double retrySlack, double leaseMs, double contactMs, double ackMs, double catchUpMs) { }
+    public record Bounds(
+            double drainMs,
+            double graceMs,
+            double configApplyMs,
+            double retryRatio,
+            double retryWindowMs,
+            double retrySlack,
+            double leaseMs,
+            double contactMs,
+            double ackMs,
+            double catchUpMs) {}
 
     /** The platform's list of servers. */
-    public record Platform(InetSocketAddress address, double callsPerSecond, double lagMs) { }
+    public record Platform(InetSocketAddress address, double callsPerSecond, double lagMs) {}
 
     /** Where the file gives no {@code catch_up_s}: the shortest time that any deployment has given so far. */
     private static final double CATCH_UP_S = 4;
+
     private static final int MOST_PORT = 65_535;
     private static final int BYTES_PER_MB = 1024 * 1024;
     private static final int DECIMAL = 10;
@@ -55,8 +76,8 @@
     public static Path path(Map<String, String> environment) {
         String path = environment.get(VARIABLE);
         if (path == null || path.isEmpty()) {
-            throw BadInput.of(ResultCode.VARIABLE_NOT_SET,
-                VARIABLE + " is not set: it holds the path of the settings file");
+            throw BadInput.of(
+                    ResultCode.VARIABLE_NOT_SET, VARIABLE + " is not set: it holds the path of the settings file");
         }
         return Path.of(path);
     }
@@ -81,12 +102,22 @@
         Fields f = new Fields(Json.object(text), "");
         Fields listen = f.needed("listen_addresses");
         Fields limits = f.needed("limits");
-        return new NodeSettings(f.text("node_name"), ip(f), f.text("zone"), address(listen, "front"),
-            address(listen, "readiness"), address(listen, "control"), ports(f), seeds(f), f.flag("initial_start"),
-            f.flag("loss_counted", false), directory(f),
-            new Resources((int) limits.atLeast("max_file_descriptors", 1),
-                (long) (limits.atLeast("disk_mb", 0, 0) * BYTES_PER_MB)),
-            bounds(f.needed("bounds")), platform(f.needed("platform_api")));
+        return new NodeSettings(
+                f.text("node_name"),
+                ip(f),
+                f.text("zone"),
+                address(listen, "front"),
+                address(listen, "readiness"),
+                address(listen, "control"),
+                ports(f),
+                seeds(f),
+                f.flag("initial_start"),
+                f.flag("loss_counted", false),
+                directory(f),
+                new Resources((int) limits.atLeast("max_file_descriptors", 1), (long)
+                        (limits.atLeast("disk_mb", 0, 0) * BYTES_PER_MB)),
+                bounds(f.needed("bounds")),
+                platform(f.needed("platform_api")));
     }
 
     /** These settings, which have all that a data plane needs. */
@@ -113,7 +144,7 @@
     private static String ip(Fields f) {
         String text = f.text("ip_address");
         int parts = 1;
-        int value = -1;   // of the part so far; below 0 where it has no digit yet
+        int value = -1; // of the part so far; below 0 where it has no digit yet
         boolean right = true;
         for (int i = 0; i < text.length(); i++) {
             char c = text.charAt(i);
@@ -166,10 +197,17 @@
     }
 
     private static Bounds bounds(Fields f) {
-        return new Bounds(f.positive("drain_ms"), f.positive("grace_s") * 1000, f.positive("config_apply_ms"),
-            f.atLeast("retry_budget_ratio", 0), f.positive("budget_window_s") * 1000,
-            f.atLeast("retry_budget_slack", 0), f.atLeast("lease_ms", 0, 3_000), f.positive("contact_ms"),
-            f.atLeast("ack_ms", 0, 4_000), f.atLeast("catch_up_s", 0, CATCH_UP_S) * 1000);
+        return new Bounds(
+                f.positive("drain_ms"),
+                f.positive("grace_s") * 1000,
+                f.positive("config_apply_ms"),
+                f.atLeast("retry_budget_ratio", 0),
+                f.positive("budget_window_s") * 1000,
+                f.atLeast("retry_budget_slack", 0),
+                f.atLeast("lease_ms", 0, 3_000),
+                f.positive("contact_ms"),
+                f.atLeast("ack_ms", 0, 4_000),
+                f.atLeast("catch_up_s", 0, CATCH_UP_S) * 1000);
     }
 
     private static Platform platform(Fields f) {
--- a/shared/src/main/java/dewplank/exchange/ConnectionPool.java
+++ b/shared/src/main/java/dewplank/exchange/ConnectionPool.java
@@ -17,7 +17,7 @@
      */
     public static final double REST_MS = 10;
 
-    private record Idle(Connection connection, InetSocketAddress to, double since, double until) { }
+    private record Idle(Connection connection, InetSocketAddress to, double since, double until) {}
 
     private final Scheduler loop;
     private final double restMs;
@@ -36,7 +36,7 @@
     public Connection take(InetSocketAddress to) {
         closeOld();
         double restedSince = loop.now() - restMs;
-        for (Iterator<Idle> i = idle.descendingIterator(); i.hasNext();) {
+        for (Iterator<Idle> i = idle.descendingIterator(); i.hasNext(); ) {
             Idle entry = i.next();
             if (entry.connection().isClosed() || !entry.to().equals(to)) {
                 i.remove();
@@ -53,7 +53,7 @@
     public void closeOld() {
         double now = loop.now();
         closeIdleBefore(now - mostIdleMs);
-        for (Iterator<Idle> i = idle.iterator(); i.hasNext();) {
+        for (Iterator<Idle> i = idle.iterator(); i.hasNext(); ) {
             Idle entry = i.next();
             if (entry.until() <= now) {
                 i.remove();
@@ -82,7 +82,7 @@
         idle.addLast(entry);
         connection.setHandler(new Connection.Handler() {
             @Override
-            public void received(ByteBuffer bytes) {   // nothing was asked: its next answer could not be trusted
+            public void received(ByteBuffer bytes) { // nothing was asked: its next answer could not be trusted
                 bytes.position(bytes.limit());
                 idle.remove(entry);
                 connection.close();
--- a/shared/src/main/java/dewplank/exchange/HttpCall.java
+++ b/shared/src/main/java/dewplank/exchange/HttpCall.java
@@ -45,8 +45,8 @@
         void failed(Failure failure);
     }
 
-    private static final double IDLE_DEFAULT_MS = 1_000;   // for servers that do not say how long they wait
-    private static final double IDLE_PART = 0.8;           // of the time that a server states
+    private static final double IDLE_DEFAULT_MS = 1_000; // for servers that do not say how long they wait
+    private static final double IDLE_PART = 0.8; // of the time that a server states
     private static final int ANY_LENGTH = Integer.MAX_VALUE;
 
     private final EventLoop loop;
@@ -119,7 +119,7 @@
             fail(Failure.NOT_SENT);
             return;
         }
-        established.write(request, () -> { });
+        established.write(request, () -> {});
     }
 
     /** Whether the connection had carried another call before. */
--- a/shared/src/main/java/dewplank/exchange/InboundConnection.java
+++ b/shared/src/main/java/dewplank/exchange/InboundConnection.java
@@ -30,7 +30,7 @@
         void gone(InboundConnection connection);
 
         /** The connection has ended. */
-        default void left(InboundConnection connection) { }
+        default void left(InboundConnection connection) {}
 
         /** Whether answers are to be the last of their connections. */
         default boolean closing() {
@@ -48,19 +48,19 @@
     }
 
     /** A whole request. */
-    public record Request(String method, String target, Headers headers, byte[] body) { }
+    public record Request(String method, String target, Headers headers, byte[] body) {}
 
     private final EventLoop loop;
     private final Service service;
     private final RequestParser parser;
     private Connection connection;
     private boolean busy;
-    private Request taken;   // whole, and not handed over yet
+    private Request taken; // whole, and not handed over yet
     private boolean handed;
     private boolean keepAlive;
-    private boolean headOnly;   // the request is a HEAD: a body would be taken for the next answer
+    private boolean headOnly; // the request is a HEAD: a body would be taken for the next answer
     private boolean streaming;
-    private boolean bodiless;   // the answer that was begun has no body
+    private boolean bodiless; // the answer that was begun has no body
     private boolean answered;
     private double waitsSince;
 
@@ -88,7 +88,7 @@
                 take();
             }
             if (!busy && parser.waitsForContinue()) {
-                connection.write(MessageWriter.response(100).noBody(), () -> { });
+                connection.write(MessageWriter.response(100).noBody(), () -> {});
             }
         } catch (BadMessageException e) {
             reject(e);
@@ -107,7 +107,7 @@
     }
 
     private void handOver(Request request) {
-        if (connection.isClosed() || taken != request) {   // its caller has left, or has had an answer
+        if (connection.isClosed() || taken != request) { // its caller has left, or has had an answer
             return;
         }
         taken = null;
@@ -158,8 +158,9 @@
             return;
         }
         boolean last = last();
-        MessageWriter head = MessageWriter.response(status).headers(headers).header("Connection", last ? "close" : null);
-        connection.write(bodyless(status) ? head.noBody() : head.body(body), () -> { });
+        MessageWriter head =
+                MessageWriter.response(status).headers(headers).header("Connection", last ? "close" : null);
+        connection.write(bodyless(status) ? head.noBody() : head.body(body), () -> {});
         over(last);
     }
 
@@ -180,17 +181,27 @@
         streaming = true;
         keepAlive = !last();
         bodiless = bodyless(status);
-        connection.write(MessageWriter.response(status).headers(headers)
-            .header("Transfer-Encoding", bodiless ? null : "chunked")
-            .header("Connection", keepAlive ? null : "close").noBody(), () -> { });
+        connection.write(
+                MessageWriter.response(status)
+                        .headers(headers)
+                        .header("Transfer-Encoding", bodiless ? null : "chunked")
+                        .header("Connection", keepAlive ? null : "close")
+                        .noBody(),
+                () -> {});
     }
 
     /** The next piece of a body that has begun. */
     public void piece(byte[] bytes) {
         if (bytes.length > 0 && !bodiless && !connection.isClosed()) {
             byte[] size = Integer.toHexString(bytes.length).getBytes(StandardCharsets.US_ASCII);
-            connection.write(ByteBuffer.allocate(size.length + bytes.length + 2 * CRLF.length)
-                .put(size).put(CRLF).put(bytes).put(CRLF).flip(), () -> { });
+            connection.write(
+                    ByteBuffer.allocate(size.length + bytes.length + 2 * CRLF.length)
+                            .put(size)
+                            .put(CRLF)
+                            .put(bytes)
+                            .put(CRLF)
+                            .flip(),
+                    () -> {});
         }
     }
 
@@ -198,7 +209,7 @@
     public void end() {
         if (!connection.isClosed()) {
             if (!bodiless) {
-                connection.write(ByteBuffer.wrap(LAST_CHUNK), () -> { });
+                connection.write(ByteBuffer.wrap(LAST_CHUNK), () -> {});
             }
             over(!keepAlive);
         }
--- a/shared/src/main/java/dewplank/http/Cookies.java
+++ b/shared/src/main/java/dewplank/http/Cookies.java
@@ -4,7 +4,7 @@
 
 /** The {@code Cookie} fields of a request (RFC 6265, section 4.2). */
 public final class Cookies {
-    private Cookies() { }
+    private Cookies() {}
 
     /**
      * The value of the cookie with this name as it stands, or null: where there is none, where two of that name
--- a/shared/src/main/java/dewplank/http/Headers.java
+++ b/shared/src/main/java/dewplank/http/Headers.java
@@ -8,12 +8,22 @@
 /** Header fields in the order they came; names are looked up whatever their case. */
 public final class Headers {
     /** Those that speak of one connection, or that each side writes for itself. */
-    private static final Set<String> ONE_HOP = Set.of("connection", "keep-alive", "proxy-connection",
-        "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "expect",
-        "host", "content-length");
+    private static final Set<String> ONE_HOP = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "expect",
+            "host",
+            "content-length");
 
     /** One field. */
-    public record Field(String name, String value) { }
+    public record Field(String name, String value) {}
 
     private final List<Field> fields = new ArrayList<>();
 
--- a/shared/src/main/java/dewplank/http/MessageParser.java
+++ b/shared/src/main/java/dewplank/http/MessageParser.java
@@ -15,7 +15,17 @@
     private static final int MAX_CHUNK_LINE = 256;
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
-    private enum State { START, FIELDS, FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, TO_THE_END, DONE }
+    private enum State {
+        START,
+        FIELDS,
+        FIXED,
+        CHUNK_SIZE,
+        CHUNK,
+        CHUNK_END,
+        TRAILERS,
+        TO_THE_END,
+        DONE
+    }
 
     private int maxBody;
     private int maxHead = MAX_HEAD;
@@ -112,7 +122,9 @@
             if (b != '\n') {
                 line.write(b);
                 boolean lineEnd = b == '\r' && line.size() == 1;
-                if (state == State.START && !lineEnd && line.size() <= startsWith().length()
+                if (state == State.START
+                        && !lineEnd
+                        && line.size() <= startsWith().length()
                         && b != startsWith().charAt(line.size() - 1)) {
                     throw new BadMessageException(400, "the start line is malformed");
                 }
@@ -128,7 +140,7 @@
     private void endOfLine(String text) throws BadMessageException {
         switch (state) {
             case START -> {
-                if (text.isEmpty()) {   // a stray line end between messages does no harm
+                if (text.isEmpty()) { // a stray line end between messages does no harm
                     headBytes = 0;
                     return;
                 }
@@ -160,7 +172,7 @@
     private void field(String text) throws BadMessageException {
         int colon = text.indexOf(':');
         String name = colon < 0 ? "" : text.substring(0, colon);
-        if (!isToken(name)) {   // folded lines and names before a blank land here too
+        if (!isToken(name)) { // folded lines and names before a blank land here too
             throw new BadMessageException(400, "a header field is malformed");
         }
         String value = text.substring(colon + 1).strip();
@@ -186,7 +198,7 @@
     private void endOfHead() throws BadMessageException {
         String length = headers.get("Content-Length");
         String coding = headers.get("Transfer-Encoding");
-        if (length != null && coding != null) {   // the two sides could see different ends: request smuggling
+        if (length != null && coding != null) { // the two sides could see different ends: request smuggling
             throw new BadMessageException(400, "both Content-Length and Transfer-Encoding");
         }
         if (interim()) {
--- a/shared/src/main/java/dewplank/http/MessageWriter.java
+++ b/shared/src/main/java/dewplank/http/MessageWriter.java
@@ -45,7 +45,10 @@
 
     private ByteBuffer end(byte[] body) {
         byte[] start = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
-        return ByteBuffer.allocate(start.length + body.length).put(start).put(body).flip();
+        return ByteBuffer.allocate(start.length + body.length)
+                .put(start)
+                .put(body)
+                .flip();
     }
 
     private static String reason(int status) {
--- a/shared/src/main/java/dewplank/http/RequestParser.java
+++ b/shared/src/main/java/dewplank/http/RequestParser.java
@@ -18,7 +18,7 @@
 
     @Override
     String startsWith() {
-        return "";   // any method
+        return ""; // any method
     }
 
     @Override
@@ -51,7 +51,9 @@
 
     /** Whether the connection may carry another request after this one. */
     public boolean keepAlive() {
-        return oldVersion ? headers().lists("Connection", "keep-alive") : !headers().lists("Connection", "close");
+        return oldVersion
+                ? headers().lists("Connection", "keep-alive")
+                : !headers().lists("Connection", "close");
     }
 
     /** Whether the peer holds its body back until it is told to go on. True once a request. */
--- a/shared/src/main/java/dewplank/http/ResponseParser.java
+++ b/shared/src/main/java/dewplank/http/ResponseParser.java
@@ -39,8 +39,9 @@
 
     /** Whether the connection may carry another request after this answer. */
     public boolean keepAlive() {
-        boolean framed = bodyless() || headers().get("Content-Length") != null
-            || headers().get("Transfer-Encoding") != null;
+        boolean framed = bodyless()
+                || headers().get("Content-Length") != null
+                || headers().get("Transfer-Encoding") != null;
         return framed && !oldVersion && !headers().lists("Connection", "close");
     }
 
--- a/shared/src/main/java/dewplank/net/Connection.java
+++ b/shared/src/main/java/dewplank/net/Connection.java
@@ -20,6 +20,7 @@
     private static final int BUFFER = 8 * 1024;
     /** What a peer may send ahead of its answers: one more message of the longest kind, HTTP's 16 and 64 KiB. */
     static final int MOST_AHEAD = 80 * 1024;
+
     private static final double LINGER_MS = 1_000;
 
     /** Whoever uses the connection now. */
@@ -31,16 +32,16 @@
         void closed(IOException why);
 
         /** More lies unread than a peer may send ahead: until it is taken nothing is read, the peer's end neither. */
-        default void sentTooMuchAhead() { }
+        default void sentTooMuchAhead() {}
     }
 
-    private record Write(ByteBuffer bytes, Runnable whenWritten) { }
+    private record Write(ByteBuffer bytes, Runnable whenWritten) {}
 
     private final EventLoop loop;
     private final AsynchronousSocketChannel channel;
     private ByteBuffer in = ByteBuffer.allocate(BUFFER);
-    private int taken;    // the handler has had the bytes up to here
-    private int filled;   // what lies beyond is a pending read's, and another thread may be filling it
+    private int taken; // the handler has had the bytes up to here
+    private int filled; // what lies beyond is a pending read's, and another thread may be filling it
     private boolean lent;
     private final Deque<Write> writes = new ArrayDeque<>();
     private Handler handler;
@@ -48,7 +49,7 @@
     private boolean delivering;
     private boolean finishing;
     private boolean closed;
-    private Runnable whenClosed = () -> { };
+    private Runnable whenClosed = () -> {};
 
     private final CompletionHandler<Integer, Void> readDone = handler(this::readDone);
     private final CompletionHandler<Integer, Void> writeDone = handler(this::writeDone);
@@ -66,14 +67,23 @@
     }
 
     /** Opens a connection. Exactly one of {@code up} and {@code failed} is called, later; neither after a cancel. */
-    public static Connecting open(EventLoop loop, InetSocketAddress to, Handler handler, Consumer<Connection> up,
-                                  Consumer<IOException> failed) {
+    public static Connecting open(
+            EventLoop loop,
+            InetSocketAddress to,
+            Handler handler,
+            Consumer<Connection> up,
+            Consumer<IOException> failed) {
         return open(loop, null, to, handler, up, failed);
     }
 
     /** The same from a given address of this machine; null: the system chooses. */
-    public static Connecting open(EventLoop loop, InetAddress from, InetSocketAddress to, Handler handler,
-                                  Consumer<Connection> up, Consumer<IOException> failed) {
+    public static Connecting open(
+            EventLoop loop,
+            InetAddress from,
+            InetSocketAddress to,
+            Handler handler,
+            Consumer<Connection> up,
+            Consumer<IOException> failed) {
         boolean[] cancelled = new boolean[1];
         AsynchronousSocketChannel channel;
         try {
@@ -81,7 +91,7 @@
             if (from != null) {
                 channel.bind(new InetSocketAddress(from, 0));
             }
-        } catch (IOException e) {   // no descriptor left, say
+        } catch (IOException e) { // no descriptor left, say
             loop.execute(() -> {
                 if (!cancelled[0]) {
                     failed.accept(e);
@@ -119,7 +129,7 @@
         };
         try {
             channel.connect(to, null, connected);
-        } catch (RuntimeException e) {   // an address of a kind that this machine has none of
+        } catch (RuntimeException e) { // an address of a kind that this machine has none of
             connected.failed(e, null);
         }
         return () -> {
@@ -242,7 +252,7 @@
     }
 
     private void deliver() {
-        if (closed || finishing || taken == filled) {   // finishing: what still comes is not looked at
+        if (closed || finishing || taken == filled) { // finishing: what still comes is not looked at
             return;
         }
         delivering = true;
@@ -275,7 +285,7 @@
             return;
         }
         ByteBuffer bytes = writes.peekFirst().bytes();
-        if (bytes.hasRemaining()) {   // a partial write
+        if (bytes.hasRemaining()) { // a partial write
             channel.write(bytes, null, writeDone);
             return;
         }
--- a/shared/src/main/java/dewplank/net/EventLoop.java
+++ b/shared/src/main/java/dewplank/net/EventLoop.java
@@ -15,7 +15,7 @@
     private static final long TICK_MS = 5;
     private static final long STOP_MS = 1_000;
     private static final int WASTE = 256 * 1024;
-    private static final int MOST_LENT = 50;   // buffers for bytes sent ahead: 4 MiB, a sixteenth of the heap
+    private static final int MOST_LENT = 50; // buffers for bytes sent ahead: 4 MiB, a sixteenth of the heap
 
     private final ScheduledThreadPoolExecutor executor;
     private final AsynchronousChannelGroup group;
@@ -30,7 +30,7 @@
     public EventLoop() throws IOException {
         executor = new ScheduledThreadPoolExecutor(1, task -> {
             thread = new Thread(task, "loop");
-            thread.setDaemon(true);   // a program whose main thread fails must end, not linger without it
+            thread.setDaemon(true); // a program whose main thread fails must end, not linger without it
             return thread;
         });
         group = AsynchronousChannelGroup.withThreadPool(executor);
--- a/shared/src/main/java/dewplank/net/Listener.java
+++ b/shared/src/main/java/dewplank/net/Listener.java
@@ -74,9 +74,11 @@
             public void failed(Throwable e, Void attachment) {
                 loop.execute(() -> {
                     accepting = false;
-                    if (!closed) {   // out of descriptors, say: those waiting are served when one is free
-                        LOG.log(failing ? System.Logger.Level.DEBUG : System.Logger.Level.WARNING,
-                            "accepting failed: {0}", e.toString());
+                    if (!closed) { // out of descriptors, say: those waiting are served when one is free
+                        LOG.log(
+                                failing ? System.Logger.Level.DEBUG : System.Logger.Level.WARNING,
+                                "accepting failed: {0}",
+                                e.toString());
                         failing = true;
                         loop.after(RETRY_MS, Listener.this::accept);
                     }
@@ -96,7 +98,7 @@
             });
             handler.accepted(connection);
             connection.read();
-        } catch (IOException e) {   // it left before it was looked at
+        } catch (IOException e) { // it left before it was looked at
             Connection.closeQuietly(accepted);
         }
     }
--- a/shared/src/test/java/dewplank/config/FileWatchTest.java
+++ b/shared/src/test/java/dewplank/config/FileWatchTest.java
@@ -20,6 +20,7 @@
 
     @Rule
     public final TemporaryFolder folder = new TemporaryFolder();
+
     private Path file;
     private FileWatch watch;
 
--- a/shared/src/test/java/dewplank/config/NodeSettingsTest.java
+++ b/shared/src/test/java/dewplank/config/NodeSettingsTest.java
@@ -22,35 +22,85 @@
 class NodeSettingsTest {
     private static final Gson GSON = new GsonBuilder().serializeNulls().create();
     /** Keys that a settings file has to hold. */
-    private static final List<String> NEEDED = List.of("node_name", "ip_address", "zone", "listen_addresses",
-        "internal_port_range", "seed_nodes", "initial_start", "limits", "limits.max_file_descriptors", "bounds",
-        "bounds.drain_ms", "bounds.grace_s", "bounds.config_apply_ms", "bounds.retry_budget_ratio",
-        "bounds.budget_window_s", "bounds.retry_budget_slack", "bounds.contact_ms", "platform_api",
-        "platform_api.address", "platform_api.rate_per_s");
+    private static final List<String> NEEDED = List.of(
+            "node_name",
+            "ip_address",
+            "zone",
+            "listen_addresses",
+            "internal_port_range",
+            "seed_nodes",
+            "initial_start",
+            "limits",
+            "limits.max_file_descriptors",
+            "bounds",
+            "bounds.drain_ms",
+            "bounds.grace_s",
+            "bounds.config_apply_ms",
+            "bounds.retry_budget_ratio",
+            "bounds.budget_window_s",
+            "bounds.retry_budget_slack",
+            "bounds.contact_ms",
+            "platform_api",
+            "platform_api.address",
+            "platform_api.rate_per_s");
     /** Keys that may be left out. */
-    private static final List<String> OPTIONAL = List.of("listen_addresses.front", "listen_addresses.readiness",
-        "listen_addresses.control", "loss_counted", "limits.disk_mb", "data_directory", "bounds.lease_ms",
-        "bounds.ack_ms", "platform_api.max_lag_ms");
+    private static final List<String> OPTIONAL = List.of(
+            "listen_addresses.front",
+            "listen_addresses.readiness",
+            "listen_addresses.control",
+            "loss_counted",
+            "limits.disk_mb",
+            "data_directory",
+            "bounds.lease_ms",
+            "bounds.ack_ms",
+            "platform_api.max_lag_ms");
+
     private static final Map<String, List<Object>> OUT_OF_RANGE = outOfRange();
 
     private static Map<String, List<Object>> outOfRange() {
         Map<String, List<Object>> values = new LinkedHashMap<>();
-        values.put("ip_address", List.of("", "10.0.0", "10.0.0.", ".1.2.3", "1..2.3", "10.0.0.256", "10.0.0.1.2",
-            "10.0.0.99999999999", "10.0.0.-1", "10.0.0.4:80", "host.example"));
-        for (String address : List.of("listen_addresses.front", "listen_addresses.readiness",
-            "listen_addresses.control", "platform_api.address")) {
+        values.put(
+                "ip_address",
+                List.of(
+                        "",
+                        "10.0.0",
+                        "10.0.0.",
+                        ".1.2.3",
+                        "1..2.3",
+                        "10.0.0.256",
+                        "10.0.0.1.2",
+                        "10.0.0.99999999999",
+                        "10.0.0.-1",
+                        "10.0.0.4:80",
+                        "host.example"));
+        for (String address : List.of(
+                "listen_addresses.front",
+                "listen_addresses.readiness",
+                "listen_addresses.control",
+                "platform_api.address")) {
             values.put(address, List.of("10.0.0.4", "10.0.0.4:0", "10.0.0.4:65536", "host.example:80", ":80"));
         }
-        values.put("internal_port_range", List.of(List.of(0, 7), List.of(7, 7), List.of(8, 7), List.of(1, 65_536),
-            List.of(1, 1L << 32)));
+        values.put(
+                "internal_port_range",
+                List.of(List.of(0, 7), List.of(7, 7), List.of(8, 7), List.of(1, 65_536), List.of(1, 1L << 32)));
         values.put("limits.max_file_descriptors", List.of(0, -1));
         values.put("data_directory", List.of("a\0b"));
-        for (String positive : List.of("bounds.drain_ms", "bounds.grace_s", "bounds.config_apply_ms",
-            "bounds.budget_window_s", "bounds.contact_ms", "platform_api.rate_per_s")) {
+        for (String positive : List.of(
+                "bounds.drain_ms",
+                "bounds.grace_s",
+                "bounds.config_apply_ms",
+                "bounds.budget_window_s",
+                "bounds.contact_ms",
+                "platform_api.rate_per_s")) {
             values.put(positive, List.of(0, -0.5));
         }
-        for (String notNegative : List.of("limits.disk_mb", "bounds.retry_budget_ratio", "bounds.retry_budget_slack",
-            "bounds.lease_ms", "bounds.ack_ms", "platform_api.max_lag_ms")) {
+        for (String notNegative : List.of(
+                "limits.disk_mb",
+                "bounds.retry_budget_ratio",
+                "bounds.retry_budget_slack",
+                "bounds.lease_ms",
+                "bounds.ack_ms",
+                "platform_api.max_lag_ms")) {
             values.put(notNegative, List.of(-0.5, -1));
         }
         return values;
@@ -68,8 +118,9 @@
     @SuppressWarnings("unchecked")
     private static Map.Entry<Map<String, Object>, String> place(Map<String, Object> whole, String key) {
         int dot = key.indexOf('.');
-        return dot < 0 ? Map.entry(whole, key)
-            : Map.entry((Map<String, Object>) whole.get(key.substring(0, dot)), key.substring(dot + 1));
+        return dot < 0
+                ? Map.entry(whole, key)
+                : Map.entry((Map<String, Object>) whole.get(key.substring(0, dot)), key.substring(dot + 1));
     }
 
     private static String with(String key, Object value) {
@@ -176,8 +227,8 @@
     void saysWhyTheFileCantBeFound() {
         BadInput unset = assertThrows(BadInput.class, () -> NodeSettings.fromEnvironment(Map.of()));
         assertSame(ResultCode.VARIABLE_NOT_SET, unset.code());
-        BadInput absent = assertThrows(BadInput.class,
-            () -> NodeSettings.fromEnvironment(Map.of(NodeSettings.VARIABLE, "no/such/file.json")));
+        BadInput absent = assertThrows(
+                BadInput.class, () -> NodeSettings.fromEnvironment(Map.of(NodeSettings.VARIABLE, "no/such/file.json")));
         assertSame(ResultCode.FILE_UNREADABLE, absent.code());
         assertTrue(absent.getMessage().contains("no/such/file.json"));
     }
@@ -202,10 +253,12 @@
     @Test
     void leavesOtherReadersMessagesAsTheyWere() {
         Fields fields = new Fields(Map.of("a", -1L), "configuration key ");
-        assertEquals("configuration key b is missing",
-            assertThrows(BadInput.class, () -> fields.text("b")).getMessage());
-        assertEquals("configuration key a should be a number above 0",
-            assertThrows(BadInput.class, () -> fields.positive("a")).getMessage());
+        assertEquals(
+                "configuration key b is missing",
+                assertThrows(BadInput.class, () -> fields.text("b")).getMessage());
+        assertEquals(
+                "configuration key a should be a number above 0",
+                assertThrows(BadInput.class, () -> fields.positive("a")).getMessage());
         assertNull(new BadInput("x").code());
         assertFalse(new BadInput("x").numbered(ResultCode.NOT_JSON).getMessage().equals("x"));
     }
--- a/shared/src/test/java/dewplank/exchange/ConnectionPoolTest.java
+++ b/shared/src/test/java/dewplank/exchange/ConnectionPoolTest.java
@@ -22,7 +22,7 @@
     private ScriptedServer server;
 
     /** A connection from both sides. */
-    private record Pair(Connection here, Wire there) { }
+    private record Pair(Connection here, Wire there) {}
 
     @BeforeEach
     void begin() throws IOException {
@@ -38,15 +38,20 @@
 
     private Pair connect() throws Exception {
         CompletableFuture<Connection> up = new CompletableFuture<>();
-        loop.execute(() -> Connection.open(loop, server.address(), new Connection.Handler() {
-            @Override
-            public void received(ByteBuffer bytes) {
-                bytes.position(bytes.limit());
-            }
-
-            @Override
-            public void closed(IOException why) { }
-        }, up::complete, up::completeExceptionally));
+        loop.execute(() -> Connection.open(
+                loop,
+                server.address(),
+                new Connection.Handler() {
+                    @Override
+                    public void received(ByteBuffer bytes) {
+                        bytes.position(bytes.limit());
+                    }
+
+                    @Override
+                    public void closed(IOException why) {}
+                },
+                up::complete,
+                up::completeExceptionally));
         return new Pair(up.get(Wire.PATIENCE_S, TimeUnit.SECONDS), server.nextConnection());
     }
 
@@ -145,7 +150,7 @@
         put(pool, idle);
         OnLoop.run(loop, pool::close);
         idle.there().awaitEnd();
-        put(pool, used);   // its call ends after the server has left
+        put(pool, used); // its call ends after the server has left
         used.there().awaitEnd();
         assertEquals(0, pool.size());
     }
--- a/shared/src/test/java/dewplank/exchange/HttpCallTest.java
+++ b/shared/src/test/java/dewplank/exchange/HttpCallTest.java
@@ -179,9 +179,13 @@
 
     @Test
     void bytesThatAreNoAnswerFailTheCall() throws Exception {
-        for (String noise : new String[] {"what?", "HTTP/1.1 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
+        for (String noise : new String[] {
+            "what?",
+            "HTTP/1.1 OK\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n",
-            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc"}) {
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc"
+        }) {
             Heard heard = ask();
             Wire wire = server.next().wire();
             wire.send(noise);
@@ -205,10 +209,13 @@
 
     @Test
     void anAnswerThatIsCutOffIsNotWhole() throws Exception {
-        for (String part : new String[] {"HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
+        for (String part : new String[] {
+            "HTTP/1.1 200 O",
+            "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
             "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n12345678",
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
-            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"}) {
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"
+        }) {
             Heard heard = ask();
             Wire wire = server.next().wire();
             wire.send(part);
@@ -231,7 +238,7 @@
         one.wire().answer("200 OK", "", "1");
         first.expect("head 200", "body 1", "complete");
         Heard second = new Heard();
-        HttpCall early = started(REQUEST, second);   // before the rest is over: on another connection
+        HttpCall early = started(REQUEST, second); // before the rest is over: on another connection
         ScriptedServer.Call two = server.next();
         assertNotSame(one.wire(), two.wire());
         assertFalse(early.reused());
@@ -347,8 +354,10 @@
         Heard heard = new Heard();
         heard.own = "b";
         started(REQUEST, heard);
-        server.next().wire().send("HTTP/1.1 503 Busy\r\nId: a\r\nContent-Length: 4\r\n\r\nlate"
-            + "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 3\r\n\r\nown");
+        server.next()
+                .wire()
+                .send("HTTP/1.1 503 Busy\r\nId: a\r\nContent-Length: 4\r\n\r\nlate"
+                        + "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 3\r\n\r\nown");
         heard.expect("passed over 503", "head 200", "body own", "complete");
     }
 
@@ -433,7 +442,7 @@
 
     private static String longRequest() {
         return "POST /x HTTP/1.1\r\nContent-Length: " + MORE_THAN_SYSTEMS_HOLD + "\r\n\r\n"
-            + "x".repeat(MORE_THAN_SYSTEMS_HOLD);
+                + "x".repeat(MORE_THAN_SYSTEMS_HOLD);
     }
 
     /** A connection that is known to be broken takes no byte: what was to go by it cannot have run. */
@@ -473,8 +482,12 @@
         String body = "y".repeat(FITS_INTO_THE_SYSTEM);
         try (ScriptedServer raw = ScriptedServer.raw()) {
             Heard heard = new Heard();
-            HttpCall first = new HttpCall(loop, raw.address(), pool,
-                bytes("POST /1 HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body), heard);
+            HttpCall first = new HttpCall(
+                    loop,
+                    raw.address(),
+                    pool,
+                    bytes("POST /1 HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body),
+                    heard);
             loop.execute(() -> first.start(CONNECT_MS));
             Wire wire = raw.nextConnection();
             assertEquals("/1", wire.readHead().target());
@@ -548,10 +561,12 @@
         first.expect("head 200", "complete");
         OnLoop.await(loop, () -> pool.size() == 1);
         Heard second = new Heard();
-        OnLoop.run(loop, () -> {   // on the loop's thread nothing of the end is heard before the call has begun
-            wire.reset();
-            call(REQUEST, second).start(CONNECT_MS);
-        });
+        OnLoop.run(
+                loop,
+                () -> { // on the loop's thread nothing of the end is heard before the call has begun
+                    wire.reset();
+                    call(REQUEST, second).start(CONNECT_MS);
+                });
         assertTrue(second.next().startsWith("failed "));
     }
 
@@ -665,7 +680,7 @@
             OnLoop.run(loop, () -> wanted[0] = false);
             late.letIn();
             heard.expect("failed NOT_SENT");
-            for (int i = 0; i < 3; i++) {   // the crowd's two connections, and the call's
+            for (int i = 0; i < 3; i++) { // the crowd's two connections, and the call's
                 late.nextConnection().awaitEnd();
             }
         }
