--- a/cli/src/main/java/dewplank/rehearsal/FleetRehearsal.java
+++ b/cli/src/main/java/dewplank/rehearsal/FleetRehearsal.java
@@ -29,6 +29,7 @@
     private static final int TRIES = 200;
     private static final int PAUSE_MS = 25;
     private static final int REQUESTS = 20;
+    private static final String ATTEMPT_ID = "X-Dewplank-Request-Attempt-Id";
     private static final byte[] NOTHING = new byte[0];
 
     private final int[] ports = freePorts(7);
@@ -58,8 +59,8 @@
         status("GET", ports[3], "/servers", null);
         until(() -> status("GET", ports[2], "/readiness", null) == 200);
         for (int i = 0; i < REQUESTS; i++) {
-            status("POST", ports[1], "/plain/" + i, "x");
-            status("POST", ports[1], "/generation/" + i, "x");
+            expectServed("/plain/" + i);
+            expectServed("/generation/" + i);
         }
         status("GET", ports[1], "/nothing/", null);
         data.drain();
@@ -67,6 +68,14 @@
         loop.stop();
     }
 
+    /** What is not served teaches the archive the paths of failure only. */
+    private void expectServed(String path) throws IOException {
+        int status = status("POST", ports[1], path, "x");
+        if (status != 200) {
+            throw new IOException("the rehearsal's request " + path + " was answered " + status);
+        }
+    }
+
     private interface Attempt {
         boolean done() throws IOException;
     }
@@ -85,7 +94,7 @@
         HttpURLConnection call = (HttpURLConnection) new URL("http", HOST, port, path).openConnection();
         call.setRequestMethod(method);
         call.setRequestProperty("If-Match", "0");
-        call.setRequestProperty("X-Dewplank-Request-Attempt-Id", "0123456789abcdef");
+        call.setRequestProperty(ATTEMPT_ID, "0123456789abcdef");
         call.setRequestProperty("X-Dewplank-Remaining-Time-Ms", "2000");
         call.setRequestProperty("X-Dewplank-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
         if (body != null) {
@@ -145,7 +154,10 @@
     private final class StandIn implements InboundConnection.Service {
         @Override
         public void handle(InboundConnection.Request request, InboundConnection caller) {
-            List<Headers.Field> seal = List.of(new Headers.Field("X-Dewplank-Server-Seal", "0"));
+            String attempt = request.headers().get(ATTEMPT_ID);
+            List<Headers.Field> own = attempt == null ? List.of() : List.of(new Headers.Field(ATTEMPT_ID, attempt));
+            List<Headers.Field> sealed = new ArrayList<>(own);
+            sealed.add(new Headers.Field("X-Dewplank-Server-Seal", "0"));
             if (request.target().startsWith("/instances")) {
                 caller.answer(200, List.of(), list().getBytes(StandardCharsets.UTF_8));
             } else if (request.target().startsWith("/report")) {
@@ -157,15 +169,15 @@
             } else if (request.headers().get("X-Dewplank-Processing-Stage") != null) {
                 caller.answer(
                         200,
-                        List.of(),
+                        own,
                         "{\"context_handle\":\"3fa0\",\"token_count\":1460,\"config_version\":1}"
                                 .getBytes(StandardCharsets.UTF_8));
             } else if (request.target().startsWith("/generation/")) {
-                caller.begin(200, seal);
+                caller.begin(200, sealed);
                 caller.piece("id: 1\ndata: x\n\n".getBytes(StandardCharsets.UTF_8));
                 caller.end();
             } else {
-                caller.answer(200, seal, NOTHING);
+                caller.answer(200, sealed, NOTHING);
             }
         }
 
