Run the control plane on machines without a disk as a relay, beside the control planes with one

Cause: the further site has no core machines, so no role served control_plane there. A second role starts the control plane on two edge machines of each zone; where these have no disk it ended with an error, on every earlier site. Ruled out: edges that serve control_plane themselves (operators would call all of them on the earlier sites); full control planes without a vote (sessions and duties on machines that come and go). Change: a process without a disk keeps nothing, holds no sessions and no duty, sends operators on by 307 and tells data planes where the others are. Seeds may name only such processes at the first start: they are the first acceptors until machines with a disk have taken their places, and nothing is confirmed before that.

--- a/client/src/main/java/dewplank/client/SettingsCheck.java
+++ b/client/src/main/java/dewplank/client/SettingsCheck.java
@@ -21,8 +21,11 @@
         }
         if (settings.control() != null) {
             settings.ofControlPlane();
-            roles.add("control plane (verb control-plane) for operators at " + text(settings.control()) + ", disk in "
-                    + settings.dataDirectory());
+            roles.add(
+                    settings.dataDirectory() == null
+                            ? "relay without a disk (verb control-plane) for operators at " + text(settings.control())
+                            : "control plane (verb control-plane) for operators at " + text(settings.control())
+                                    + ", disk in " + settings.dataDirectory());
         }
         if (roles.isEmpty()) {
             throw BadInput.of(
--- a/controlplane/src/main/java/dewplank/controlplane/AcceptorKeeper.java
+++ b/controlplane/src/main/java/dewplank/controlplane/AcceptorKeeper.java
@@ -65,9 +65,10 @@
     private List<Sighting> seen() {
         double now = loop.now();
         List<Sighting> seen = new ArrayList<>();
-        seen.add(new Sighting(self, now, Double.NEGATIVE_INFINITY));
+        seen.add(new Sighting(self, true, now, Double.NEGATIVE_INFINITY)); // only who has a disk holds the duty
         for (ControlMesh.Peer p : mesh.peers(Double.POSITIVE_INFINITY)) {
-            seen.add(new Sighting(new Acceptor(p.member().address, p.identity()), p.heardAt(), p.since()));
+            Acceptor peer = new Acceptor(p.member().address, p.identity());
+            seen.add(new Sighting(peer, p.durable(), p.heardAt(), p.since()));
         }
         return seen;
     }
--- a/controlplane/src/main/java/dewplank/controlplane/ControlMesh.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlMesh.java
@@ -35,8 +35,12 @@
     /** What a peer says of its quorum counts for so long: three beats. */
     private static final double QUORATE_MS = 1_000;
 
-    /** A control sidecar that has said hello and has been heard lately. */
-    record Peer(Member member, String identity, double heardAt, double since) {}
+    /**
+     * A control sidecar that has said hello and has been heard lately.
+     *
+     * @param durable whether it has a disk; one without is a relay
+     */
+    record Peer(Member member, String identity, boolean durable, double heardAt, double since) {}
 
     /** Tells what others have to know, and takes what they send. */
     interface Handler {
@@ -110,23 +114,36 @@
         peers.values().removeIf(p -> p.heardAt() < before);
     }
 
+    /** What is known of the control sidecar at that address; null where none was heard. */
+    Peer peer(String address) {
+        return peers.get(address);
+    }
+
     /** How many addresses are known, the own one not among them. */
     int known() {
         return links.size();
     }
 
-    /** Own address and those of the links that are up. */
+    /** Own address and those of the links that are up, without relays. */
     List<String> liveAddresses() {
         List<String> live = new ArrayList<>();
-        live.add(hello.member.address);
-        links.values().stream().filter(Link::isUp).forEach(l -> live.add(l.address));
+        if (hello.durable) {
+            live.add(hello.member.address);
+        }
+        links.values().stream().filter(l -> l.isUp() && !isRelay(l.address)).forEach(l -> live.add(l.address));
         return live;
     }
 
+    /** Whether what lives at the address has said that it has no disk. */
+    private boolean isRelay(String address) {
+        Peer peer = peers.get(address);
+        return peer != null && !peer.durable();
+    }
+
     /** All that are known, those that are up first: for who seeks a control sidecar and cannot be told which lives. */
     List<String> addressesLiveFirst() {
         Set<String> all = new LinkedHashSet<>(liveAddresses());
-        all.addAll(links.keySet());
+        links.keySet().stream().filter(a -> !isRelay(a)).forEach(all::add);
         return new ArrayList<>(all);
     }
 
@@ -157,9 +174,10 @@
         }
     }
 
+    /** To all that are up, but for relays. */
     void broadcast(Object message) {
         for (Link link : links.values()) {
-            if (link.isUp()) {
+            if (link.isUp() && !isRelay(link.address)) {
                 link.connection.send(message);
             }
         }
@@ -168,7 +186,9 @@
     /** A control sidecar has said hello on a connection of its own. */
     void greeted(ControlHello from) {
         heard(from);
-        learn(List.of(from.member.address));
+        if (from.durable) { // a relay asks for what it needs, and is of no use itself
+            learn(List.of(from.member.address));
+        }
         Link link = links.get(from.member.address);
         if (link != null) {
             link.greeted();
@@ -184,7 +204,7 @@
         Peer known = peers.get(address);
         boolean same = known != null && known.identity().equals(from.identity);
         double now = loop.now();
-        peers.put(address, new Peer(from.member, from.identity, now, same ? known.since() : now));
+        peers.put(address, new Peer(from.member, from.identity, from.durable, now, same ? known.since() : now));
     }
 
     private void beat() {
@@ -254,6 +274,7 @@
                 answeredAt = loop.now();
                 lastUp = answeredAt;
                 quorateAt = answer.quorate ? answeredAt : Double.NEGATIVE_INFINITY;
+                learn(answer.controlAddresses);
             }
         }
 
--- a/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
@@ -17,7 +17,6 @@
 import dewplank.message.SessionOpen;
 import dewplank.message.SessionQuestion;
 import dewplank.message.SessionsTold;
-import dewplank.message.Update;
 import dewplank.net.Scheduler;
 import dewplank.net.ServerEndpoint;
 import dewplank.register.Acceptor;
@@ -36,11 +35,14 @@
 
 /**
  * The control plane's program: wires the register, sessions, duties, the list of servers and the operator's interface.
+ *
+ * <p>On a machine without a disk it is a relay: it tells operators and data planes where those with a disk are, stands
+ * for no duty, holds no sessions, and is an acceptor only until the first set, which the seeds name, has moved to
+ * machines with a disk.
  */
 public final class ControlPlane {
     private static final Logger LOG = LoggerFactory.getLogger(ControlPlane.class);
     private static final double SESSION_LEASE_MS = 2_000;
-    private static final double QUORATE_MS = 1_500;
     private static final double PUSH_MEMBERS_MS = 250;
     private static final double LOOK_MS = 20;
     private static final double END_MS = 1_500;
@@ -51,6 +53,8 @@
     private final Scheduler loop;
     private final String address;
     private final Storage storage;
+    private final boolean durable;
+    private final Confirmation confirmation;
     private final ControlMesh mesh;
     private final ConfigurationStore configuration;
     private final ConfigurationHistory history = new ConfigurationHistory();
@@ -82,30 +86,20 @@
         loop = environment.scheduler();
         address = settings.address() + ":" + settings.internalPorts()[0];
         RandomGenerator random = environment.random();
-        storage = new Storage(
-                settings,
-                settings.initialStart() ? founder(address) : environment.newIdentity(),
-                seeds(settings),
-                environment.files(),
-                environment.disk(),
-                codec);
+        durable = settings.dataDirectory() != null;
+        storage = storage(settings, environment, codec, address);
         Member self = new Member(settings.node(), Member.CONTROL, address, settings.zone(), environment.wallClockMs());
         mesh = new ControlMesh(
-                loop, environment.transport(), new ControlHello(self, storage.identity()), new MeshHandler());
+                loop, environment.transport(), new ControlHello(self, storage.identity(), durable), new MeshHandler());
         List<Acceptor> initial = storage.identity().equals(founder(address)) ? founders(storage.founders()) : List.of();
         configuration = new ConfigurationStore(
                 loop, address, initial, storage.recovered(), storage, random, new RegisterSurroundings());
-        sessions = new Sessions(loop, table, new UpdateSource());
+        confirmation = new Confirmation(loop, storage.identity(), durable, mesh, configuration, history);
         NodeSettings.Bounds bounds = settings.bounds();
-        duties = new Duties(
-                loop,
-                new Acceptor(address, storage.identity()),
-                DutyTiming.leaseMs(bounds.catchUpMs(), bounds.contactMs(), bounds.drainMs()),
-                storage,
-                random,
-                configuration,
-                mesh::send);
+        duties = duties(bounds, random);
         lister = new ServerLister(loop, environment.platform(), duties.list(), bounds.drainMs(), this::listChanged);
+        sessions =
+                new Sessions(loop, table, new FleetUpdates(loop, durable, configuration, history, lister, table, mesh));
         keeper = new AcceptorKeeper(
                 loop,
                 new Acceptor(address, storage.identity()),
@@ -117,13 +111,34 @@
                 loop, settings.node(), settings.bounds().leaseMs(), lister, duties.list(), environment.serverCalls());
         operator = new OperatorApi(
                 configuration,
-                new OperatorContact(
-                        settings.control().getPort(), address, mesh, () -> configuration.quorate(QUORATE_MS)),
+                new OperatorContact(settings.control().getPort(), address, mesh, confirmation::isPossible),
                 new OperatorViews(this));
         control = environment.operators(operator);
         internal = environment.transport().listen(Addresses.socketAddress(address), MOST_CONNECTIONS, Inbound::new);
     }
 
+    private Duties duties(NodeSettings.Bounds bounds, RandomGenerator random) {
+        return new Duties(
+                loop,
+                new Acceptor(address, storage.identity()),
+                DutyTiming.leaseMs(bounds.catchUpMs(), bounds.contactMs(), bounds.drainMs()),
+                storage,
+                random,
+                configuration,
+                mesh::send);
+    }
+
+    private static Storage storage(
+            NodeSettings settings, ControlEnvironment environment, MessageCodec codec, String address)
+            throws StoreException {
+        String identityIfNew = settings.initialStart() ? founder(address) : environment.newIdentity();
+        if (settings.dataDirectory() == null) {
+            return new MemoryStorage(environment.scheduler(), identityIfNew, seeds(settings), settings.initialStart());
+        }
+        return new DiskStorage(
+                settings, identityIfNew, seeds(settings), environment.files(), environment.disk(), codec);
+    }
+
     /** The acceptors at the very first start, when nothing is known but the seeds. */
     private static List<Acceptor> founders(List<String> addresses) {
         return addresses.stream().map(a -> new Acceptor(a, founder(a))).toList();
@@ -148,15 +163,24 @@
             seeds = new LinkedHashSet<>(seeds(settings));
             mesh.learn(seeds);
             storage.savedList().ifPresent(lister::told);
-            configuration.start();
+            if (durable) {
+                configuration.start();
+            }
             mesh.learn(addresses(configuration.acceptors().all()));
             mesh.start();
-            duties.start();
-            lister.start();
-            keeper.start();
-            stages.start();
+            if (durable) {
+                duties.start();
+                lister.start();
+                keeper.start();
+                stages.start();
+            }
             pushMembers();
-            LOG.info("control sidecar {} at {}, acceptor {}", settings.node(), address, storage.identity());
+            LOG.info(
+                    "control sidecar {} at {}, acceptor {}{}",
+                    settings.node(),
+                    address,
+                    storage.identity(),
+                    durable ? "" : ", a relay without a disk");
         });
     }
 
@@ -272,7 +296,9 @@
             if (!lister.newest().version.equals(ListVersion.NONE)) {
                 mesh.send(to, lister.newest());
             }
-            configuration.ask(to);
+            if (durable) {
+                configuration.ask(to);
+            }
         }
 
         @Override
@@ -316,39 +342,6 @@
         }
     }
 
-    private final class UpdateSource implements Sessions.Source {
-        @Override
-        public Update newerThan(Sessions.Held held) {
-            boolean newerConfiguration = history.version() > held.configurationVersion;
-            ServerList servers = lister.newest();
-            boolean newerList = servers.version.compareTo(held.listVersion) > 0;
-            List<Member> members = table.members(loop.now());
-            boolean otherMembers = SessionTable.digest(members) != held.membersDigest;
-            if (!newerConfiguration && !newerList && !otherMembers) {
-                return null;
-            }
-            ConfigurationHistory.Encoded update = newerConfiguration
-                    ? history.updateFrom(held.configurationVersion)
-                    : new ConfigurationHistory.Encoded(null, 0);
-            return new Update(
-                    update.bytes(),
-                    newerConfiguration ? history.version() : 0,
-                    update.baseVersion(),
-                    newerList ? servers : null,
-                    otherMembers ? members : null);
-        }
-
-        @Override
-        public boolean quorate() {
-            return configuration.current(QUORATE_MS);
-        }
-
-        @Override
-        public List<String> controlAddresses() {
-            return quorate() ? mesh.liveAddresses() : mesh.addressesLiveFirst();
-        }
-    }
-
     /** A connection that another process has opened: the first message says which kind it is. */
     private final class Inbound implements MessageLink.Handler {
         private ControlHello peer;
@@ -359,7 +352,7 @@
             if (peer != null) {
                 mesh.heard(peer);
                 if (message instanceof SessionsTold told) {
-                    connection.send(new SessionAnswer(told.sequence, configuration.quorate(QUORATE_MS), List.of()));
+                    connection.send(new SessionAnswer(told.sequence, confirmation.isPossible(), toldTo(peer)));
                 }
                 take(peer.member.address, message);
             } else if (message instanceof ControlHello hello) {
@@ -374,6 +367,11 @@
             }
         }
 
+        /** Control planes with a disk hear of each other by what they tell; relays are answered, and answer. */
+        private List<String> toldTo(ControlHello other) {
+            return durable && other.durable ? List.of() : mesh.liveAddresses();
+        }
+
         @Override
         public void closed(MessageLink connection) {
             if (session != null) {
--- /dev/null
+++ b/controlplane/src/main/java/dewplank/controlplane/DiskStorage.java
@@ -0,0 +1,123 @@
+package dewplank.controlplane;
+
+import dewplank.config.NodeSettings;
+import dewplank.message.BadFrameException;
+import dewplank.message.MessageCodec;
+import dewplank.message.ServerList;
+import dewplank.register.DurableState;
+import dewplank.store.AcceptorStore;
+import dewplank.store.DiskExecutor;
+import dewplank.store.Founders;
+import dewplank.store.SmallFile;
+import dewplank.store.StoreException;
+import dewplank.store.StoreFiles;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** A disk: the acceptor's state and fencing numbers, written apart from the loop. */
+final class DiskStorage implements Storage {
+    private final AcceptorStore store;
+    private final DiskExecutor executor;
+    private final SmallFile serverList;
+    private final MessageCodec codec;
+    private final boolean firstStart;
+    private final List<String> founders;
+    private ServerList unsaved;
+    private boolean savingList;
+
+    /**
+     * Opens what is there.
+     *
+     * @param identityIfNew the identity that an empty disk gets
+     * @param seeds addresses of the first acceptors as the settings name them now
+     */
+    DiskStorage(
+            NodeSettings settings,
+            String identityIfNew,
+            List<String> seeds,
+            StoreFiles files,
+            DiskExecutor executor,
+            MessageCodec codec)
+            throws StoreException {
+        this.executor = executor;
+        this.codec = codec;
+        founders = new Founders(files, settings.dataDirectory()).load(seeds, settings.initialStart());
+        store = AcceptorStore.open(
+                settings.dataDirectory(), files, settings.resources().diskBytes(), identityIfNew);
+        firstStart = settings.initialStart() && store.createdNow();
+        serverList = new SmallFile(files, settings.dataDirectory(), "servers");
+    }
+
+    @Override
+    public DurableState recovered() {
+        return store.recovered();
+    }
+
+    @Override
+    public List<String> founders() {
+        return founders;
+    }
+
+    @Override
+    public boolean firstStart() {
+        return firstStart;
+    }
+
+    @Override
+    public Map<String, Long> numbers() {
+        return store.numbers();
+    }
+
+    @Override
+    public void save(DurableState state, Consumer<Boolean> done) {
+        executor.submit(() -> store.save(state), () -> done.accept(true), () -> done.accept(false));
+    }
+
+    @Override
+    public void saveNumber(String name, long number, Consumer<Boolean> done) {
+        executor.submit(() -> store.saveNumber(name, number), () -> done.accept(true), () -> done.accept(false));
+    }
+
+    @Override
+    public Optional<ServerList> savedList() {
+        return serverList.read().flatMap(this::decode);
+    }
+
+    private Optional<ServerList> decode(byte[] frame) {
+        try {
+            return codec.reader().next(ByteBuffer.wrap(frame)) instanceof ServerList list
+                    ? Optional.of(list)
+                    : Optional.empty();
+        } catch (BadFrameException e) {
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public void saveList(ServerList list) {
+        unsaved = list;
+        saveNext();
+    }
+
+    private void saveNext() {
+        if (savingList || unsaved == null) {
+            return;
+        }
+        savingList = true;
+        byte[] frame = codec.encode(unsaved).array();
+        unsaved = null;
+        Runnable done = () -> {
+            savingList = false;
+            saveNext();
+        };
+        executor.submit(() -> serverList.replace(frame), done, done);
+    }
+
+    @Override
+    public void close() {
+        executor.close();
+    }
+}
--- /dev/null
+++ b/controlplane/src/main/java/dewplank/controlplane/MemoryStorage.java
@@ -0,0 +1,68 @@
+package dewplank.controlplane;
+
+import dewplank.message.ServerList;
+import dewplank.net.Scheduler;
+import dewplank.register.DurableState;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * The storage of a process without a disk, which lasts as long as the process. It is an acceptor only while the whole
+ * system starts for the first time and its address is among the seeds, until one with a disk has taken its place.
+ */
+final class MemoryStorage implements Storage {
+    private final Scheduler loop;
+    private final DurableState fresh;
+    private final List<String> founders;
+    private final boolean firstStart;
+
+    MemoryStorage(Scheduler loop, String identity, List<String> founders, boolean firstStart) {
+        this.loop = loop;
+        this.fresh = DurableState.fresh(identity);
+        this.founders = founders;
+        this.firstStart = firstStart;
+    }
+
+    @Override
+    public DurableState recovered() {
+        return fresh;
+    }
+
+    @Override
+    public List<String> founders() {
+        return founders;
+    }
+
+    @Override
+    public boolean firstStart() {
+        return firstStart;
+    }
+
+    @Override
+    public Map<String, Long> numbers() {
+        return Map.of();
+    }
+
+    @Override
+    public void save(DurableState state, Consumer<Boolean> done) {
+        loop.execute(() -> done.accept(true));
+    }
+
+    @Override
+    public void saveNumber(String name, long number, Consumer<Boolean> done) {
+        loop.execute(() -> done.accept(true));
+    }
+
+    @Override
+    public Optional<ServerList> savedList() {
+        return Optional.empty();
+    }
+
+    @Override
+    public void saveList(ServerList list) {} // the next one begins without
+
+    @Override
+    public void close() {}
+}
--- a/controlplane/src/main/java/dewplank/controlplane/Storage.java
+++ b/controlplane/src/main/java/dewplank/controlplane/Storage.java
@@ -1,127 +1,37 @@
 package dewplank.controlplane;
 
-import dewplank.config.BadInput;
-import dewplank.config.NodeSettings;
-import dewplank.message.BadFrameException;
-import dewplank.message.MessageCodec;
 import dewplank.message.ServerList;
 import dewplank.register.DurableState;
-import dewplank.store.AcceptorStore;
-import dewplank.store.DiskExecutor;
-import dewplank.store.Founders;
-import dewplank.store.SmallFile;
-import dewplank.store.StoreException;
-import dewplank.store.StoreFiles;
-import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 
-/** This process's disk: the acceptor's state and fencing numbers, written apart from the loop. */
-final class Storage implements ConfigurationStore.Disk {
-    private final AcceptorStore store;
-    private final DiskExecutor executor;
-    private final SmallFile serverList;
-    private final MessageCodec codec;
-    private final boolean firstStart;
-    private final List<String> founders;
-    private ServerList unsaved;
-    private boolean savingList;
+/** What a process keeps: the acceptor's state, fencing numbers, the list of servers. */
+interface Storage extends ConfigurationStore.Disk {
+    DurableState recovered();
 
-    /**
-     * Opens what is there.
-     *
-     * @param identityIfNew the identity that an empty disk gets
-     * @param seeds addresses of the first acceptors as the settings name them now
-     */
-    Storage(
-            NodeSettings settings,
-            String identityIfNew,
-            List<String> seeds,
-            StoreFiles files,
-            DiskExecutor executor,
-            MessageCodec codec)
-            throws StoreException {
-        this.executor = executor;
-        this.codec = codec;
-        if (settings.dataDirectory() == null) {
-            throw new BadInput("data_directory is null: the control plane needs a disk");
-        }
-        founders = new Founders(files, settings.dataDirectory()).load(seeds, settings.initialStart());
-        store = AcceptorStore.open(
-                settings.dataDirectory(), files, settings.resources().diskBytes(), identityIfNew);
-        firstStart = settings.initialStart() && store.createdNow();
-        serverList = new SmallFile(files, settings.dataDirectory(), "servers");
-    }
-
-    DurableState recovered() {
-        return store.recovered();
-    }
-
-    String identity() {
-        return store.recovered().identity();
+    /** The acceptor's identity. */
+    default String identity() {
+        return recovered().identity();
     }
 
     /** Addresses of the acceptors that the fleet began with. */
-    List<String> founders() {
-        return founders;
-    }
+    List<String> founders();
 
     /** Whether the whole system starts for the first time: nothing can have been promised before. */
-    boolean firstStart() {
-        return firstStart;
-    }
+    boolean firstStart();
 
-    Map<String, Long> numbers() {
-        return store.numbers();
-    }
+    Map<String, Long> numbers();
 
-    @Override
-    public void save(DurableState state, Consumer<Boolean> done) {
-        executor.submit(() -> store.save(state), () -> done.accept(true), () -> done.accept(false));
-    }
-
-    void saveNumber(String name, long number, Consumer<Boolean> done) {
-        executor.submit(() -> store.saveNumber(name, number), () -> done.accept(true), () -> done.accept(false));
-    }
+    /** Keeps the highest fencing number of a duty; says on the loop whether that worked. */
+    void saveNumber(String name, long number, Consumer<Boolean> done);
 
     /** The list of servers as it was when last saved; empty where there is none. */
-    Optional<ServerList> savedList() {
-        return serverList.read().flatMap(this::decode);
-    }
-
-    private Optional<ServerList> decode(byte[] frame) {
-        try {
-            return codec.reader().next(ByteBuffer.wrap(frame)) instanceof ServerList list
-                    ? Optional.of(list)
-                    : Optional.empty();
-        } catch (BadFrameException e) {
-            return Optional.empty();
-        }
-    }
+    Optional<ServerList> savedList();
 
     /** Saves the newest list, for a quicker start; a failure only costs that. */
-    void saveList(ServerList list) {
-        unsaved = list;
-        saveNext();
-    }
-
-    private void saveNext() {
-        if (savingList || unsaved == null) {
-            return;
-        }
-        savingList = true;
-        byte[] frame = codec.encode(unsaved).array();
-        unsaved = null;
-        Runnable done = () -> {
-            savingList = false;
-            saveNext();
-        };
-        executor.submit(() -> serverList.replace(frame), done, done);
-    }
+    void saveList(ServerList list);
 
-    void close() {
-        executor.close();
-    }
+    void close();
 }
--- a/fleet/src/main/java/dewplank/membership/AcceptorPlan.java
+++ b/fleet/src/main/java/dewplank/membership/AcceptorPlan.java
@@ -26,8 +26,12 @@
      * @param liveMs heard within this: alive
      * @param settledMs a newcomer heard for so long may take a place
      * @param goneMs an acceptor that has not been alive for so long gives its place up
+     * @param allHeardMs whoever started together with this process has been heard by then
      */
-    public record Timing(double liveMs, double settledMs, double goneMs) {
+    public record Timing(double liveMs, double settledMs, double goneMs, double allHeardMs) {
+        /** Machines start within 0.3 s of each other, a process takes up to 2 s on a slow one, then it is linked. */
+        private static final double ALL_HEARD_MS = 5_000;
+
         private static final double LIVE_MS = 1_000; // three heartbeats of 300 ms and their way
         /** More than a heartbeat and its way: late words of an earlier life are overtaken by then. */
         private static final double SETTLED_MS = 400;
@@ -42,7 +46,7 @@
          * one, 1 s and 1 s, runs from its loss, at the latest from its successor's start.
          */
         public static Timing ofCatchUp(double catchUpMs) {
-            return new Timing(LIVE_MS, SETTLED_MS, Math.min(LONGEST_GONE_MS, catchUpMs * GONE_PART));
+            return new Timing(LIVE_MS, SETTLED_MS, Math.min(LONGEST_GONE_MS, catchUpMs * GONE_PART), ALL_HEARD_MS);
         }
     }
 
@@ -50,13 +54,15 @@
      * A control sidecar that has been heard.
      *
      * @param acceptor its address and the identity of its disk
+     * @param durable whether it has a disk: one without is an acceptor only until another can take its place
      * @param heardAt when it was last heard
      * @param since since when that very identity has been heard
      */
-    public record Sighting(Acceptor acceptor, double heardAt, double since) {}
+    public record Sighting(Acceptor acceptor, boolean durable, double heardAt, double since) {}
 
     private final Timing timing;
     private final Map<Acceptor, Double> missingSince = new HashMap<>();
+    private double firstLook = Double.NaN;
 
     public AcceptorPlan(Timing timing) {
         this.timing = timing;
@@ -74,21 +80,44 @@
     public List<Acceptor> wanted(double now, AcceptorSet set, Collection<Sighting> seen) {
         List<Sighting> live =
                 seen.stream().filter(s -> now - s.heardAt() <= timing.liveMs()).toList();
+        firstLook = Double.isNaN(firstLook) ? now : firstLook;
         noteMissing(now, set, live.stream().map(Sighting::acceptor).toList());
         if (set.isJoint()) {
             return set.members();
         }
         List<Acceptor> settled = live.stream()
-                .filter(s -> now - s.since() >= timing.settledMs())
+                .filter(s -> s.durable() && now - s.since() >= timing.settledMs())
                 .map(Sighting::acceptor)
                 .toList();
         List<Acceptor> spare = new ArrayList<>(settled);
         spare.removeAll(set.members());
+        List<Acceptor> volatileMembers = seen.stream()
+                .filter(s -> !s.durable() && set.members().contains(s.acceptor()))
+                .map(Sighting::acceptor)
+                .toList();
+        if (!volatileMembers.isEmpty()) {
+            return withoutVolatile(now, set.members(), volatileMembers, spare);
+        }
         List<Acceptor> replaced = replaced(now, set.members(), spare);
         boolean complete = missingSince.isEmpty();
         return complete && replaced.equals(set.members()) ? grown(set.members(), spare) : replaced;
     }
 
+    /**
+     * Acceptors without a disk, which the first set may hold where the seeds name such processes, make room one by one
+     * for others; where there are no others they leave, once all that started together had the time to be heard.
+     */
+    private List<Acceptor> withoutVolatile(
+            double now, List<Acceptor> members, List<Acceptor> volatileMembers, List<Acceptor> spare) {
+        if (!spare.isEmpty()) {
+            return replaced(members, volatileMembers.get(0), spare.get(0));
+        }
+        List<Acceptor> durable = new ArrayList<>(members);
+        durable.removeAll(volatileMembers);
+        boolean allHeard = now - firstLook >= timing.allHeardMs();
+        return allHeard && !durable.isEmpty() ? durable : members;
+    }
+
     private void noteMissing(double now, AcceptorSet set, List<Acceptor> live) {
         missingSince.keySet().retainAll(set.members());
         for (Acceptor member : set.members()) {
--- a/shared/src/main/java/dewplank/config/NodeSettings.java
+++ b/shared/src/main/java/dewplank/config/NodeSettings.java
@@ -127,10 +127,12 @@
         return this;
     }
 
-    /** These settings, which have all that a control plane needs. */
+    /** These settings, which have all that a control plane needs; without a disk, where none need be, it is a relay. */
     public NodeSettings ofControlPlane() {
         needed(control, "listen_addresses.control", "operators call there");
-        needed(dataDirectory, "data_directory", "the control plane needs a disk");
+        if (counted) {
+            needed(dataDirectory, "data_directory", "the loss of this machine counts, so it keeps state on a disk");
+        }
         return this;
     }
 
