Pool failures of a server over the fleet, pace trials by the fleet, order stages several at once, charge repeats once

Causes: (1) a verdict needed three failures in one process's ten seconds: at 90 processes and 63 servers hardly any sees them. Summaries now carry failures and ages, and the floor is met by all together; what was served since outdates a failure. (2) Each process tried a condemned server once a second, 90 a second in all: three a second in all now. (3) One change of stage at a time, none while any server was busy: on the further site about 6 of 21 in the lead; idle ones now all at once, a tenth under load. Ruled out: verdicts from pooled counts alone, which would flip with each outcome of a grey server.

--- a/controlplane/src/main/java/dewplank/controlplane/StageKeeper.java
+++ b/controlplane/src/main/java/dewplank/controlplane/StageKeeper.java
@@ -17,13 +17,19 @@
 
 /**
  * Keeps the stages of model servers what they should be: the holder of the duty asks them for their state and orders
- * changes, one at a time for each service. A new holder waits until no order of its predecessor can arrive any more.
+ * changes, a few at a time for each service. A new holder waits until no order of its predecessor can arrive any more.
  */
 final class StageKeeper {
     private static final Logger LOG = LoggerFactory.getLogger(StageKeeper.class);
     private static final double LOOK_EVERY_MS = 250;
     private static final double ASK_EVERY_MS = 1_200;
     private static final int MOST_ASKED_AT_ONCE = 32; // by turns beyond that: reports are priced, and cost time
+    /** Of the servers, those that have to have reported: from a few nothing can be said of the zones of the rest. */
+    private static final double KNOWN_SHARE = 0.8;
+
+    /** An order that no report has shown to be done by then was not taken, or its server is gone. */
+    private static final double ORDER_SHOWS_MS = 10_000;
+
     private static final double REPORT_FRESH_MS = 3_000;
     private static final double ORDER_EVERY_MS = 2_500; // a change takes a second or two to show
     private static final double IDLE_ORDER_EVERY_MS = 300; // while nothing runs anywhere
@@ -35,6 +41,9 @@
 
     private record Reported(StagePlan.Engine engine, double at) {}
 
+    /** An order that was sent and that no report has shown to be done. */
+    private record Pending(boolean toPrefill, double at) {}
+
     private final Scheduler loop;
     private final String holder;
     private final double leaseMs;
@@ -42,6 +51,7 @@
     private final ServerLister.Duty duty;
     private final ServerCalls calls;
     private final Map<String, Reported> reports = new HashMap<>();
+    private final Map<String, Pending> pending = new HashMap<>();
     private final Map<String, Double> orderedAt = new HashMap<>();
     private double heldSince = Double.POSITIVE_INFINITY;
     private long heldUnder;
@@ -78,11 +88,13 @@
         if (!duty.holds()) {
             heldSince = Double.POSITIVE_INFINITY;
             reports.clear();
+            pending.clear();
         } else {
             if (duty.fencingNumber() != heldUnder) { // another may have held it between two looks
                 heldUnder = duty.fencingNumber();
                 heldSince = now;
                 reports.clear();
+                pending.clear();
             }
             heldSince = Math.min(heldSince, now);
             if (now >= askAt) {
@@ -109,6 +121,7 @@
     private void askAll() {
         List<ServerEntry> engines = new ArrayList<>();
         servicesWithEngines().values().forEach(engines::addAll);
+        pending.keySet().retainAll(engines.stream().map(e -> e.instanceId).toList());
         calls.keep(engines.stream().map(e -> e.address).toList());
         int count = Math.min(engines.size(), MOST_ASKED_AT_ONCE);
         for (int i = 0; i < count; i++) {
@@ -147,20 +160,38 @@
     private void change(String service, List<ServerEntry> servers) {
         double now = loop.now();
         List<StagePlan.Engine> engines = new ArrayList<>();
+        boolean ordered = false; // by a holder before, to a stage that is not known here
         for (ServerEntry s : servers) {
             Reported reported = reports.get(s.instanceId);
             if (reported != null && now - reported.at() <= REPORT_FRESH_MS) {
-                engines.add(reported.engine());
+                StagePlan.Engine engine = planned(reported);
+                engines.add(engine);
+                ordered |= engine.busy() && !pending.containsKey(s.instanceId);
             }
         }
-        boolean known = 2 * engines.size() > servers.size();
+        boolean known = engines.size() >= KNOWN_SHARE * servers.size();
         boolean idle = engines.stream().allMatch(e -> e.queued() + e.active() == 0);
         double pause = idle ? IDLE_ORDER_EVERY_MS : ORDER_EVERY_MS;
-        if (known && now - orderedAt.getOrDefault(service, Double.NEGATIVE_INFINITY) >= pause) {
-            StagePlan.next(engines).ifPresent(c -> order(service, servers, c));
+        if (known && !ordered && now - orderedAt.getOrDefault(service, Double.NEGATIVE_INFINITY) >= pause) {
+            StagePlan.changes(engines).forEach(c -> order(service, servers, c));
         }
     }
 
+    /** As it reported itself; one that was ordered here to change counts as it will be until it shows. */
+    private StagePlan.Engine planned(Reported reported) {
+        StagePlan.Engine engine = reported.engine();
+        Pending order = pending.get(engine.instanceId());
+        if (order != null) {
+            boolean shown = !engine.busy() && engine.prefill() == order.toPrefill() && reported.at() > order.at();
+            boolean lapsed = loop.now() - order.at() > ORDER_SHOWS_MS;
+            if (!shown && !lapsed) {
+                return engine.changing(order.toPrefill());
+            }
+            pending.remove(engine.instanceId());
+        }
+        return engine;
+    }
+
     private void order(String service, List<ServerEntry> servers, StagePlan.Change change) {
         ServerEntry server = servers.stream()
                 .filter(s -> s.instanceId.equals(change.instanceId()))
@@ -173,27 +204,13 @@
         orderedAt.put(service, loop.now());
         orders++;
         LOG.info("server {} is ordered to {} under number {}", server.instanceId, stage, number);
-        reports.computeIfPresent(
-                server.instanceId, (id, r) -> new Reported(ordered(r.engine(), change.toPrefill()), r.at()));
+        pending.put(server.instanceId, new Pending(change.toPrefill(), loop.now()));
         calls.order(server, body.getBytes(StandardCharsets.UTF_8), () -> duty.holds(number), (status, answer) -> {
             if (status != 200 && status != 202) {
                 LOG.info("server {} answers {} to an order", server.instanceId, status);
+                pending.remove(server.instanceId);
                 reports.remove(server.instanceId);
             }
         });
     }
-
-    /** As it will be: the next report tells. */
-    private static StagePlan.Engine ordered(StagePlan.Engine e, boolean prefill) {
-        return new StagePlan.Engine(
-                e.instanceId(),
-                e.zone(),
-                prefill,
-                false,
-                e.queued(),
-                e.active(),
-                e.slotCount(),
-                e.memoryUsed(),
-                e.memoryCapacity());
-    }
 }
--- a/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
@@ -61,7 +61,7 @@
         long seed = new SecureRandom().nextLong();
         RandomGenerator random = new SplittableRandom(seed);
         FleetVotes votes = new FleetVotes();
-        ServerChoice choice = new ServerChoice(settings.zone(), votes, random);
+        ServerChoice choice = new ServerChoice(settings.zone(), votes, fleet::dataPlanes, random);
         NodeSettings.Bounds bounds = settings.bounds();
         limits = new ClientLimits(bounds.configApplyMs());
         forwarder = new Forwarder(
--- a/dataplane/src/main/java/dewplank/dataplane/Exchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Exchange.java
@@ -42,6 +42,8 @@
     private final Set<String> tried = new HashSet<>();
     /** Servers sent to, as the route's limit and the budget count them. */
     int sends;
+    /** Sends that were taken out of the budget. */
+    private int charged;
     /** Whether the request may have run at a server. */
     boolean mayHaveRun;
 
@@ -127,10 +129,20 @@
 
     /** Whether another server may be sent to now; takes it out of the budget. */
     final boolean takeSend() {
-        if (sends >= route.maxAttempts() || remaining() <= 0) {
-            return false;
-        }
-        return sends == 0 || forwarder.mayRepeat(service.name());
+        return sends < route.maxAttempts() && remaining() > 0 && (sends <= charged || charge());
+    }
+
+    /** Takes one send beyond the first out of the budget. */
+    final boolean charge() {
+        boolean may = forwarder.mayRepeat(service.name());
+        charged += may ? 1 : 0;
+        return may;
+    }
+
+    /** A send that was to be free turned out to count. */
+    final void chargeLate() {
+        forwarder.countRepeat(service.name());
+        charged++;
     }
 
     // ---- answers --------------------------------------------------------------------------------------
--- a/dataplane/src/main/java/dewplank/dataplane/FleetView.java
+++ b/dataplane/src/main/java/dewplank/dataplane/FleetView.java
@@ -31,6 +31,7 @@
     private final Map<String, List<ServerState>> byService = new HashMap<>();
     private List<Member> members = List.of();
     private long membersDigest;
+    private int dataPlanes;
 
     FleetView(Scheduler loop) {
         this.loop = loop;
@@ -142,12 +143,19 @@
     void members(List<Member> newer) {
         members = List.copyOf(newer);
         membersDigest = SessionTable.digest(members);
+        dataPlanes =
+                (int) members.stream().filter(m -> m.role.equals(Member.DATA)).count();
     }
 
     List<Member> members() {
         return members;
     }
 
+    /** How many data planes the members' list names; 0 where nothing is known. */
+    int dataPlanes() {
+        return dataPlanes;
+    }
+
     long membersDigest() {
         return membersDigest;
     }
--- a/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
@@ -6,7 +6,6 @@
 import dewplank.configuration.WeightedService;
 import dewplank.exchange.InboundConnection;
 import dewplank.http.Headers;
-import dewplank.membership.Member;
 import dewplank.net.EventLoop;
 import dewplank.routing.FleetSize;
 import dewplank.routing.PairChoice;
@@ -124,8 +123,7 @@
 
     /** What is known of the fleet has changed: requests that were held go on once it is enough. */
     void fleetChanged() {
-        size.told(loop.now(), (int)
-                fleet.members().stream().filter(m -> m.role.equals(Member.DATA)).count());
+        size.told(loop.now(), fleet.dataPlanes());
         if (fleet.complete() && !held.isEmpty()) {
             Map<InboundConnection, Held> ready = new LinkedHashMap<>(held);
             held.clear();
--- a/dataplane/src/main/java/dewplank/dataplane/HealthExchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/HealthExchange.java
@@ -4,24 +4,32 @@
 import dewplank.net.EventLoop;
 import dewplank.routing.FleetVotes;
 import dewplank.routing.HealthSummary;
-import dewplank.routing.ServerState;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import saltfield.ServerHealth;
 
 /**
- * Tells peers once a second what is thought of servers, and hears them: datagrams, as one that is lost does no harm.
+ * Tells peers what was observed of servers, once a second and soon after a failure or the end of one, and hears them:
+ * datagrams, as one that is lost does no harm.
  */
 final class HealthExchange {
     private static final Logger LOG = LoggerFactory.getLogger(HealthExchange.class);
     private static final double TELL_EVERY_MS = 1_000;
+    /** News that can't wait for the next second are told so soon after the last telling at the least. */
+    private static final double NEWS_EVERY_MS = 250;
+
     private static final double OBSERVED_WITHIN_MS = 5_000; // a server served here so long ago still has this vote
     /** Peers told each second, drawn anew: keeps bytes and datagrams of a large fleet bounded. */
     private static final int MOST_TOLD = 16;
@@ -33,6 +41,8 @@
     private final Random random;
     private final DatagramSocket socket;
     private int sequence;
+    private double toldAt = Double.NEGATIVE_INFINITY;
+    private Set<Integer> toldSuspected = Set.of();
 
     HealthExchange(EventLoop loop, FleetView fleet, FleetVotes votes, Member self, Random random) throws IOException {
         this.loop = loop;
@@ -47,41 +57,65 @@
         Thread thread = new Thread(this::receive, "peers");
         thread.setDaemon(true);
         thread.start();
-        loop.after(TELL_EVERY_MS * random.nextDouble(), this::tell);
-    }
-
-    void close() {
-        socket.close();
+        loop.after(TELL_EVERY_MS * random.nextDouble(), this::look);
     }
 
-    private void tell() {
+    private void look() {
         if (socket.isClosed()) {
             return;
         }
         double now = loop.now();
+        if (now - toldAt >= TELL_EVERY_MS || !suspected(now).equals(toldSuspected)) {
+            tell(now);
+        }
+        loop.after(NEWS_EVERY_MS, this::look);
+    }
+
+    private Set<Integer> suspected(double now) {
+        Set<Integer> suspected = new HashSet<>();
+        for (Server server : fleet.allServers()) {
+            if (FleetVotes.suspects(now, server.state.health())) {
+                suspected.add(server.state.instanceId().hashCode());
+            }
+        }
+        return suspected;
+    }
+
+    void close() {
+        socket.close();
+    }
+
+    private void tell(double now) {
         votes.forgetStale(now);
-        byte[] bytes = summary(now).bytes();
+        HealthSummary summary = summary(now);
+        toldAt = now;
+        toldSuspected = summary.suspected().stream()
+                .map(HealthSummary.Suspected::server)
+                .collect(Collectors.toSet());
+        byte[] bytes = summary.bytes();
         List<Member> peers = new ArrayList<>(fleet.members());
         peers.removeIf(m -> !m.role.equals(Member.DATA) || m.address.equals(self.address));
         Collections.shuffle(peers, random);
         for (Member peer : peers.subList(0, Math.min(MOST_TOLD, peers.size()))) {
             send(bytes, Sockets.address(peer.address));
         }
-        loop.after(TELL_EVERY_MS, this::tell);
     }
 
     private HealthSummary summary(double now) {
-        List<Integer> unhealthy = new ArrayList<>();
-        List<Integer> healthy = new ArrayList<>();
+        List<HealthSummary.Suspected> suspected = new ArrayList<>();
+        List<HealthSummary.Healthy> healthy = new ArrayList<>();
         for (Server server : fleet.allServers()) {
-            ServerState s = server.state;
-            if (s.health().unhealthy(now)) {
-                unhealthy.add(s.instanceId().hashCode());
-            } else if (now - s.health().lastHealthy() <= OBSERVED_WITHIN_MS) {
-                healthy.add(s.instanceId().hashCode());
+            int hash = server.state.instanceId().hashCode();
+            ServerHealth health = server.state.health();
+            if (FleetVotes.suspects(now, health)) {
+                suspected.add(
+                        new HealthSummary.Suspected(hash, health.unhealthyOutcomes(now), now - health.lastUnhealthy()));
+            } else if (now - health.lastHealthy() <= OBSERVED_WITHIN_MS) {
+                healthy.add(new HealthSummary.Healthy(hash, now - health.lastHealthy()));
             }
         }
-        return new HealthSummary(self.incarnation, ++sequence, unhealthy, healthy);
+        healthy.sort(Comparator.comparingDouble(HealthSummary.Healthy::ageMs)); // the newest find room
+        return new HealthSummary(self.incarnation, ++sequence, suspected, healthy);
     }
 
     private void send(byte[] bytes, InetSocketAddress to) {
--- a/dataplane/src/main/java/dewplank/dataplane/PrefillStep.java
+++ b/dataplane/src/main/java/dewplank/dataplane/PrefillStep.java
@@ -45,8 +45,7 @@
     }
 
     private boolean mayRepeat() {
-        return exchange.sends + 1 < exchange.route.maxAttempts()
-                && exchange.forwarder.mayRepeat(exchange.service.name());
+        return exchange.sends + 1 < exchange.route.maxAttempts() && exchange.charge();
     }
 
     private Server choose() {
@@ -132,7 +131,7 @@
             exchange.turnedAway(server, status);
             if (free) { // one that is rejected counts
                 exchange.sends++;
-                exchange.forwarder.countRepeat(exchange.service.name());
+                exchange.chargeLate();
             }
             again();
         }
--- a/dataplane/src/test/java/dewplank/dataplane/GenerationTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/GenerationTest.java
@@ -32,6 +32,8 @@
 /** Prompts read at one server and streams sent by another: what each is sent, and what becomes of the handles. */
 class GenerationTest {
     private static final int MOST_TRIES = 20;
+    /** Of one request, one repeat: of the ratio four fifths are used. */
+    private static final Forwarder.RetryLimits ONE_REPEAT = new Forwarder.RetryLimits(1.25, 10_000, 0);
 
     private TestFleet net;
 
@@ -550,6 +552,20 @@
         }
     }
 
+    /** A rejected call to a prefill server counts as a send, and with the run there is one beyond the first. */
+    @Test
+    void aRunAfterARejectedPrefillIsPaidForOnce() throws Exception {
+        try (TestFleet poor = new TestFleet(ONE_REPEAT)) {
+            poor.routes(routes());
+            poor.prefill();
+            poor.decode();
+            Wire client = poor.ask("/gen/", PROMPT);
+            turnAway(poor.next());
+            streamOut(poor.next(), client);
+            poor.assertQuiet();
+        }
+    }
+
     @Test
     void withoutABudgetThePromptIsReadAllTheSame() throws Exception {
         try (TestFleet poor = new TestFleet(TestFleet.NONE)) {
--- a/fleet/src/main/java/dewplank/duty/StagePlan.java
+++ b/fleet/src/main/java/dewplank/duty/StagePlan.java
@@ -8,7 +8,7 @@
 import java.util.Optional;
 
 /**
- * How many of a service's model servers should prefill and how many decode, and which one to change next. Prefill is
+ * How many of a service's model servers should prefill and how many decode, and which ones to change next. Prefill is
  * what long prompts wait for; decode servers hold many streams at once, and only as many are kept as these need. Pure.
  */
 public final class StagePlan {
@@ -21,6 +21,13 @@
     /** Of the places, below which one fewer is enough: lower than the other bound, lest servers go to and fro. */
     private static final double FEW_PLACES_USED = 0.25;
 
+    /**
+     * Of the servers, those that may be changing their stage at once while requests run: a change takes a server out
+     * for as long as what it runs takes, and for the switch. One at a time, 63 servers took longer than the load
+     * stayed as it was.
+     */
+    private static final double MOST_CHANGING_SHARE = 0.1;
+
     /** Decode servers that may be missing for a while: most that crash come back, and a change costs prefill time. */
     private static final int ABSENT_BORNE = 1;
 
@@ -38,6 +45,11 @@
         int load() {
             return queued + active;
         }
+
+        /** The same while it changes to that stage. */
+        public Engine changing(boolean toPrefill) {
+            return new Engine(instanceId, zone, toPrefill, true, queued, active, slotCount, memoryUsed, memoryCapacity);
+        }
     }
 
     /** A change to be ordered. */
@@ -45,9 +57,36 @@
 
     private StagePlan() {}
 
-    /** The next change for the ready servers of one service that have reported; empty where all is as it should be. */
-    public static Optional<Change> next(List<Engine> engines) {
-        if (engines.size() < 2 || engines.stream().anyMatch(Engine::busy)) {
+    /**
+     * The changes that may begin now for the ready servers of one service that have reported; none where all is as it
+     * should be. While nothing runs there is nobody to miss a server, so all begin at once.
+     *
+     * @param engines those that change are busy, and have the stage that they will have
+     */
+    public static List<Change> changes(List<Engine> engines) {
+        List<Change> changes = new ArrayList<>();
+        List<Engine> planned = new ArrayList<>(engines);
+        long changing = engines.stream().filter(Engine::busy).count();
+        for (long room = mostChanging(engines) - changing; room > 0; room--) {
+            Optional<Change> next = next(planned);
+            if (next.isEmpty()) {
+                break;
+            }
+            changes.add(next.get());
+            planned.replaceAll(e -> e.instanceId().equals(next.get().instanceId())
+                    ? e.changing(next.get().toPrefill())
+                    : e);
+        }
+        return changes;
+    }
+
+    private static long mostChanging(List<Engine> engines) {
+        boolean idle = engines.stream().allMatch(e -> e.load() == 0);
+        return idle ? engines.size() : Math.max(1, (long) (MOST_CHANGING_SHARE * engines.size()));
+    }
+
+    private static Optional<Change> next(List<Engine> engines) {
+        if (engines.size() < 2) {
             return Optional.empty();
         }
         List<Engine> decode = engines.stream().filter(e -> !e.prefill()).toList();
@@ -56,6 +95,7 @@
         boolean lacking = crowded(decode) || decode.size() + ABSENT_BORNE < wanted;
         if (decode.size() < wanted && lacking) {
             return prefill.stream()
+                    .filter(e -> !e.busy())
                     .min(Comparator.comparingInt(Engine::load))
                     .map(e -> new Change(e.instanceId(), false));
         }
@@ -102,6 +142,7 @@
         Map<String, Integer> inZone = new HashMap<>();
         decode.forEach(e -> inZone.merge(e.zone(), 1, Integer::sum));
         List<Engine> sorted = new ArrayList<>(decode);
+        sorted.removeIf(Engine::busy);
         sorted.sort(Comparator.comparingInt((Engine e) -> -inZone.get(e.zone()))
                 .thenComparingInt(Engine::load)
                 .thenComparing(Engine::instanceId));
--- a/fleet/src/main/java/dewplank/routing/FleetVotes.java
+++ b/fleet/src/main/java/dewplank/routing/FleetVotes.java
@@ -3,17 +3,31 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import saltfield.ServerHealth;
 
 /**
- * The votes of peers on the health of servers. Unlike in the sidecar's own design only peers vote that have sent to the
- * server lately: at many sidecars few of them see a failing server, and silence of the rest must not acquit it.
+ * What peers tell of the health of servers, and the verdict on it. Unlike in the sidecar's own design only peers vote
+ * that have sent to the server lately: at many sidecars few of them see a failing server, and silence of the rest must
+ * not acquit it. For the same reason the number of failures that a verdict needs is met by all that are told together:
+ * of 90 sidecars none sees three of one server within its window.
  */
 public final class FleetVotes {
     private static final double FRESH_MS = 3_000; // a peer's summary counts so long, by this sidecar's clock
     /** Peers remembered: beyond, newcomers are not heard. */
     private static final int MOST_PEERS = 1_024;
+    /** Failures, here and at peers together, before any verdict, as the design has it for one sidecar. */
+    private static final int FAILURES_FLOOR = 3;
+    /**
+     * A failure that is older than what the server has served since, by more than this, is no vote against it: its
+     * latest status is that it serves. Half a second covers the rounding of ages and datagrams that cross.
+     */
+    private static final double OUTDATED_MS = 500;
 
-    private record Heard(double at, HealthSummary summary) {}
+    private record Suspicion(int failures, double lastAt) {}
+
+    /** A summary with its ages turned into times of this sidecar's clock. */
+    private record Heard(
+            double at, HealthSummary summary, Map<Integer, Suspicion> suspected, Map<Integer, Double> healthyAt) {}
 
     private final Map<String, Heard> peers = new HashMap<>();
 
@@ -22,7 +36,11 @@
         Heard last = peers.get(peer);
         boolean room = last != null || peers.size() < MOST_PEERS;
         if (room && summary.newerThan(last == null ? null : last.summary())) {
-            peers.put(peer, new Heard(now, summary));
+            Map<Integer, Suspicion> suspected = new HashMap<>();
+            summary.suspected().forEach(s -> suspected.put(s.server(), new Suspicion(s.failures(), now - s.ageMs())));
+            Map<Integer, Double> healthyAt = new HashMap<>();
+            summary.healthy().forEach(h -> healthyAt.put(h.server(), now - h.ageMs()));
+            peers.put(peer, new Heard(now, summary, suspected, healthyAt));
         }
     }
 
@@ -35,22 +53,41 @@
         }
     }
 
-    /** Whether a simple majority of those that vote finds the server unhealthy. A tie goes by own traffic. */
-    public boolean condemned(double now, String server, boolean ownVote) {
+    /** Whether this sidecar's outcomes, by themselves, speak against the server, however few they are. */
+    public static boolean suspects(double now, ServerHealth own) {
+        return own.unhealthy(now, 1);
+    }
+
+    /**
+     * Whether a simple majority of those that vote finds the server unhealthy, and enough requests have failed there.
+     * A tie goes by own traffic.
+     */
+    public boolean condemned(double now, String server, ServerHealth own) {
         Integer hash = server.hashCode();
+        double servedAt = own.lastHealthy();
+        for (Heard heard : peers.values()) {
+            if (now - heard.at() <= FRESH_MS) {
+                servedAt = Math.max(servedAt, heard.healthyAt().getOrDefault(hash, Double.NEGATIVE_INFINITY));
+            }
+        }
+        boolean ownVote = suspects(now, own) && own.lastUnhealthy() >= servedAt - OUTDATED_MS;
+        int failures = ownVote ? own.unhealthyOutcomes(now) : 0;
         int votes = ownVote ? 1 : 0;
         int voters = 1;
         for (Heard heard : peers.values()) {
             if (now - heard.at() > FRESH_MS) {
                 continue;
             }
-            if (heard.summary().unhealthy().contains(hash)) {
-                votes++;
+            Suspicion suspicion = heard.suspected().get(hash);
+            if (suspicion != null) {
+                boolean stands = suspicion.lastAt() >= servedAt - OUTDATED_MS;
+                failures += stands ? suspicion.failures() : 0;
+                votes += stands ? 1 : 0;
                 voters++;
-            } else if (heard.summary().healthy().contains(hash)) {
+            } else if (heard.healthyAt().containsKey(hash)) {
                 voters++;
             }
         }
-        return 2 * votes > voters || 2 * votes == voters && ownVote;
+        return failures >= FAILURES_FLOOR && (2 * votes > voters || 2 * votes == voters && ownVote);
     }
 }
--- a/fleet/src/main/java/dewplank/routing/HealthSummary.java
+++ b/fleet/src/main/java/dewplank/routing/HealthSummary.java
@@ -5,34 +5,61 @@
 import java.util.List;
 
 /**
- * What one sidecar tells its peers of servers it has sent to lately: those that it judges unhealthy, and those that it
- * has found healthy, by the hashes of their ids. A server that is in neither list has no vote of this sidecar.
+ * What one sidecar has observed of servers lately, told to its peers: those that look unhealthy here, with how often
+ * they failed, and those that served, each with the age of its newest outcome of that kind. Servers go by the hashes of
+ * their ids. A server that is in neither list has no vote of this sidecar.
  *
- * <p>On the wire, 256 bytes at most, big-endian: a version (1), the sidecar's incarnation (8), a count of
- * summaries (4), the number of unhealthy ones (1), their hashes (4 each), and the hashes of
- * healthy ones (4 each) as room is left.
+ * <p>On the wire, 256 bytes at most, big-endian: a version (1), the sidecar's incarnation (8), a count of summaries
+ * (4), the number of suspected servers (1); for each of these its hash (4), failures (1) and age (1); then for healthy
+ * ones, as room is left, hash (4) and age (1). Ages are in tenths of a second.
  */
-public record HealthSummary(long incarnation, int sequence, List<Integer> unhealthy, List<Integer> healthy) {
+public record HealthSummary(long incarnation, int sequence, List<Suspected> suspected, List<Healthy> healthy) {
     public static final int MOST_BYTES = 256;
-    private static final byte VERSION = 1;
+    private static final byte VERSION = 2;
     private static final int HEAD_BYTES = 1 + Long.BYTES + Integer.BYTES + 1;
-    private static final int MOST_SERVERS = (MOST_BYTES - HEAD_BYTES) / Integer.BYTES;
+    private static final int SUSPECTED_BYTES = Integer.BYTES + 2;
+    private static final int HEALTHY_BYTES = Integer.BYTES + 1;
+    private static final int BYTE_MASK = 0xFF;
+    private static final double AGE_UNIT_MS = 100;
 
-    /** Unhealthy ones first: with many servers only they find room. */
+    /**
+     * A server whose requests fail here.
+     *
+     * @param failures within the window; 255 stands for more
+     * @param ageMs since the last of them
+     */
+    public record Suspected(int server, int failures, double ageMs) {}
+
+    /**
+     * A server that served a request here.
+     *
+     * @param ageMs since then
+     */
+    public record Healthy(int server, double ageMs) {}
+
+    /** Suspected ones first: with many servers only they find room. */
     public byte[] bytes() {
-        int sick = Math.min(unhealthy.size(), MOST_SERVERS);
-        int well = Math.min(healthy.size(), MOST_SERVERS - sick);
-        ByteBuffer out = ByteBuffer.allocate(HEAD_BYTES + Integer.BYTES * (sick + well));
+        int sick = Math.min(suspected.size(), (MOST_BYTES - HEAD_BYTES) / SUSPECTED_BYTES);
+        int room = (MOST_BYTES - HEAD_BYTES - sick * SUSPECTED_BYTES) / HEALTHY_BYTES;
+        int well = Math.min(healthy.size(), room);
+        ByteBuffer out = ByteBuffer.allocate(HEAD_BYTES + SUSPECTED_BYTES * sick + HEALTHY_BYTES * well);
         out.put(VERSION).putLong(incarnation).putInt(sequence).put((byte) sick);
-        unhealthy.subList(0, sick).forEach(out::putInt);
-        healthy.subList(0, well).forEach(out::putInt);
+        for (Suspected s : suspected.subList(0, sick)) {
+            out.putInt(s.server()).put((byte) Math.min(BYTE_MASK, s.failures())).put(age(s.ageMs()));
+        }
+        for (Healthy h : healthy.subList(0, well)) {
+            out.putInt(h.server()).put(age(h.ageMs()));
+        }
         return out.array();
     }
 
+    private static byte age(double ms) {
+        return (byte) Math.max(0, Math.min(BYTE_MASK, Math.round(ms / AGE_UNIT_MS)));
+    }
+
     /** The summary that these bytes hold, or null: torn, foreign or of another version. */
     public static HealthSummary of(byte[] bytes) {
-        boolean fits = bytes.length >= HEAD_BYTES && bytes.length <= MOST_BYTES;
-        if (!fits || (bytes.length - HEAD_BYTES) % Integer.BYTES != 0) {
+        if (bytes.length < HEAD_BYTES || bytes.length > MOST_BYTES) {
             return null;
         }
         ByteBuffer in = ByteBuffer.wrap(bytes);
@@ -40,19 +67,23 @@
         long incarnation = in.getLong();
         int sequence = in.getInt();
         int sick = in.get();
-        if (version != VERSION || sick < 0 || sick * Integer.BYTES > in.remaining()) {
+        int rest = in.remaining() - sick * SUSPECTED_BYTES;
+        if (version != VERSION || sick < 0 || rest < 0 || rest % HEALTHY_BYTES != 0) {
             return null;
         }
-        List<Integer> unhealthy = hashes(in, sick);
-        return new HealthSummary(incarnation, sequence, unhealthy, hashes(in, in.remaining() / Integer.BYTES));
+        List<Suspected> suspected = new ArrayList<>(sick);
+        for (int i = 0; i < sick; i++) {
+            suspected.add(new Suspected(in.getInt(), in.get() & BYTE_MASK, ageMs(in)));
+        }
+        List<Healthy> healthy = new ArrayList<>(rest / HEALTHY_BYTES);
+        while (in.hasRemaining()) {
+            healthy.add(new Healthy(in.getInt(), ageMs(in)));
+        }
+        return new HealthSummary(incarnation, sequence, suspected, healthy);
     }
 
-    private static List<Integer> hashes(ByteBuffer in, int count) {
-        List<Integer> hashes = new ArrayList<>(count);
-        for (int i = 0; i < count; i++) {
-            hashes.add(in.getInt());
-        }
-        return hashes;
+    private static double ageMs(ByteBuffer in) {
+        return (in.get() & BYTE_MASK) * AGE_UNIT_MS;
     }
 
     /** Whether it is newer than the other one of the same sidecar; incarnations begin with the time of the start. */
--- a/fleet/src/main/java/dewplank/routing/ServerChoice.java
+++ b/fleet/src/main/java/dewplank/routing/ServerChoice.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
@@ -13,8 +14,14 @@
  * the lesser load. Times in milliseconds.
  */
 public final class ServerChoice {
-    // pace of trial sends to a condemned server, as the design has it
-    private static final double TRIAL_EVERY_MS = 1_000;
+    /**
+     * Trial sends to a condemned server in a second, by all sidecars together: the design has one of each sidecar, at
+     * ninety of which a condemned server would be sent more than a healthy one.
+     */
+    private static final double TRIALS_PER_SECOND = 3;
+
+    private static final double SHORTEST_TRIAL_PAUSE_MS = 1_000; // of one sidecar, as the design has it
+    private static final double MS_PER_SECOND = 1_000;
     private static final double VERDICT_FRESH_MS = 100; // a verdict is worked out anew after this
     private static final double AWAY_WEIGHT = 0.25; // of a server in another zone, in draws
 
@@ -34,18 +41,28 @@
 
     private final String ownZone;
     private final FleetVotes votes;
+    private final IntSupplier sidecars;
     private final RandomGenerator random;
 
+    /** For one sidecar by itself. */
     public ServerChoice(String ownZone, FleetVotes votes, RandomGenerator random) {
+        this(ownZone, votes, () -> 1, random);
+    }
+
+    /**
+     * @param sidecars how many sidecars send to the same servers, this one among them
+     */
+    public ServerChoice(String ownZone, FleetVotes votes, IntSupplier sidecars, RandomGenerator random) {
         this.ownZone = ownZone;
         this.votes = votes;
+        this.sidecars = sidecars;
         this.random = random;
     }
 
     /** Whether the votes of this sidecar and its peers find the server unhealthy. */
     public boolean condemned(double now, ServerState s) {
         if (now - s.condemnedCheckedAt() >= VERDICT_FRESH_MS) {
-            s.judged(now, votes.condemned(now, s.instanceId(), s.health().unhealthy(now)));
+            judge(now, s);
         }
         return s.condemned();
     }
@@ -53,12 +70,25 @@
     /** An outcome was observed: the verdict may turn. */
     public void observe(double now, ServerState s, String context, boolean healthy) {
         s.health().observe(now, context, healthy);
-        s.judged(now, votes.condemned(now, s.instanceId(), s.health().unhealthy(now)));
+        judge(now, s);
         if (healthy) {
             s.served();
         }
     }
 
+    /** The first trial of a verdict comes at a time of its own at each sidecar, the next ones at the same pace. */
+    private void judge(double now, ServerState s) {
+        boolean before = s.condemned();
+        s.judged(now, votes.condemned(now, s.instanceId(), s.health()));
+        if (s.condemned() && !before) {
+            s.tried(now - random.nextDouble() * trialPauseMs());
+        }
+    }
+
+    private double trialPauseMs() {
+        return Math.max(SHORTEST_TRIAL_PAUSE_MS, MS_PER_SECOND * sidecars.getAsInt() / TRIALS_PER_SECOND);
+    }
+
     /** A server, or null where none may be sent to. */
     public ServerState pick(double now, Query query) {
         List<ServerState> ready = new ArrayList<>();
@@ -91,7 +121,7 @@
     private ServerState trial(double now, List<ServerState> ready, Query query) {
         for (ServerState s : ready) {
             if (s.condemned()
-                    && now - s.lastTrialAt() >= TRIAL_EVERY_MS
+                    && now - s.lastTrialAt() >= trialPauseMs()
                     && query.allowed().test(s)) {
                 s.tried(now);
                 return s;
--- a/fleet/src/test/java/dewplank/routing/FleetVotesTest.java
+++ b/fleet/src/test/java/dewplank/routing/FleetVotesTest.java
@@ -1,16 +1,20 @@
 package dewplank.routing;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Arrays;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import saltfield.ServerHealth;
 
 /** Peers' summaries that are late, doubled, of an earlier life, or of another machine at the same address. */
 class FleetVotesTest {
     private static final String SERVER = "i-1";
     private static final String PEER = "10.0.0.1";
-    private static final List<Integer> IT = List.of(SERVER.hashCode());
+    private static final int IT = SERVER.hashCode();
     private static final long EARLIER = 1_000;
     private static final long LATER = 2_000;
     private static final double FRESH_MS = 3_000;
@@ -18,15 +22,22 @@
     private final FleetVotes votes = new FleetVotes();
 
     private static HealthSummary unhealthy(long life, int sequence) {
-        return new HealthSummary(life, sequence, IT, List.of());
+        return new HealthSummary(life, sequence, List.of(new HealthSummary.Suspected(IT, 3, 0)), List.of());
     }
 
     private static HealthSummary healthy(long life, int sequence) {
-        return new HealthSummary(life, sequence, List.of(), IT);
+        return new HealthSummary(life, sequence, List.of(), List.of(new HealthSummary.Healthy(IT, 0)));
     }
 
+    /** With a failure of its own at that moment. */
     private boolean condemned(double now) {
-        return votes.condemned(now, SERVER, true);
+        ServerHealth own = new ServerHealth();
+        own.observe(now, "class", false);
+        return votes.condemned(now, SERVER, own);
+    }
+
+    private boolean condemnedUnseen(double now) {
+        return votes.condemned(now, SERVER, new ServerHealth());
     }
 
     @Test
@@ -51,8 +62,8 @@
         votes.hear(0, PEER, healthy(LATER, 2));
         votes.hear(1, PEER, unhealthy(LATER, 1));
         votes.hear(2, PEER, healthy(LATER, 2));
-        assertFalse(votes.condemned(3, SERVER, false));
-        assertFalse(votes.condemned(FRESH_MS + 1, SERVER, false), "heard at 0, not again at 2");
+        assertFalse(condemnedUnseen(3));
+        assertFalse(condemnedUnseen(FRESH_MS + 1), "heard at 0, not again at 2");
     }
 
     /** Another machine at the address, its clock behind: it is heard once what the last one said is stale. */
@@ -71,6 +82,77 @@
     void whatNobodyConfirmsIsForgotten() {
         votes.hear(0, PEER, unhealthy(LATER, 1));
         assertTrue(condemned(FRESH_MS));
-        assertFalse(votes.condemned(FRESH_MS + 1, SERVER, false));
+        assertFalse(condemnedUnseen(FRESH_MS + 1));
+    }
+
+    private static HealthSummary failed(int failures, double ageMs) {
+        return new HealthSummary(LATER, 1, List.of(new HealthSummary.Suspected(IT, failures, ageMs)), List.of());
+    }
+
+    /** At ninety sidecars none sees three failures of one server: one each at three of them are as many. */
+    @Test
+    void theFailuresThatAVerdictNeedsAreCountedOverAll() {
+        votes.hear(0, "10.0.0.1", failed(1, 0));
+        assertFalse(condemnedUnseen(1));
+        assertFalse(condemned(1), "two failures");
+        votes.hear(2, "10.0.0.2", failed(1, 0));
+        assertFalse(condemnedUnseen(3), "two failures");
+        assertTrue(condemned(3), "three failures");
+        votes.hear(4, "10.0.0.3", failed(1, 0));
+        assertTrue(condemnedUnseen(5), "three failures, none of them here");
+    }
+
+    @Test
+    void aMajorityOfThoseThatSentThereHasTheSay() {
+        votes.hear(0, "10.0.0.1", failed(3, 0));
+        votes.hear(0, "10.0.0.2", healthy(LATER, 1));
+        votes.hear(0, "10.0.0.3", healthy(LATER, 1));
+        assertFalse(condemnedUnseen(1));
+        assertTrue(condemned(1), "two of four, and a tie goes by own traffic");
+    }
+
+    /** One success after the failures tells all who hear of it that the server is back. */
+    @Test
+    void whatWasServedSinceOutdatesFailures() {
+        votes.hear(0, "10.0.0.1", failed(9, 0));
+        votes.hear(0, "10.0.0.2", failed(9, 100));
+        votes.hear(0, "10.0.0.4", failed(9, 0));
+        votes.hear(0, "10.0.0.5", failed(9, 0));
+        assertTrue(condemnedUnseen(1));
+        votes.hear(400, "10.0.0.3", new HealthSummary(LATER, 1, List.of(), List.of(new HealthSummary.Healthy(IT, 0))));
+        assertTrue(condemnedUnseen(401), "served at much the same time as it failed");
+        votes.hear(
+                900, "10.0.0.3", new HealthSummary(LATER, 2, List.of(), List.of(new HealthSummary.Healthy(IT, 100))));
+        assertFalse(condemnedUnseen(901));
+    }
+
+    @Test
+    void aSummaryComesThroughTheWireAsItWas() {
+        HealthSummary told = new HealthSummary(
+                LATER,
+                7,
+                List.of(new HealthSummary.Suspected(IT, 3, 1_200)),
+                List.of(new HealthSummary.Healthy(-IT, 400)));
+        assertEquals(told, HealthSummary.of(told.bytes()));
+    }
+
+    @Test
+    void aSummaryOfManyServersKeepsToItsBytesAndNamesTheSuspectedFirst() {
+        List<HealthSummary.Suspected> suspected = IntStream.range(0, 30)
+                .mapToObj(i -> new HealthSummary.Suspected(i, 1_000, 1_000_000))
+                .toList();
+        List<HealthSummary.Healthy> healthy = IntStream.range(100, 200)
+                .mapToObj(i -> new HealthSummary.Healthy(i, 0))
+                .toList();
+        byte[] bytes = new HealthSummary(LATER, 1, suspected, healthy).bytes();
+        assertTrue(bytes.length <= HealthSummary.MOST_BYTES);
+        HealthSummary read = HealthSummary.of(bytes);
+        assertEquals(30, read.suspected().size());
+        assertEquals(
+                new HealthSummary.Suspected(0, 255, 25_500), read.suspected().get(0));
+        assertTrue(read.healthy().size() >= 10, "healthy " + read.healthy().size());
+        for (int length = 0; length < bytes.length; length++) { // torn ones are refused or shorter, never a fault
+            HealthSummary.of(Arrays.copyOf(bytes, length));
+        }
     }
 }
--- a/fleet/src/test/java/dewplank/routing/ServerChoiceTest.java
+++ b/fleet/src/test/java/dewplank/routing/ServerChoiceTest.java
@@ -24,6 +24,10 @@
         return servers;
     }
 
+    private static HealthSummary suspecting() {
+        return new HealthSummary(1, 1, List.of(new HealthSummary.Suspected("i-0".hashCode(), 3, 0)), List.of());
+    }
+
     private void fail(ServerState s, double now, int times) {
         for (int i = 0; i < times; i++) {
             choice.observe(now, s, "class", false);
@@ -83,7 +87,7 @@
         List<ServerState> servers = servers(3);
         choice.observe(0, servers.get(0), "class", true);
         for (String peer : List.of("a", "b", "c")) {
-            votes.hear(1, peer, new HealthSummary(1, 1, List.of("i-0".hashCode()), List.of()));
+            votes.hear(1, peer, suspecting());
         }
         assertTrue(choice.condemned(200, servers.get(0)));
         assertTrue(!choice.condemned(4_000, servers.get(0)), "summaries grow stale");
@@ -95,10 +99,10 @@
         for (int i = 0; i < 20; i++) {
             votes.hear(1, "silent" + i, new HealthSummary(1, 1, List.of(), List.of()));
         }
-        votes.hear(1, "a", new HealthSummary(1, 1, List.of("i-0".hashCode()), List.of()));
-        votes.hear(1, "b", new HealthSummary(1, 1, List.of("i-0".hashCode()), List.of()));
+        votes.hear(1, "a", suspecting());
+        votes.hear(1, "b", suspecting());
         assertTrue(choice.condemned(200, servers.get(0)), "two of the three that vote");
-        votes.hear(1, "c", new HealthSummary(1, 1, List.of(), List.of("i-0".hashCode())));
+        votes.hear(1, "c", new HealthSummary(1, 1, List.of(), List.of(new HealthSummary.Healthy("i-0".hashCode(), 0))));
         assertTrue(!choice.condemned(400, servers.get(0)), "two of four, and own traffic is well");
     }
 
@@ -139,4 +143,30 @@
         }
         assertTrue(moved > 120 && moved < 280, "moved " + moved);
     }
+
+    /** Ninety sidecars together try a condemned server a few times a second, however many requests they have. */
+    @Test
+    void trialsAreAMatterOfTheFleet() {
+        int sidecars = 90;
+        SplittableRandom random = new SplittableRandom(3);
+        List<ServerChoice> fleet = new ArrayList<>();
+        List<List<ServerState>> views = new ArrayList<>();
+        for (int i = 0; i < sidecars; i++) {
+            ServerChoice each = new ServerChoice("here", new FleetVotes(), () -> sidecars, random.split());
+            List<ServerState> view = servers(4);
+            for (int failure = 0; failure < 3; failure++) {
+                each.observe(0, view.get(0), "class", false);
+            }
+            fleet.add(each);
+            views.add(view);
+        }
+        int trials = 0;
+        for (double now = 10; now < 9_000; now += 100) {
+            for (int i = 0; i < sidecars; i++) {
+                ServerState picked = fleet.get(i).pick(now, ServerChoice.Query.of(views.get(i), s -> true, true));
+                trials += picked == views.get(i).get(0) ? 1 : 0;
+            }
+        }
+        assertTrue(trials >= 9 && trials <= 45, trials + " trials in 9 s");
+    }
 }
