--- a/cli/src/main/java/dewplank/FleetCommands.java
+++ b/cli/src/main/java/dewplank/FleetCommands.java
@@ -6,10 +6,17 @@
 import dewplank.controlplane.ControlPlane;
 import dewplank.dataplane.DataPlane;
 import dewplank.rehearsal.FleetRehearsal;
+import dewplank.routing.Mechanism;
+import dewplank.routing.Policy;
 import dewplank.store.StoreException;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.kohsuke.args4j.Option;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -22,15 +29,41 @@
         void drain() throws InterruptedException;
     }
 
+    /** What both programs take from the command line. */
+    private abstract static class Trial {
+        @Option(
+                name = "--without",
+                metaVar = "NAME,...",
+                usage = "for trials only: mechanisms of docs/policy.md that are switched off")
+        private String without = "";
+
+        final Policy policy() {
+            List<Mechanism> off = new ArrayList<>();
+            for (String name : without.split(",")) {
+                if (!name.isBlank()) {
+                    off.add(Mechanism.of(name.strip())
+                            .orElseThrow(() -> new BadInput("--without " + name + ": there is no such mechanism; "
+                                    + Stream.of(Mechanism.values())
+                                            .map(Mechanism::text)
+                                            .collect(Collectors.joining(", ")))));
+                }
+            }
+            if (!off.isEmpty()) {
+                LoggerFactory.getLogger(FleetCommands.class).warn("a trial without {}", off);
+            }
+            return Policy.without(off);
+        }
+    }
+
     /** The data plane: takes clients' requests. */
-    public static final class RunDataPlane implements Commands.Command {
+    public static final class RunDataPlane extends Trial implements Commands.Command {
         @Override
         public void run() throws InterruptedException {
             SettingsReload reloads = reloads();
             FileWatch file = new FileWatch(NodeSettings.path(System.getenv()));
             DataPlane plane;
             try {
-                plane = new DataPlane(settings().ofDataPlane());
+                plane = new DataPlane(settings().ofDataPlane(), policy());
             } catch (IOException e) {
                 throw StartFault.of(e);
             }
@@ -41,14 +74,14 @@
     }
 
     /** The control plane: keeps the configuration, the members and the list of servers. */
-    public static final class RunControlPlane implements Commands.Command {
+    public static final class RunControlPlane extends Trial implements Commands.Command {
         @Override
         public void run() throws InterruptedException {
             SettingsReload reloads = reloads();
             FileWatch file = new FileWatch(NodeSettings.path(System.getenv()));
             ControlPlane plane;
             try {
-                plane = new ControlPlane(settings().ofControlPlane());
+                plane = new ControlPlane(settings().ofControlPlane(), policy());
             } catch (IOException | StoreException e) {
                 throw StartFault.of(e);
             }
--- a/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
@@ -21,6 +21,7 @@
 import dewplank.net.ServerEndpoint;
 import dewplank.register.Acceptor;
 import dewplank.register.RegisterMessage;
+import dewplank.routing.Policy;
 import dewplank.store.StoreException;
 import java.io.IOException;
 import java.util.LinkedHashSet;
@@ -72,14 +73,19 @@
 
     /** With the machine's clock, sockets and disk. */
     public ControlPlane(NodeSettings settings) throws IOException, StoreException {
-        this(settings, FleetMessages.codec());
+        this(settings, Policy.WHOLE);
     }
 
-    private ControlPlane(NodeSettings settings, MessageCodec codec) throws IOException, StoreException {
-        this(settings, new SystemEnvironment(settings, codec), codec);
+    /** For a trial, with some mechanisms off. */
+    public ControlPlane(NodeSettings settings, Policy policy) throws IOException, StoreException {
+        this(settings, FleetMessages.codec(), policy);
     }
 
-    ControlPlane(NodeSettings settings, ControlEnvironment environment, MessageCodec codec)
+    private ControlPlane(NodeSettings settings, MessageCodec codec, Policy policy) throws IOException, StoreException {
+        this(settings, new SystemEnvironment(settings, codec), codec, policy);
+    }
+
+    ControlPlane(NodeSettings settings, ControlEnvironment environment, MessageCodec codec, Policy policy)
             throws IOException, StoreException {
         this.settings = settings;
         this.environment = environment;
@@ -108,7 +114,13 @@
                 configuration,
                 duties.list());
         stages = new StageKeeper(
-                loop, settings.node(), settings.bounds().leaseMs(), lister, duties.list(), environment.serverCalls());
+                loop,
+                settings.node(),
+                settings.bounds().leaseMs(),
+                lister,
+                duties.list(),
+                environment.serverCalls(),
+                policy);
         operator = new OperatorApi(
                 configuration,
                 new OperatorContact(settings.control().getPort(), address, mesh, confirmation::isPossible),
--- a/controlplane/src/main/java/dewplank/controlplane/StageKeeper.java
+++ b/controlplane/src/main/java/dewplank/controlplane/StageKeeper.java
@@ -6,6 +6,8 @@
 import dewplank.duty.StagePlan;
 import dewplank.message.ServerEntry;
 import dewplank.net.Scheduler;
+import dewplank.routing.Mechanism;
+import dewplank.routing.Policy;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -50,6 +52,7 @@
     private final ServerLister lister;
     private final ServerLister.Duty duty;
     private final ServerCalls calls;
+    private final Policy policy;
     private final Map<String, Reported> reports = new HashMap<>();
     private final Map<String, Pending> pending = new HashMap<>();
     private final Map<String, Double> orderedAt = new HashMap<>();
@@ -65,7 +68,9 @@
             double leaseMs,
             ServerLister lister,
             ServerLister.Duty duty,
-            ServerCalls calls) {
+            ServerCalls calls,
+            Policy policy) {
+        this.policy = policy;
         this.loop = loop;
         this.holder = holder;
         this.leaseMs = leaseMs;
@@ -101,7 +106,7 @@
                 askAt = now + ASK_EVERY_MS;
                 askAll();
             }
-            if (now - heldSince >= leaseMs + SPARE_MS) {
+            if (now - heldSince >= leaseMs + SPARE_MS && policy.uses(Mechanism.STAGE_ORDERS)) {
                 servicesWithEngines().forEach(this::change);
             }
         }
@@ -173,7 +178,10 @@
         boolean idle = engines.stream().allMatch(e -> e.queued() + e.active() == 0);
         double pause = idle ? IDLE_ORDER_EVERY_MS : ORDER_EVERY_MS;
         if (known && !ordered && now - orderedAt.getOrDefault(service, Double.NEGATIVE_INFINITY) >= pause) {
-            StagePlan.changes(engines).forEach(c -> order(service, servers, c));
+            List<StagePlan.Change> changes = StagePlan.changes(engines);
+            boolean several = policy.uses(Mechanism.SEVERAL_ORDERS);
+            boolean waits = !several && engines.stream().anyMatch(StagePlan.Engine::busy);
+            changes.stream().limit(several ? changes.size() : waits ? 0 : 1).forEach(c -> order(service, servers, c));
         }
     }
 
--- a/controlplane/src/test/java/dewplank/controlplane/StageKeeperTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/StageKeeperTest.java
@@ -11,6 +11,7 @@
 import dewplank.message.ServerEntry;
 import dewplank.message.ServerList;
 import dewplank.net.EventLoop;
+import dewplank.routing.Policy;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -75,7 +76,8 @@
     }
 
     private void keep(double leaseMs) {
-        StageKeeper keeper = new StageKeeper(loop, "core-1", leaseMs, lister, duty, new HttpServerCalls(loop));
+        StageKeeper keeper =
+                new StageKeeper(loop, "core-1", leaseMs, lister, duty, new HttpServerCalls(loop), Policy.WHOLE);
         loop.execute(keeper::start);
     }
 
--- a/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
@@ -8,6 +8,7 @@
 import dewplank.net.EventLoop;
 import dewplank.net.Listener;
 import dewplank.routing.FleetVotes;
+import dewplank.routing.Policy;
 import dewplank.routing.ServerChoice;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -55,13 +56,18 @@
     private boolean draining;
 
     public DataPlane(NodeSettings settings) throws IOException {
+        this(settings, Policy.WHOLE);
+    }
+
+    /** For a trial, with some mechanisms off. */
+    public DataPlane(NodeSettings settings, Policy policy) throws IOException {
         this.settings = settings;
         loop = new EventLoop();
         fleet = new FleetView(loop);
         long seed = new SecureRandom().nextLong();
         RandomGenerator random = new SplittableRandom(seed);
-        FleetVotes votes = new FleetVotes();
-        ServerChoice choice = new ServerChoice(settings.zone(), votes, fleet::dataPlanes, random);
+        FleetVotes votes = new FleetVotes(policy);
+        ServerChoice choice = new ServerChoice(settings.zone(), votes, fleet::dataPlanes, random, policy);
         NodeSettings.Bounds bounds = settings.bounds();
         limits = new ClientLimits(bounds.configApplyMs());
         forwarder = new Forwarder(
--- a/dataplane/src/main/java/dewplank/dataplane/DecodeStep.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DecodeStep.java
@@ -5,6 +5,7 @@
 import dewplank.http.Headers;
 import dewplank.net.Wheel;
 import dewplank.routing.EventSplitter;
+import dewplank.routing.Mechanism;
 import dewplank.routing.PairChoice;
 import dewplank.routing.ServerState;
 import java.io.ByteArrayOutputStream;
@@ -50,7 +51,7 @@
     private void begin(Server server) {
         exchange.sends++;
         List<Headers.Field> further = new ArrayList<>();
-        further.add(GenerationExchange.priority(exchange.route.priority()));
+        further.add(exchange.priority(exchange.route.priority()));
         KvHandle given = exchange.handover.offer();
         if (given != null) {
             further.add(new Headers.Field(WireNames.KV_FROM, given.location()));
@@ -93,7 +94,7 @@
 
     private void watchSilence() {
         stopPatience();
-        if (repeatable()) {
+        if (repeatable() && exchange.forwarder.policy().uses(Mechanism.PATIENCE)) {
             double expected = begun ? 0 : PATIENCE * PairChoice.readingMs(exchange.prefix.tokens());
             patience = exchange.loop.after(SILENCE_MS + expected, this::silent);
         }
--- a/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
@@ -9,6 +9,7 @@
 import dewplank.net.EventLoop;
 import dewplank.routing.FleetSize;
 import dewplank.routing.PairChoice;
+import dewplank.routing.Policy;
 import dewplank.routing.RetryBudget;
 import dewplank.routing.ServerChoice;
 import java.util.ArrayList;
@@ -248,6 +249,11 @@
         return choice;
     }
 
+    /** Which mechanisms decide. */
+    Policy policy() {
+        return choice.policy();
+    }
+
     PairChoice pairs() {
         return pairs;
     }
--- a/dataplane/src/main/java/dewplank/dataplane/GenerationExchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/GenerationExchange.java
@@ -4,6 +4,7 @@
 import dewplank.configuration.Service;
 import dewplank.exchange.InboundConnection;
 import dewplank.http.Headers;
+import dewplank.routing.Mechanism;
 import dewplank.routing.PromptPrefix;
 
 /**
@@ -12,6 +13,8 @@
  */
 final class GenerationExchange extends Exchange {
     private static final int LEAST_URGENT = 9;
+    /** What servers take a request for that names none. */
+    private static final String USUAL_PRIORITY = "5";
 
     final PromptPrefix prefix;
     final Handover handover;
@@ -49,7 +52,10 @@
         return prefix.tokens() - prefix.sharedTokens();
     }
 
-    static Headers.Field priority(int rank) {
+    Headers.Field priority(int rank) {
+        if (!forwarder.policy().uses(Mechanism.PRIORITY)) {
+            return new Headers.Field(WireNames.PRIORITY, USUAL_PRIORITY);
+        }
         return new Headers.Field(WireNames.PRIORITY, Integer.toString(Math.max(0, Math.min(LEAST_URGENT, rank))));
     }
 
--- a/dataplane/src/main/java/dewplank/dataplane/PlainExchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/PlainExchange.java
@@ -7,6 +7,7 @@
 import dewplank.exchange.InboundConnection;
 import dewplank.http.Headers;
 import dewplank.net.Wheel;
+import dewplank.routing.Mechanism;
 import dewplank.routing.ServerChoice;
 import dewplank.routing.ServerState;
 import java.io.ByteArrayOutputStream;
@@ -46,7 +47,7 @@
         sends++;
         call = callTo(server, 0, List.of(), new Answer(server));
         call.start(forwarder.connectTimeoutMs());
-        if (repeatable()) {
+        if (repeatable() && forwarder.policy().uses(Mechanism.PATIENCE)) {
             patience = loop.after(PATIENCE * route.targetLatencyMs(), this::overdue);
         }
     }
--- a/dataplane/src/main/java/dewplank/dataplane/PrefillStep.java
+++ b/dataplane/src/main/java/dewplank/dataplane/PrefillStep.java
@@ -4,6 +4,7 @@
 import dewplank.exchange.HttpCall;
 import dewplank.http.Headers;
 import dewplank.net.Wheel;
+import dewplank.routing.Mechanism;
 import dewplank.routing.PairChoice;
 import dewplank.routing.ServerState;
 import java.io.ByteArrayOutputStream;
@@ -40,7 +41,7 @@
         call = exchange.callTo(server, exchange.ownTokens(), further, new Answer(server, free));
         call.start(exchange.forwarder.connectTimeoutMs());
         double expected = PairChoice.readingMs(exchange.prefix.tokens())
-                + PairChoice.prefillWait(exchange.loop.now(), server.state);
+                + exchange.forwarder.pairs().prefillWait(exchange.loop.now(), server.state);
         patience = exchange.loop.after(PATIENCE_MS + PATIENCE * expected, this::overdue);
     }
 
@@ -58,11 +59,11 @@
 
     /** Short prompts are read first: they wait for little, and long ones hardly notice them. */
     private Headers.Field priority() {
-        return GenerationExchange.priority((int) (exchange.ownTokens() / TOKENS_PER_PRIORITY));
+        return exchange.priority((int) (exchange.ownTokens() / TOKENS_PER_PRIORITY));
     }
 
     private void overdue() {
-        if (exchange.over() || call.over()) {
+        if (exchange.over() || call.over() || !exchange.forwarder.policy().uses(Mechanism.PATIENCE)) {
             return;
         }
         exchange.forwarder.counters().add(Count.TIMEOUTS);
--- a/fleet/src/main/java/dewplank/routing/FleetVotes.java
+++ b/fleet/src/main/java/dewplank/routing/FleetVotes.java
@@ -29,8 +29,17 @@
     private record Heard(
             double at, HealthSummary summary, Map<Integer, Suspicion> suspected, Map<Integer, Double> healthyAt) {}
 
+    private final Policy policy;
     private final Map<String, Heard> peers = new HashMap<>();
 
+    public FleetVotes() {
+        this(Policy.WHOLE);
+    }
+
+    public FleetVotes(Policy policy) {
+        this.policy = policy;
+    }
+
     /** One that comes late, twice or after a newer one changes nothing. */
     public void hear(double now, String peer, HealthSummary summary) {
         Heard last = peers.get(peer);
@@ -63,6 +72,10 @@
      * A tie goes by own traffic.
      */
     public boolean condemned(double now, String server, ServerHealth own) {
+        if (!policy.uses(Mechanism.CONDEMNATION)) {
+            return false;
+        }
+        int floor = policy.uses(Mechanism.POOLED_FAILURES) ? 1 : FAILURES_FLOOR; // of one data plane's
         Integer hash = server.hashCode();
         double servedAt = own.lastHealthy();
         for (Heard heard : peers.values()) {
@@ -70,7 +83,7 @@
                 servedAt = Math.max(servedAt, heard.healthyAt().getOrDefault(hash, Double.NEGATIVE_INFINITY));
             }
         }
-        boolean ownVote = suspects(now, own) && own.lastUnhealthy() >= servedAt - OUTDATED_MS;
+        boolean ownVote = own.unhealthy(now, floor) && own.lastUnhealthy() >= servedAt - OUTDATED_MS;
         int failures = ownVote ? own.unhealthyOutcomes(now) : 0;
         int votes = ownVote ? 1 : 0;
         int voters = 1;
@@ -80,7 +93,7 @@
             }
             Suspicion suspicion = heard.suspected().get(hash);
             if (suspicion != null) {
-                boolean stands = suspicion.lastAt() >= servedAt - OUTDATED_MS;
+                boolean stands = suspicion.failures() >= floor && suspicion.lastAt() >= servedAt - OUTDATED_MS;
                 failures += stands ? suspicion.failures() : 0;
                 votes += stands ? 1 : 0;
                 voters++;
--- a/fleet/src/main/java/dewplank/routing/PairChoice.java
+++ b/fleet/src/main/java/dewplank/routing/PairChoice.java
@@ -48,9 +48,10 @@
     }
 
     /** Milliseconds until a prompt sent there now is begun: by own requests, by what others met, or by being stuck. */
-    public static double prefillWait(double now, ServerState s) {
-        double queue = Math.max(s.tokensInFlight() / TOKENS_PER_MS, s.queueMs(now));
-        double stuck = s.waitedMs(now) > STUCK_MS + queue ? STUCK_COSTS_MS : 0;
+    public double prefillWait(double now, ServerState s) {
+        double told = choice.policy().uses(Mechanism.QUEUE_MEMORY) ? s.queueMs(now) : 0;
+        double queue = Math.max(s.tokensInFlight() / TOKENS_PER_MS, told);
+        double stuck = choice.policy().uses(Mechanism.STUCK) && s.waitedMs(now) > STUCK_MS + queue ? STUCK_COSTS_MS : 0;
         return queue + stuck;
     }
 
@@ -87,20 +88,25 @@
                 new ServerChoice.Query(
                         servers,
                         allowed,
-                        s -> load(now, s) + (s.zone().equals(zone) ? 0 : AWAY_TOKENS),
+                        s -> load(now, s) + (s.zone().equals(zone) ? 0 : awayTokens()),
                         null,
                         0,
                         mayTry));
     }
 
-    private static double load(double now, ServerState s) {
-        return (s.waitedMs(now) > STUCK_MS ? STUCK_COSTS_MS * TOKENS_PER_MS : 0)
-                + s.tokensInFlight()
-                + REQUEST_TOKENS * s.inFlight();
+    private double awayTokens() {
+        return choice.policy().uses(Mechanism.ZONE) ? AWAY_TOKENS : 0;
+    }
+
+    private double load(double now, ServerState s) {
+        boolean stuck = choice.policy().uses(Mechanism.STUCK) && s.waitedMs(now) > STUCK_MS;
+        return (stuck ? STUCK_COSTS_MS * TOKENS_PER_MS : 0) + s.tokensInFlight() + REQUEST_TOKENS * s.inFlight();
     }
 
     private ServerState home(double now, List<ServerState> servers, PromptPrefix prefix) {
         String subject = prefix.subject();
-        return subject == null ? null : PrefixAffinity.home(subject, choice.drawable(now, servers));
+        return subject == null || !choice.policy().uses(Mechanism.HOMES)
+                ? null
+                : PrefixAffinity.home(subject, choice.drawable(now, servers));
     }
 }
--- a/fleet/src/main/java/dewplank/routing/ServerChoice.java
+++ b/fleet/src/main/java/dewplank/routing/ServerChoice.java
@@ -43,22 +43,29 @@
     private final FleetVotes votes;
     private final IntSupplier sidecars;
     private final RandomGenerator random;
+    private final Policy policy;
 
     /** For one sidecar by itself. */
     public ServerChoice(String ownZone, FleetVotes votes, RandomGenerator random) {
-        this(ownZone, votes, () -> 1, random);
+        this(ownZone, votes, () -> 1, random, Policy.WHOLE);
     }
 
     /**
      * @param sidecars how many sidecars send to the same servers, this one among them
      */
-    public ServerChoice(String ownZone, FleetVotes votes, IntSupplier sidecars, RandomGenerator random) {
+    public ServerChoice(String ownZone, FleetVotes votes, IntSupplier sidecars, RandomGenerator random, Policy policy) {
+        this.policy = policy;
         this.ownZone = ownZone;
         this.votes = votes;
         this.sidecars = sidecars;
         this.random = random;
     }
 
+    /** Which mechanisms decide. */
+    public Policy policy() {
+        return policy;
+    }
+
     /** Whether the votes of this sidecar and its peers find the server unhealthy. */
     public boolean condemned(double now, ServerState s) {
         if (now - s.condemnedCheckedAt() >= VERDICT_FRESH_MS) {
@@ -86,7 +93,8 @@
     }
 
     private double trialPauseMs() {
-        return Math.max(SHORTEST_TRIAL_PAUSE_MS, MS_PER_SECOND * sidecars.getAsInt() / TRIALS_PER_SECOND);
+        double share = policy.uses(Mechanism.FLEET_TRIALS) ? sidecars.getAsInt() / TRIALS_PER_SECOND : 0;
+        return Math.max(SHORTEST_TRIAL_PAUSE_MS, MS_PER_SECOND * share);
     }
 
     /** A server, or null where none may be sent to. */
@@ -133,7 +141,8 @@
     private ServerState pickTwo(double now, List<ServerState> drawable, Query query) {
         List<ServerState> fitting = new ArrayList<>();
         for (ServerState s : drawable) {
-            if (!s.resting(now) && query.allowed().test(s)) {
+            if ((!s.resting(now) || !policy.uses(Mechanism.RESTING))
+                    && query.allowed().test(s)) {
                 fitting.add(s);
             }
         }
@@ -143,7 +152,7 @@
         boolean usePreferred = query.preferred() != null && fitting.contains(query.preferred());
         ServerState first = usePreferred ? query.preferred() : WeightedDraw.one(fitting, null, this::weight, random);
         ServerState second = WeightedDraw.one(fitting, first, this::weight, random);
-        if (second == null) {
+        if (second == null || !policy.uses(Mechanism.TWO_CHOICES)) {
             return first;
         }
         double bonus = usePreferred ? query.preference() : 0;
@@ -151,6 +160,7 @@
     }
 
     private double weight(ServerState s) {
-        return s.health().weight() * (s.zone().equals(ownZone) ? 1 : AWAY_WEIGHT);
+        double health = policy.uses(Mechanism.WEIGHTS) ? s.health().weight() : 1;
+        return health * (s.zone().equals(ownZone) || !policy.uses(Mechanism.ZONE) ? 1 : AWAY_WEIGHT);
     }
 }
--- a/fleet/src/test/java/dewplank/routing/ServerChoiceTest.java
+++ b/fleet/src/test/java/dewplank/routing/ServerChoiceTest.java
@@ -152,7 +152,8 @@
         List<ServerChoice> fleet = new ArrayList<>();
         List<List<ServerState>> views = new ArrayList<>();
         for (int i = 0; i < sidecars; i++) {
-            ServerChoice each = new ServerChoice("here", new FleetVotes(), () -> sidecars, random.split());
+            ServerChoice each =
+                    new ServerChoice("here", new FleetVotes(), () -> sidecars, random.split(), Policy.WHOLE);
             List<ServerState> view = servers(4);
             for (int failure = 0; failure < 3; failure++) {
                 each.observe(0, view.get(0), "class", false);
--- a/simulation/src/test/java/dewplank/controlplane/ControlProcess.java
+++ b/simulation/src/test/java/dewplank/controlplane/ControlProcess.java
@@ -12,6 +12,7 @@
 import dewplank.net.Scheduler;
 import dewplank.net.ServerEndpoint;
 import dewplank.register.AcceptorSet;
+import dewplank.routing.Policy;
 import dewplank.store.DiskExecutor;
 import dewplank.store.StoreException;
 import dewplank.store.StoreFiles;
@@ -53,7 +54,7 @@
 
     public ControlProcess(NodeSettings settings, Surroundings surroundings, MessageCodec codec)
             throws IOException, StoreException {
-        plane = new ControlPlane(settings, new Environment(surroundings), codec);
+        plane = new ControlPlane(settings, new Environment(surroundings), codec, Policy.WHOLE);
     }
 
     /** Begins as the program does. */
