--- a/dataplane/src/main/java/dewplank/dataplane/Counters.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Counters.java
@@ -9,6 +9,7 @@
 final class Counters {
     private static final Logger LOG = LoggerFactory.getLogger(Counters.class);
 
+    /** What is counted; the names ending in MS are sums of milliseconds. */
     enum Count {
         REQUESTS,
         SERVED,
@@ -29,14 +30,28 @@
         BROKEN,
         TURNED_AWAY,
         SERVER_ERRORS,
-        FREED
+        FREED,
+        /** No server was there, or none may be sent to. */
+        NO_SERVER,
+        /** The route's limit of servers was reached. */
+        ATTEMPTS_SPENT,
+        /** Connections opened to servers. */
+        CONNECTIONS,
+        /** From the request's arrival until its prompt was read and kept at a prefill server. */
+        PREFILL_MS,
+        /** From there, or from the arrival where no prefill server was asked, until the first event. */
+        DECODE_MS
     }
 
     private final Map<Count, Long> counts = new EnumMap<>(Count.class);
     private boolean changed;
 
     void add(Count count) {
-        counts.merge(count, 1L, Long::sum);
+        add(count, 1);
+    }
+
+    void add(Count count, long amount) {
+        counts.merge(count, amount, Long::sum);
         changed = true;
     }
 
--- a/dataplane/src/main/java/dewplank/dataplane/DecodeStep.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DecodeStep.java
@@ -41,6 +41,9 @@
             return;
         }
         Server server = choose();
+        if (server == null) {
+            exchange.forwarder.counters().add(Count.NO_SERVER);
+        }
         if (server == null || !exchange.takeSend()) {
             giveUp();
             return;
@@ -209,6 +212,7 @@
             if (!begun) {
                 begun = true;
                 call.promptRead();
+                exchange.forwarder.counters().add(Count.DECODE_MS, (long) (exchange.loop.now() - exchange.readAt));
                 exchange.client.begin(status, headers.endToEnd());
             }
             exchange.client.piece(whole);
--- a/dataplane/src/main/java/dewplank/dataplane/Exchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Exchange.java
@@ -129,7 +129,11 @@
 
     /** Whether another server may be sent to now; takes it out of the budget. */
     final boolean takeSend() {
-        return sends < route.maxAttempts() && remaining() > 0 && (sends <= charged || charge());
+        if (sends >= route.maxAttempts()) {
+            forwarder.counters().add(Count.ATTEMPTS_SPENT);
+            return false;
+        }
+        return remaining() > 0 && (sends <= charged || charge());
     }
 
     /** Takes one send beyond the first out of the budget. */
@@ -232,7 +236,8 @@
      */
     final ServerCall callTo(Server server, long tokens, List<Headers.Field> further, HttpCall.Listener listener) {
         boolean again = !tried.add(server.state.instanceId());
-        ServerCall call = new ServerCall(loop, server, tokens, message(server, further), listener);
+        ServerCall call =
+                new ServerCall(loop, server, tokens, message(server, further), forwarder.counters(), listener);
         if (again || attemptId == null) {
             call.alone();
         }
--- a/dataplane/src/main/java/dewplank/dataplane/GenerationExchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/GenerationExchange.java
@@ -18,6 +18,9 @@
 
     final PromptPrefix prefix;
     final Handover handover;
+    /** When the prompt was read; the arrival before. */
+    double readAt;
+
     private final PrefillStep prefill = new PrefillStep(this);
     private final DecodeStep decode = new DecodeStep(this);
 
@@ -31,6 +34,7 @@
         super(forwarder, request, client, route, service, arrivedAt);
         this.prefix = PromptPrefix.parse(request.headers().get(WireNames.PROMPT_PREFIX));
         this.handover = new Handover(forwarder);
+        this.readAt = arrivedAt;
     }
 
     @Override
--- a/dataplane/src/main/java/dewplank/dataplane/PlainExchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/PlainExchange.java
@@ -36,6 +36,9 @@
             return;
         }
         Server server = choose();
+        if (server == null) {
+            forwarder.counters().add(Count.NO_SERVER);
+        }
         if (server == null || !takeSend()) {
             giveUp();
             return;
--- a/dataplane/src/main/java/dewplank/dataplane/PrefillStep.java
+++ b/dataplane/src/main/java/dewplank/dataplane/PrefillStep.java
@@ -124,6 +124,8 @@
             }
             double expected = PairChoice.readingMs(exchange.ownTokens());
             server.state.queued(exchange.loop.now(), call.took() - expected);
+            exchange.readAt = exchange.loop.now();
+            exchange.forwarder.counters().add(Count.PREFILL_MS, (long) (exchange.readAt - exchange.arrivedAt));
             exchange.handover.keep(new KvHandle(server, answer.get().handle()));
             exchange.decode();
         }
--- a/dataplane/src/main/java/dewplank/dataplane/ServerCall.java
+++ b/dataplane/src/main/java/dewplank/dataplane/ServerCall.java
@@ -11,11 +11,19 @@
     private final Server server;
     private final long tokens;
     private final EventLoop loop;
+    private final Counters counters;
     private final HttpCall call;
     private ServerState.Flight flight;
     private double startedAt;
 
-    ServerCall(EventLoop loop, Server server, long tokens, ByteBuffer message, HttpCall.Listener listener) {
+    ServerCall(
+            EventLoop loop,
+            Server server,
+            long tokens,
+            ByteBuffer message,
+            Counters counters,
+            HttpCall.Listener listener) {
+        this.counters = counters;
         this.loop = loop;
         this.server = server;
         this.tokens = tokens;
@@ -36,6 +44,9 @@
         startedAt = loop.now();
         flight = server.state.began(startedAt, tokens);
         call.start(connectTimeoutMs);
+        if (!call.reused()) {
+            counters.add(Counters.Count.CONNECTIONS);
+        }
     }
 
     Server server() {
