Count no time in which a control plane was busy as silence of its peers and data planes

Change: PauseWatch notices a gap of over 250 ms before silence is held against anybody, and leases, links and sessions are extended by it, as data planes did already. Duties' leases are not.

--- a/controlplane/src/main/java/dewplank/controlplane/ControlMesh.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlMesh.java
@@ -119,6 +119,11 @@
         return peers.get(address);
     }
 
+    /** This process heard nobody for so long: nobody was silent to it meanwhile. */
+    void paused(double ms) {
+        links.values().forEach(l -> l.answeredAt += ms);
+    }
+
     /** How many addresses are known, the own one not among them. */
     int known() {
         return links.size();
--- a/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
@@ -61,6 +61,7 @@
     private final ConfigurationHistory history = new ConfigurationHistory();
     private final SessionTable table = new SessionTable(SESSION_LEASE_MS);
     private final Sessions sessions;
+    private final PauseWatch pauses;
     private final Duties duties;
     private final ServerLister lister;
     private final AcceptorKeeper keeper;
@@ -93,26 +94,26 @@
         address = settings.address() + ":" + settings.internalPorts()[0];
         RandomGenerator random = environment.random();
         durable = settings.dataDirectory() != null;
-        storage = storage(settings, environment, codec, address);
+        storage = Founding.storage(settings, environment, codec, address);
         Member self = new Member(settings.node(), Member.CONTROL, address, settings.zone(), environment.wallClockMs());
         mesh = new ControlMesh(
                 loop, environment.transport(), new ControlHello(self, storage.identity(), durable), new MeshHandler());
-        List<Acceptor> initial = storage.identity().equals(founder(address)) ? founders(storage.founders()) : List.of();
         configuration = new ConfigurationStore(
-                loop, address, initial, storage.recovered(), storage, random, new RegisterSurroundings());
+                loop,
+                address,
+                Founding.initialAcceptors(storage, address),
+                storage.recovered(),
+                storage,
+                random,
+                new RegisterSurroundings());
         confirmation = new Confirmation(loop, storage.identity(), durable, mesh, configuration, history);
         NodeSettings.Bounds bounds = settings.bounds();
         duties = duties(bounds, random);
         lister = new ServerLister(loop, environment.platform(), duties.list(), bounds.drainMs(), this::listChanged);
         sessions =
                 new Sessions(loop, table, new FleetUpdates(loop, durable, configuration, history, lister, table, mesh));
-        keeper = new AcceptorKeeper(
-                loop,
-                new Acceptor(address, storage.identity()),
-                settings.bounds().catchUpMs(),
-                mesh,
-                configuration,
-                duties.list());
+        pauses = new PauseWatch(loop, this::paused);
+        keeper = keeper();
         stages = new StageKeeper(
                 loop,
                 settings.node(),
@@ -129,6 +130,16 @@
         internal = environment.transport().listen(Addresses.socketAddress(address), MOST_CONNECTIONS, Inbound::new);
     }
 
+    private AcceptorKeeper keeper() {
+        return new AcceptorKeeper(
+                loop,
+                new Acceptor(address, storage.identity()),
+                settings.bounds().catchUpMs(),
+                mesh,
+                configuration,
+                duties.list());
+    }
+
     private Duties duties(NodeSettings.Bounds bounds, RandomGenerator random) {
         return new Duties(
                 loop,
@@ -140,39 +151,11 @@
                 mesh::send);
     }
 
-    private static Storage storage(
-            NodeSettings settings, ControlEnvironment environment, MessageCodec codec, String address)
-            throws StoreException {
-        String identityIfNew = settings.initialStart() ? founder(address) : environment.newIdentity();
-        if (settings.dataDirectory() == null) {
-            return new MemoryStorage(environment.scheduler(), identityIfNew, seeds(settings), settings.initialStart());
-        }
-        return new DiskStorage(
-                settings, identityIfNew, seeds(settings), environment.files(), environment.disk(), codec);
-    }
-
-    /** The acceptors at the very first start, when nothing is known but the seeds. */
-    private static List<Acceptor> founders(List<String> addresses) {
-        return addresses.stream().map(a -> new Acceptor(a, founder(a))).toList();
-    }
-
-    /** Where the settings' seeds listen to other control sidecars. */
-    private static List<String> seeds(NodeSettings settings) {
-        return settings.seeds().stream()
-                .map(s -> s.getAddress().getHostAddress() + ":" + settings.internalPorts()[0])
-                .toList();
-    }
-
-    /** The identity of a disk that was empty when the whole system started for the first time. */
-    private static String founder(String address) {
-        return "founder@" + address;
-    }
-
     public void start() {
         loop.execute(() -> {
             internal.accept();
             control.accept();
-            seeds = new LinkedHashSet<>(seeds(settings));
+            seeds = new LinkedHashSet<>(Founding.seeds(settings));
             mesh.learn(seeds);
             storage.savedList().ifPresent(lister::told);
             if (durable) {
@@ -186,6 +169,7 @@
                 keeper.start();
                 stages.start();
             }
+            pauses.start();
             pushMembers();
             LOG.info(
                     "control sidecar {} at {}, acceptor {}{}",
@@ -196,7 +180,14 @@
         });
     }
 
+    private void paused(double ms) {
+        LOG.info("nothing was heard for {} ms: this process was busy, or did not run", Math.round(ms));
+        mesh.paused(ms);
+        sessions.paused(ms);
+    }
+
     private void pushMembers() {
+        pauses.look();
         long digest = SessionTable.digest(table.members(loop.now()));
         if (digest != pushedMembers) {
             pushedMembers = digest;
@@ -214,7 +205,7 @@
     /** The settings file has changed: new seeds are learned, all else waits for the next start. */
     public void reload(NodeSettings next) {
         loop.execute(() -> {
-            seeds = new LinkedHashSet<>(seeds(next));
+            seeds = new LinkedHashSet<>(Founding.seeds(next));
             mesh.learn(seeds);
         });
     }
@@ -295,6 +286,7 @@
     private final class MeshHandler implements ControlMesh.Handler {
         @Override
         public SessionsTold told(long sequence) {
+            pauses.look();
             return new SessionsTold(sequence, table.own(loop.now()), mesh.liveAddresses());
         }
 
@@ -348,6 +340,7 @@
         @Override
         public void learned(Configuration newer) {
             if (history.learned(newer)) {
+                pauses.look();
                 LOG.info("configuration {} is chosen", newer.version());
                 sessions.push();
             }
--- a/controlplane/src/main/java/dewplank/controlplane/Sessions.java
+++ b/controlplane/src/main/java/dewplank/controlplane/Sessions.java
@@ -65,6 +65,12 @@
         List.copyOf(open).forEach(Session::tellOrEnd);
     }
 
+    /** This process heard nobody for so long: no lease ran meanwhile. */
+    void paused(double ms) {
+        open.forEach(s -> s.askedAt += ms);
+        table.paused(ms);
+    }
+
     int size() {
         return open.size();
     }
--- a/fleet/src/main/java/dewplank/membership/SessionTable.java
+++ b/fleet/src/main/java/dewplank/membership/SessionTable.java
@@ -51,6 +51,12 @@
         told.put(controlAddress, new Told(now, List.copyOf(sessions)));
     }
 
+    /** Whoever keeps this table heard nobody for so many milliseconds: no lease ran meanwhile. */
+    public void paused(double ms) {
+        own.replaceAll((member, at) -> at + ms);
+        told.replaceAll((address, t) -> new Told(t.at() + ms, t.sessions()));
+    }
+
     /** The sessions held here. */
     public List<Member> own(double now) {
         own.values().removeIf(at -> now - at > leaseMs);
