Wait for a long prompt that no other prefill server may be asked for; prefer connected decode servers

Now another prefill server is asked where that is allowed, a short prompt goes to a decode server as before, a long one is waited for until half of the rest of its time has gone. Second: of two decode servers alike the one with a resting connection, as new ones are priced and cost a round trip. Tests: GenerationTest, PolicyTest.

--- a/dataplane/src/main/java/dewplank/dataplane/DecodeStep.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DecodeStep.java
@@ -81,6 +81,7 @@
                         servers,
                         exchange.prefix,
                         exchange.handover.zone(),
+                        s -> forwarder.fleet().server(s).pool.size() > 0,
                         exchange::untried,
                         mayTry);
         return picked == null ? null : forwarder.fleet().server(picked);
--- a/dataplane/src/main/java/dewplank/dataplane/GenerationExchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/GenerationExchange.java
@@ -5,6 +5,7 @@
 import dewplank.exchange.InboundConnection;
 import dewplank.http.Headers;
 import dewplank.routing.Mechanism;
+import dewplank.routing.PairChoice;
 import dewplank.routing.PromptPrefix;
 
 /**
@@ -12,6 +13,9 @@
  * from there. Where no prefill server can take it the decode server prefills the prompt itself.
  */
 final class GenerationExchange extends Exchange {
+    /** Of the longest pause that a stream may make; the rest is for its own steps. */
+    private static final double PAUSE_PART = 0.5;
+
     private static final int LEAST_URGENT = 9;
     /** What servers take a request for that names none. */
     private static final String USUAL_PRIORITY = "5";
@@ -51,6 +55,11 @@
         decode.begin();
     }
 
+    /** Whether a decode server may prefill the prompt without a pause that its other streams would be late by. */
+    boolean mayBeReadAtDecode() {
+        return route.gapAimMs() == 0 || PairChoice.readingAtDecodeMs(prefix.tokens()) <= PAUSE_PART * route.gapAimMs();
+    }
+
     /** Tokens that are not shared: those before are likely kept where they were read. */
     long ownTokens() {
         return prefix.tokens() - prefix.sharedTokens();
--- a/dataplane/src/main/java/dewplank/dataplane/PrefillStep.java
+++ b/dataplane/src/main/java/dewplank/dataplane/PrefillStep.java
@@ -15,12 +15,16 @@
 final class PrefillStep {
     private static final double PATIENCE_MS = 300; // beyond the expected time, before another server is asked
     private static final double PATIENCE = 2; // times the expected time
+    /** Of the time left, after which a long prompt that nobody else may prefill is given to a decode server. */
+    private static final double LAST_RESORT_PART = 0.5;
+
     private static final long TOKENS_PER_PRIORITY = 400;
 
     private final GenerationExchange exchange;
     private ServerCall call;
     private Wheel.Timer patience;
     private int prefills;
+    private boolean waited;
 
     PrefillStep(GenerationExchange exchange) {
         this.exchange = exchange;
@@ -34,6 +38,10 @@
             exchange.decode();
             return;
         }
+        send(server, free);
+    }
+
+    private void send(Server server, boolean free) {
         prefills++;
         exchange.sends += free ? 0 : 1;
         exchange.forwarder.counters().add(Count.PREFILLS);
@@ -66,10 +74,26 @@
         if (exchange.over() || call.over() || !exchange.forwarder.policy().uses(Mechanism.PATIENCE)) {
             return;
         }
+        Server other = choose();
+        if (other != null && mayRepeat()) {
+            giveUpCall();
+            send(other, false);
+        } else if (waited
+                || exchange.mayBeReadAtDecode()
+                || !exchange.forwarder.policy().uses(Mechanism.LONG_WAIT)) {
+            giveUpCall();
+            exchange.decode();
+        } else { // a decode server would hold its other streams up: that is the last resort
+            waited = true;
+            patience = exchange.loop.after(LAST_RESORT_PART * exchange.remaining(), this::overdue);
+        }
+    }
+
+    private void giveUpCall() {
         exchange.forwarder.counters().add(Count.TIMEOUTS);
+        exchange.forwarder.counters().add(Count.PREFILL_FAILURES);
         call.cancel();
         exchange.observe(call.server(), false);
-        again();
     }
 
     private void again() {
--- a/dataplane/src/test/java/dewplank/dataplane/GenerationTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/GenerationTest.java
@@ -48,7 +48,9 @@
             resumable(route("res", "streaming", MODEL, 3)),
             route("one", "streaming", MODEL, 1),
             route("two", "streaming", MODEL, 2),
-            route("brief", "streaming", MODEL, 3, timeout(200))
+            route("brief", "streaming", MODEL, 3, timeout(200)),
+            route("paced", "streaming", MODEL, 3, r -> timeout(1_200)
+                    .apply(r.replace("\"gap_aim_ms\":0", "\"gap_aim_ms\":150")))
         };
     }
 
@@ -344,6 +346,44 @@
         net.assertQuiet();
     }
 
+    /**
+     * A decode server that read it would hold its other streams up for longer than they may pause: overdue after 0.4 s
+     * it is waited for, and given to the decode server as the last resort after half of the rest of 1.2 s.
+     */
+    @Test
+    void aLongPromptIsWaitedForBeforeADecodeServerHasToReadIt() throws Exception {
+        net.prefill();
+        ScriptedServer decode = net.decode();
+        long asked = System.nanoTime();
+        Wire client = net.ask("/paced/", TestFleet.prompt("aa:1000,c0:1000"));
+        Call read = net.next();
+        Call run = net.next();
+        assertTrue(System.nanoTime() - asked >= 700_000_000L, "given away when it was overdue");
+        read.wire().awaitEnd();
+        assertSame(decode, run.server());
+        assertIsDecode(run, null);
+        streamOut(run, client);
+        net.assertQuiet();
+    }
+
+    @Test
+    void aLongPromptThatIsOverdueGoesToAnotherPrefillServerAtOnce() throws Exception {
+        ScriptedServer one = net.prefill();
+        ScriptedServer two = net.prefill();
+        net.decode();
+        Wire client = net.ask("/paced/", TestFleet.prompt("aa:1000,c0:1000"));
+        Call first = net.next();
+        Call second = net.next();
+        first.wire().awaitEnd();
+        assertIsPrefill(second);
+        assertSame(first.server() == one ? two : one, second.server());
+        handOver(second, "h2");
+        Call run = net.next();
+        assertIsDecode(run, second.server().addressText() + "/h2");
+        streamOut(run, client);
+        net.assertQuiet();
+    }
+
     // ---- handles --------------------------------------------------------------------------------------
 
     @Test
--- a/dataplane/src/test/java/dewplank/dataplane/TestFleet.java
+++ b/dataplane/src/test/java/dewplank/dataplane/TestFleet.java
@@ -84,7 +84,7 @@
         loop.execute(front::accept);
     }
 
-    private static String prompt(String parts) {
+    static String prompt(String parts) {
         return "X-Dewplank-Token-Counts: 60,8\r\nX-Dewplank-Prompt-Prefix: " + parts + "\r\n";
     }
 
--- a/fleet/src/main/java/dewplank/routing/Mechanism.java
+++ b/fleet/src/main/java/dewplank/routing/Mechanism.java
@@ -27,10 +27,14 @@
     STUCK,
     /** How long prompts waited at a prefill server lately counts as its load. */
     QUEUE_MEMORY,
+    /** Of two decode servers alike one is preferred to which a connection rests. */
+    REUSE,
     /** A server that turned a request away, or let no connection in, is left alone for a while. */
     RESTING,
     /** A request that takes longer than expected is sent to another server. */
     PATIENCE,
+    /** A long prompt that no other prefill server may be asked for is waited for, not given to a decode server. */
+    LONG_WAIT,
     /** Short prompts are read before long ones, urgent routes run before others. */
     PRIORITY,
     /** Model servers are ordered to change their stage. */
--- a/fleet/src/main/java/dewplank/routing/PairChoice.java
+++ b/fleet/src/main/java/dewplank/routing/PairChoice.java
@@ -25,6 +25,9 @@
     /** A request in flight weighs as much as so many tokens to be read: a step of a batch takes 5 ms and more. */
     private static final double REQUEST_TOKENS = 100;
 
+    /** A new connection costs a handshake and a round trip, 1 to 3 ms, in tokens that are read meanwhile. */
+    private static final double CONNECT_TOKENS = 80;
+
     private static final double AWAY_TOKENS = 400; // what another zone than the prompt's costs, in tokens
 
     private final ServerChoice choice;
@@ -60,16 +63,23 @@
         return tokens / TOKENS_PER_MS;
     }
 
+    /** What it takes at a decode server, which prefills at half the pace. */
+    public static double readingAtDecodeMs(long tokens) {
+        return 2 * readingMs(tokens);
+    }
+
     /**
      * The decode server.
      *
      * @param zone the zone in which the prompt was read; null: the decode server is to read it
+     * @param connected whether a connection to it rests here, so that none has to be opened
      */
     public ServerState decode(
             double now,
             List<ServerState> servers,
             PromptPrefix prefix,
             String zone,
+            Predicate<ServerState> connected,
             Predicate<ServerState> allowed,
             boolean mayTry) {
         if (zone == null) {
@@ -88,12 +98,18 @@
                 new ServerChoice.Query(
                         servers,
                         allowed,
-                        s -> load(now, s) + (s.zone().equals(zone) ? 0 : awayTokens()),
+                        s -> load(now, s)
+                                + (s.zone().equals(zone) ? 0 : awayTokens())
+                                + (connected.test(s) ? 0 : connectTokens()),
                         null,
                         0,
                         mayTry));
     }
 
+    private double connectTokens() {
+        return choice.policy().uses(Mechanism.REUSE) ? CONNECT_TOKENS : 0;
+    }
+
     private double awayTokens() {
         return choice.policy().uses(Mechanism.ZONE) ? AWAY_TOKENS : 0;
     }
--- a/fleet/src/test/java/dewplank/routing/PolicyTest.java
+++ b/fleet/src/test/java/dewplank/routing/PolicyTest.java
@@ -97,6 +97,27 @@
         assertNotEquals(0, picks(without(Mechanism.RESTING), 10, servers, servers.get(0)));
     }
 
+    @Test
+    void withoutReuseAServerThatHasToBeConnectedIsTakenAsOften() {
+        List<ServerState> servers = servers("here", "here");
+        PromptPrefix prompt = PromptPrefix.parse("5c1e07a2:8000,91bd3f06:410");
+        ServerState connected = servers.get(1);
+        PairChoice reusing = new PairChoice(without());
+        PairChoice other = new PairChoice(without(Mechanism.REUSE));
+        int fresh = 0;
+        for (int i = 0; i < 100; i++) {
+            assertEquals(connected, reusing.decode(0, servers, prompt, "here", s -> s == connected, s -> true, false));
+            fresh += other.decode(0, servers, prompt, "here", s -> s == connected, s -> true, false) == connected
+                    ? 0
+                    : 1;
+        }
+        assertTrue(fresh > 25);
+        for (int i = 0; i < 2; i++) { // a little load weighs more than a connection
+            connected.began(0, 0);
+        }
+        assertNotEquals(connected, reusing.decode(0, servers, prompt, "here", s -> s == connected, s -> true, false));
+    }
+
     @Test
     void withoutHomesPromptsThatBeginAlikeSpread() {
         List<ServerState> servers = servers("here", "here", "here", "here");
