Keep a few prefill servers for short prompts where there are many (to be measured)

Hypothesis: on the further site a question of 826 tokens waits behind digests of 9,190 that read for 0.1 to 0.4 s, whatever its Priority; a few servers kept for short prompts, by their learned part of all tokens, let them wait for short ones only (size interval task assignment).

--- a/dataplane/src/main/java/dewplank/dataplane/GenerationExchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/GenerationExchange.java
@@ -37,6 +37,9 @@
             double arrivedAt) {
         super(forwarder, request, client, route, service, arrivedAt);
         this.prefix = PromptPrefix.parse(request.headers().get(WireNames.PROMPT_PREFIX));
+        if (prefix.tokens() > 0) {
+            forwarder.pairs().saw(prefix);
+        }
         this.handover = new Handover(forwarder);
         this.readAt = arrivedAt;
     }
--- a/fleet/src/main/java/dewplank/routing/Mechanism.java
+++ b/fleet/src/main/java/dewplank/routing/Mechanism.java
@@ -23,6 +23,8 @@
     ZONE,
     /** Prompts that begin alike go to one prefill server. */
     HOMES,
+    /** Where there are many prefill servers some are kept for short prompts. */
+    LANES,
     /** A server whose oldest request waits for longer than expected counts as loaded. */
     STUCK,
     /** How long prompts waited at a prefill server lately counts as its load. */
--- a/fleet/src/main/java/dewplank/routing/PairChoice.java
+++ b/fleet/src/main/java/dewplank/routing/PairChoice.java
@@ -31,14 +31,21 @@
     private static final double AWAY_TOKENS = 400; // what another zone than the prompt's costs, in tokens
 
     private final ServerChoice choice;
+    private final PrefillLanes lanes = new PrefillLanes();
 
     public PairChoice(ServerChoice choice) {
         this.choice = choice;
     }
 
+    /** A prompt came: lengths are learned. */
+    public void saw(PromptPrefix prefix) {
+        lanes.saw(prefix.tokens());
+    }
+
     /** The prefill server: that of the prefix, unless another one is likely sooner by more than it spares. */
-    public ServerState prefill(
-            double now, List<ServerState> servers, PromptPrefix prefix, Predicate<ServerState> allowed) {
+    public ServerState prefill(double now, List<ServerState> all, PromptPrefix prefix, Predicate<ServerState> allowed) {
+        boolean split = choice.policy().uses(Mechanism.LANES);
+        List<ServerState> servers = split ? lanes.lane(all, prefix.tokens()) : all;
         return choice.pick(
                 now,
                 new ServerChoice.Query(
--- a/fleet/src/main/java/dewplank/routing/PrefixAffinity.java
+++ b/fleet/src/main/java/dewplank/routing/PrefixAffinity.java
@@ -23,7 +23,7 @@
         return first;
     }
 
-    private static long mix(long value) {
+    static long mix(long value) {
         long mixed = value * 0xBF58476D1CE4E5B9L;
         mixed = (mixed ^ mixed >>> 29) * 0x94D049BB133111EBL;
         return mixed ^ mixed >>> 32;
