--- a/dataplane/src/main/java/dewplank/dataplane/HealthExchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/HealthExchange.java
@@ -4,6 +4,7 @@
 import dewplank.net.EventLoop;
 import dewplank.routing.FleetVotes;
 import dewplank.routing.HealthSummary;
+import dewplank.routing.ServerOutcomes;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
@@ -18,7 +19,6 @@
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import saltfield.ServerHealth;
 
 /**
  * Tells peers what was observed of servers, once a second and soon after a failure or the end of one, and hears them:
@@ -74,7 +74,7 @@
     private Set<Integer> suspected(double now) {
         Set<Integer> suspected = new HashSet<>();
         for (Server server : fleet.allServers()) {
-            if (FleetVotes.suspects(now, server.state.health())) {
+            if (server.state.outcomes().suspect(now)) {
                 suspected.add(server.state.instanceId().hashCode());
             }
         }
@@ -106,12 +106,11 @@
         List<HealthSummary.Healthy> healthy = new ArrayList<>();
         for (Server server : fleet.allServers()) {
             int hash = server.state.instanceId().hashCode();
-            ServerHealth health = server.state.health();
-            if (FleetVotes.suspects(now, health)) {
-                suspected.add(
-                        new HealthSummary.Suspected(hash, health.unhealthyOutcomes(now), now - health.lastUnhealthy()));
-            } else if (now - health.lastHealthy() <= OBSERVED_WITHIN_MS) {
-                healthy.add(new HealthSummary.Healthy(hash, now - health.lastHealthy()));
+            ServerOutcomes outcomes = server.state.outcomes();
+            if (outcomes.suspect(now)) {
+                suspected.add(new HealthSummary.Suspected(hash, outcomes.failures(now), now - outcomes.lastFailure()));
+            } else if (now - outcomes.lastServed() <= OBSERVED_WITHIN_MS) {
+                healthy.add(new HealthSummary.Healthy(hash, now - outcomes.lastServed()));
             }
         }
         healthy.sort(Comparator.comparingDouble(HealthSummary.Healthy::ageMs)); // the newest find room
--- a/decisions/src/main/java/saltfield/ServerHealth.java
+++ b/decisions/src/main/java/saltfield/ServerHealth.java
@@ -18,14 +18,12 @@
     private final Map<String, Window> contexts = new HashMap<>();
     private double weight = 1;
     private double lastHealthy = Double.NEGATIVE_INFINITY;
-    private double lastUnhealthy = Double.NEGATIVE_INFINITY;
 
     /** Takes the outcome of one request of that context (its class): served; or an error, time-out, reset. */
     public void observe(double now, String context, boolean healthy) {
         contexts.computeIfAbsent(context, c -> new Window()).add(now, healthy);
         weight = healthy ? Math.min(1, weight + WEIGHT_STEP) : Math.max(WEIGHT_FLOOR, weight / 2);
         lastHealthy = healthy ? now : lastHealthy;
-        lastUnhealthy = healthy ? lastUnhealthy : now;
     }
 
     /** Served, but so late that it stands as observed before: alive, no more. */
@@ -41,32 +39,16 @@
 
     /** This sidecar's vote: whether any context is unhealthy by its latest observation or by a majority. */
     public boolean unhealthy(double now) {
-        return unhealthy(now, UNHEALTHY_FLOOR);
-    }
-
-    /** The same with another number of unhealthy ones that has to be there, as where others' are counted too. */
-    public boolean unhealthy(double now, int floor) {
         boolean vote = false;
         for (Window w : contexts.values()) {
             w.forgetBefore(now - WINDOW_MS);
             // What another context was served since is the server's latest status: some take no trials.
             boolean latest = w.unhealthy > 0 && !w.healthy.peekLast() && w.times.peekLast() > lastHealthy;
-            vote |= w.unhealthy >= floor && (latest || 2 * w.unhealthy >= w.healthy.size());
+            vote |= w.unhealthy >= UNHEALTHY_FLOOR && (latest || 2 * w.unhealthy >= w.healthy.size());
         }
         return vote;
     }
 
-    /** Unhealthy outcomes within the window. */
-    public int unhealthyOutcomes(double now) {
-        contexts.values().forEach(w -> w.forgetBefore(now - WINDOW_MS));
-        return contexts.values().stream().mapToInt(w -> w.unhealthy).sum();
-    }
-
-    /** When a request last ended badly, or negative infinity. */
-    public double lastUnhealthy() {
-        return lastUnhealthy;
-    }
-
     /** The weight in draws, from the floor to 1. */
     public double weight() {
         return weight;
--- a/fleet/src/main/java/dewplank/routing/FleetVotes.java
+++ b/fleet/src/main/java/dewplank/routing/FleetVotes.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
-import saltfield.ServerHealth;
 
 /**
  * What peers tell of the health of servers, and the verdict on it. Unlike in the sidecar's own design only peers vote
@@ -16,7 +15,7 @@
     /** Peers remembered: beyond, newcomers are not heard. */
     private static final int MOST_PEERS = 1_024;
     /** Failures, here and at peers together, before any verdict, as the design has it for one sidecar. */
-    private static final int FAILURES_FLOOR = 3;
+    private static final int FAILURES_FLOOR = ServerOutcomes.FAILURES_FLOOR;
     /**
      * A failure that is older than what the server has served since, by more than this, is no vote against it: its
      * latest status is that it serves. Half a second covers the rounding of ages and datagrams that cross.
@@ -62,29 +61,24 @@
         }
     }
 
-    /** Whether this sidecar's outcomes, by themselves, speak against the server, however few they are. */
-    public static boolean suspects(double now, ServerHealth own) {
-        return own.unhealthy(now, 1);
-    }
-
     /**
      * Whether a simple majority of those that vote finds the server unhealthy, and enough requests have failed there.
      * A tie goes by own traffic.
      */
-    public boolean condemned(double now, String server, ServerHealth own) {
+    public boolean condemned(double now, String server, ServerOutcomes own) {
         if (!policy.uses(Mechanism.CONDEMNATION)) {
             return false;
         }
         int floor = policy.uses(Mechanism.POOLED_FAILURES) ? 1 : FAILURES_FLOOR; // of one data plane's
         Integer hash = server.hashCode();
-        double servedAt = own.lastHealthy();
+        double servedAt = own.lastServed();
         for (Heard heard : peers.values()) {
             if (now - heard.at() <= FRESH_MS) {
                 servedAt = Math.max(servedAt, heard.healthyAt().getOrDefault(hash, Double.NEGATIVE_INFINITY));
             }
         }
-        boolean ownVote = own.unhealthy(now, floor) && own.lastUnhealthy() >= servedAt - OUTDATED_MS;
-        int failures = ownVote ? own.unhealthyOutcomes(now) : 0;
+        boolean ownVote = own.unhealthy(now, floor) && own.lastFailure() >= servedAt - OUTDATED_MS;
+        int failures = ownVote ? own.failures(now) : 0;
         int votes = ownVote ? 1 : 0;
         int voters = 1;
         for (Heard heard : peers.values()) {
--- a/fleet/src/main/java/dewplank/routing/ServerChoice.java
+++ b/fleet/src/main/java/dewplank/routing/ServerChoice.java
@@ -76,7 +76,7 @@
 
     /** An outcome was observed: the verdict may turn. */
     public void observe(double now, ServerState s, String context, boolean healthy) {
-        s.health().observe(now, context, healthy);
+        s.outcomes().observe(now, context, healthy);
         judge(now, s);
         if (healthy) {
             s.served();
@@ -86,7 +86,7 @@
     /** The first trial of a verdict comes at a time of its own at each sidecar, the next ones at the same pace. */
     private void judge(double now, ServerState s) {
         boolean before = s.condemned();
-        s.judged(now, votes.condemned(now, s.instanceId(), s.health()));
+        s.judged(now, votes.condemned(now, s.instanceId(), s.outcomes()));
         if (s.condemned() && !before) {
             s.tried(now - random.nextDouble() * trialPauseMs());
         }
@@ -160,7 +160,7 @@
     }
 
     private double weight(ServerState s) {
-        double health = policy.uses(Mechanism.WEIGHTS) ? s.health().weight() : 1;
+        double health = policy.uses(Mechanism.WEIGHTS) ? s.outcomes().weight() : 1;
         return health * (s.zone().equals(ownZone) || !policy.uses(Mechanism.ZONE) ? 1 : AWAY_WEIGHT);
     }
 }
--- a/fleet/src/main/java/dewplank/routing/ServerState.java
+++ b/fleet/src/main/java/dewplank/routing/ServerState.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
-import saltfield.ServerHealth;
 
 /** One incarnation of a server as this sidecar sees it: what the list says, its own load there, and its health. */
 public final class ServerState {
@@ -20,7 +19,7 @@
     private final String instanceId;
     private final String service;
     private final String zone;
-    private final ServerHealth health = new ServerHealth();
+    private final ServerOutcomes outcomes = new ServerOutcomes();
     private Stage stage;
     private boolean ready = true;
     private boolean condemned;
@@ -57,8 +56,8 @@
         return stage;
     }
 
-    public ServerHealth health() {
-        return health;
+    public ServerOutcomes outcomes() {
+        return outcomes;
     }
 
     /** Whether the list names it as ready; requests go to no other. */
--- a/fleet/src/test/java/dewplank/routing/FleetVotesTest.java
+++ b/fleet/src/test/java/dewplank/routing/FleetVotesTest.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
-import saltfield.ServerHealth;
 
 /** Peers' summaries that are late, doubled, of an earlier life, or of another machine at the same address. */
 class FleetVotesTest {
@@ -31,13 +30,13 @@
 
     /** With a failure of its own at that moment. */
     private boolean condemned(double now) {
-        ServerHealth own = new ServerHealth();
+        ServerOutcomes own = new ServerOutcomes();
         own.observe(now, "class", false);
         return votes.condemned(now, SERVER, own);
     }
 
     private boolean condemnedUnseen(double now) {
-        return votes.condemned(now, SERVER, new ServerHealth());
+        return votes.condemned(now, SERVER, new ServerOutcomes());
     }
 
     @Test
--- a/fleet/src/test/java/dewplank/routing/PolicyTest.java
+++ b/fleet/src/test/java/dewplank/routing/PolicyTest.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import saltfield.ServerHealth;
 
 /** Each mechanism that is switched off for a trial decides no more. */
 class PolicyTest {
@@ -63,7 +62,7 @@
         for (String peer : List.of("a", "b", "c", "d")) {
             votes.hear(0, peer, one);
         }
-        assertFalse(votes.condemned(1, "i-0", new ServerHealth()));
+        assertFalse(votes.condemned(1, "i-0", new ServerOutcomes()));
     }
 
     @Test
--- /dev/null
+++ b/fleet/src/test/java/dewplank/routing/ServerOutcomesTest.java
@@ -0,0 +1,50 @@
+package dewplank.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import saltfield.ServerHealth;
+
+class ServerOutcomesTest {
+    /** With the design's number of failures the verdict is the decision module's own, on any course of outcomes. */
+    @Test
+    void agreesWithTheDecisionModule() {
+        SplittableRandom random = new SplittableRandom(9);
+        int unhealthy = 0;
+        for (int course = 0; course < 200; course++) {
+            ServerHealth health = new ServerHealth();
+            ServerOutcomes outcomes = new ServerOutcomes();
+            double failing = random.nextDouble();
+            double now = 0;
+            for (int i = 0; i < 100; i++) {
+                now += random.nextDouble() * 800;
+                String context = "class-" + random.nextInt(3);
+                boolean healthy = random.nextDouble() >= failing;
+                health.observe(now, context, healthy);
+                outcomes.observe(now, context, healthy);
+                assertEquals(health.unhealthy(now), outcomes.unhealthy(now, ServerOutcomes.FAILURES_FLOOR));
+                assertEquals(health.weight(), outcomes.weight());
+                unhealthy += health.unhealthy(now) ? 1 : 0;
+            }
+        }
+        assertTrue(unhealthy > 2_000 && unhealthy < 18_000, unhealthy + " of 20,000");
+    }
+
+    @Test
+    void oneFailureIsASuspicionUntilItIsForgottenOrOutdated() {
+        ServerOutcomes outcomes = new ServerOutcomes();
+        assertFalse(outcomes.suspect(0));
+        outcomes.observe(0, "a", false);
+        assertTrue(outcomes.suspect(1));
+        assertEquals(1, outcomes.failures(10_000));
+        assertEquals(0, outcomes.failures(10_001));
+        assertFalse(outcomes.suspect(10_001));
+        outcomes.observe(20_000, "a", false);
+        outcomes.observe(20_001, "a", true);
+        outcomes.observe(20_002, "a", true);
+        assertFalse(outcomes.suspect(20_003));
+    }
+}
