Tell data planes of a change of stage before the order, and of the new stage before the list

Change: the holder overlays the list with stage 'changing' 0.5 s before the order where requests run, and with the new stage once a report shows it, until the platform's list, which lags by up to 1.2 s, agrees. Tests: ServerListerTest, StageKeeperTest.

--- a/controlplane/src/main/java/dewplank/controlplane/ServerLister.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ServerLister.java
@@ -5,7 +5,9 @@
 import dewplank.message.ServerList;
 import dewplank.net.Scheduler;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -40,12 +42,19 @@
         default void pause(double ms) {}
     }
 
+    /**
+     * What is known here better than from the platform, whose list lags: the stage of a server that was ordered to
+     * change it.
+     */
+    private record KnownStage(String stage, double until) {}
+
     private final Scheduler loop;
     private final PlatformApi platform;
     private final Duty duty;
     private final double drainMs;
     private final Consumer<ServerList> changed;
     private ServerList newest = new ServerList(ListVersion.NONE, List.of());
+    private final Map<String, KnownStage> knownStages = new HashMap<>();
     private boolean asking;
     private boolean failing;
     private double askAt;
@@ -69,6 +78,53 @@
         return newest;
     }
 
+    /**
+     * Tells the stage of a server from now on, until the platform's list says the same or for so many milliseconds.
+     * Counts while this process holds the duty.
+     */
+    void stageIs(String instanceId, String stage, double forMs) {
+        knownStages.put(instanceId, new KnownStage(stage, loop.now() + forMs));
+    }
+
+    /** What was said of servers' stages under another number counts no more. */
+    void stagesAreUnknown() {
+        knownStages.clear();
+    }
+
+    /** What was said of the server's stage counts no more. */
+    void stageIsUnknown(String instanceId) {
+        knownStages.remove(instanceId);
+    }
+
+    /** Tells at once what {@link #stageIs} changed, where this process holds the duty under that number. */
+    void tellStages(long number) {
+        if (newest.version.fencingNumber == number && duty.holds(number)) {
+            List<ServerEntry> servers = withKnownStages(newest.servers);
+            if (differs(servers)) {
+                publish(servers, number);
+            }
+        }
+    }
+
+    private List<ServerEntry> withKnownStages(List<ServerEntry> listed) {
+        knownStages.values().removeIf(k -> k.until() < loop.now());
+        return listed.stream().map(this::withKnownStage).toList();
+    }
+
+    private ServerEntry withKnownStage(ServerEntry entry) {
+        KnownStage known = knownStages.get(entry.instanceId);
+        return known == null ? entry : entry.inStage(known.stage());
+    }
+
+    private void forgetListedStages(List<ServerEntry> listed) {
+        for (ServerEntry entry : listed) {
+            KnownStage known = knownStages.get(entry.instanceId);
+            if (known != null && known.stage().equals(entry.stage)) {
+                knownStages.remove(entry.instanceId);
+            }
+        }
+    }
+
     /** Another holder's list; whether it is newer. */
     boolean told(ServerList list) {
         if (list.version.compareTo(newest.version) <= 0) {
@@ -116,9 +172,11 @@
             patience = 1;
             failingSince = loop.now();
             servers.sort(Comparator.comparing(s -> s.instanceId));
+            forgetListedStages(servers);
+            List<ServerEntry> told = withKnownStages(servers);
             boolean firstUnderNumber = newest.version.fencingNumber != number;
-            if ((firstUnderNumber || differs(servers)) && duty.holds(number)) {
-                publish(servers, number);
+            if ((firstUnderNumber || differs(told)) && duty.holds(number)) {
+                publish(told, number);
             }
         }
 
--- a/controlplane/src/main/java/dewplank/controlplane/StageKeeper.java
+++ b/controlplane/src/main/java/dewplank/controlplane/StageKeeper.java
@@ -31,6 +31,11 @@
 
     /** An order that no report has shown to be done by then was not taken, or its server is gone. */
     private static final double ORDER_SHOWS_MS = 10_000;
+    /**
+     * Between telling data planes that a server changes and the order: whatever has not begun there when it comes is
+     * turned away. A list is in force within a beat (0.3 s) and what was sent until then has begun by then.
+     */
+    private static final double ANNOUNCED_MS = 500;
 
     private static final double REPORT_FRESH_MS = 3_000;
     private static final double ORDER_EVERY_MS = 2_500; // a change takes a second or two to show
@@ -93,13 +98,13 @@
         if (!duty.holds()) {
             heldSince = Double.POSITIVE_INFINITY;
             reports.clear();
-            pending.clear();
+            forgetOrders();
         } else {
             if (duty.fencingNumber() != heldUnder) { // another may have held it between two looks
                 heldUnder = duty.fencingNumber();
                 heldSince = now;
                 reports.clear();
-                pending.clear();
+                forgetOrders();
             }
             heldSince = Math.min(heldSince, now);
             if (now >= askAt) {
@@ -113,6 +118,11 @@
         loop.after(LOOK_EVERY_MS, this::look);
     }
 
+    private void forgetOrders() {
+        pending.clear();
+        lister.stagesAreUnknown();
+    }
+
     private Map<String, List<ServerEntry>> servicesWithEngines() {
         Map<String, List<ServerEntry>> services = new LinkedHashMap<>();
         for (ServerEntry s : lister.newest().servers) {
@@ -181,7 +191,13 @@
             List<StagePlan.Change> changes = StagePlan.changes(engines);
             boolean several = policy.uses(Mechanism.SEVERAL_ORDERS);
             boolean waits = !several && engines.stream().anyMatch(StagePlan.Engine::busy);
-            changes.stream().limit(several ? changes.size() : waits ? 0 : 1).forEach(c -> order(service, servers, c));
+            List<StagePlan.Change> begun = changes.stream()
+                    .limit(several ? changes.size() : waits ? 0 : 1)
+                    .toList();
+            if (!begun.isEmpty()) {
+                orderedAt.put(service, now);
+                announce(servers, begun, idle);
+            }
         }
     }
 
@@ -196,27 +212,48 @@
                 return engine.changing(order.toPrefill());
             }
             pending.remove(engine.instanceId());
+            if (shown) {
+                lister.stageIs(engine.instanceId(), stage(order.toPrefill()), ORDER_SHOWS_MS);
+                lister.tellStages(duty.fencingNumber());
+            }
         }
         return engine;
     }
 
-    private void order(String service, List<ServerEntry> servers, StagePlan.Change change) {
+    /** Data planes hear of it before the servers do, but where nothing runs that could be turned away. */
+    private void announce(List<ServerEntry> servers, List<StagePlan.Change> changes, boolean idle) {
+        long number = duty.fencingNumber();
+        for (StagePlan.Change change : changes) {
+            pending.put(change.instanceId(), new Pending(change.toPrefill(), loop.now()));
+            lister.stageIs(change.instanceId(), ServerEntry.CHANGING, ORDER_SHOWS_MS);
+        }
+        lister.tellStages(number);
+        loop.after(idle ? 0 : ANNOUNCED_MS, () -> {
+            if (duty.holds(number)) {
+                changes.forEach(c -> order(servers, c, number));
+            }
+        });
+    }
+
+    private static String stage(boolean prefill) {
+        return prefill ? "prefill" : "decode";
+    }
+
+    private void order(List<ServerEntry> servers, StagePlan.Change change, long number) {
         ServerEntry server = servers.stream()
                 .filter(s -> s.instanceId.equals(change.instanceId()))
                 .findFirst()
                 .orElseThrow();
-        String stage = change.toPrefill() ? "prefill" : "decode";
-        long number = duty.fencingNumber();
+        String stage = stage(change.toPrefill());
         String body = "{\"operation\":\"stage\",\"stage\":\"" + stage + "\",\"holder\":" + JsonText.quoted(holder)
                 + ",\"fence_number\":" + number + "}";
-        orderedAt.put(service, loop.now());
         orders++;
         LOG.info("server {} is ordered to {} under number {}", server.instanceId, stage, number);
-        pending.put(server.instanceId, new Pending(change.toPrefill(), loop.now()));
         calls.order(server, body.getBytes(StandardCharsets.UTF_8), () -> duty.holds(number), (status, answer) -> {
             if (status != 200 && status != 202) {
                 LOG.info("server {} answers {} to an order", server.instanceId, status);
                 pending.remove(server.instanceId);
+                lister.stageIsUnknown(server.instanceId);
                 reports.remove(server.instanceId);
             }
         });
--- a/controlplane/src/test/java/dewplank/controlplane/ServerListerTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/ServerListerTest.java
@@ -153,6 +153,60 @@
         assertEquals(2, told.size());
     }
 
+    private static List<ServerEntry> engines(String... stages) {
+        List<ServerEntry> servers = new ArrayList<>();
+        for (int i = 0; i < stages.length; i++) {
+            servers.add(new ServerEntry("i-" + i, "s", "10.0.0.1:" + i, "z", 8, false, 0, stages[i]));
+        }
+        return servers;
+    }
+
+    private List<String> stages() {
+        return lister.newest().servers.stream().map(s -> s.stage).toList();
+    }
+
+    /** The platform's list lags: the stage that a server was ordered to is told at once, until the list agrees. */
+    @Test
+    void aStageThatIsKnownBetterIsToldUntilTheListAgrees() {
+        asked.remove().listed(engines("decode", "decode"));
+        lister.stageIs("i-1", ServerEntry.CHANGING, 10_000);
+        lister.tellStages(7);
+        assertEquals(List.of("decode", ServerEntry.CHANGING), stages());
+        assertEquals(2, told.size());
+        time.run(400);
+        asked.remove().listed(engines("decode", "decode"));
+        assertEquals(2, told.size(), "nothing new");
+        lister.stageIs("i-1", "prefill", 10_000);
+        lister.tellStages(7);
+        assertEquals(List.of("decode", "prefill"), stages());
+        time.run(400);
+        asked.remove().listed(engines("decode", "decode"));
+        assertEquals(List.of("decode", "prefill"), stages(), "the list lags");
+        time.run(400);
+        asked.remove().listed(engines("decode", "prefill"));
+        time.run(400);
+        asked.remove().listed(engines("decode", "decode"));
+        assertEquals(List.of("decode", "decode"), stages(), "the list had agreed: it is believed again");
+    }
+
+    @Test
+    void aStageIsNotToldUnderANumberThatIsNotHeldAndNotForEver() {
+        asked.remove().listed(engines("decode"));
+        duty.wonAgain();
+        lister.stageIs("i-0", ServerEntry.CHANGING, 1_000);
+        lister.tellStages(7);
+        lister.tellStages(8);
+        assertEquals(List.of("decode"), stages());
+        time.run(400);
+        asked.remove().listed(engines("decode"));
+        assertEquals(List.of(ServerEntry.CHANGING), stages());
+        time.run(400);
+        asked.remove().listed(engines("decode"));
+        time.run(400);
+        asked.remove().listed(engines("decode"));
+        assertEquals(List.of("decode"), stages(), "it has lapsed");
+    }
+
     @Test
     void nothingIsAskedWithoutTheDuty() {
         answer(2);
--- a/controlplane/src/test/java/dewplank/controlplane/StageKeeperTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/StageKeeperTest.java
@@ -32,7 +32,9 @@
     private final List<ScriptedServer> servers = new ArrayList<>();
     private final HeldDuty duty = new HeldDuty();
     private EventLoop loop;
+    private final BlockingQueue<ServerList> told = new LinkedBlockingQueue<>();
     private ServerLister lister;
+    private int active;
 
     /** A duty that is held from the first question on; it notes when that was. */
     private final class HeldDuty implements ServerLister.Duty {
@@ -57,14 +59,14 @@
     @BeforeEach
     void begin() throws IOException {
         loop = new EventLoop();
-        lister = new ServerLister(loop, null, duty, 3_000, list -> {});
+        lister = new ServerLister(loop, null, duty, 3_000, told::add);
         List<ServerEntry> entries = new ArrayList<>();
         for (int i = 0; i < 2; i++) {
             ScriptedServer server = new ScriptedServer(calls);
             servers.add(server);
             entries.add(new ServerEntry("i-" + i, "model", server.addressText(), "z", 64, false, 0, "decode"));
         }
-        lister.told(new ServerList(new ListVersion(1, 1), entries));
+        lister.told(new ServerList(new ListVersion(NUMBER, 1), entries));
     }
 
     @AfterEach
@@ -81,6 +83,12 @@
         loop.execute(keeper::start);
     }
 
+    /** Answers reports as of servers with so many requests each, until something else comes. */
+    private Call answerReports(int active) throws Exception {
+        this.active = active;
+        return answerReports();
+    }
+
     /** Answers reports, each of which names the instance that it is meant for, until something else comes. */
     private Call answerReports() throws Exception {
         while (true) {
@@ -94,7 +102,7 @@
                     .answer(
                             "200 OK",
                             "Content-Type: application/json\r\n",
-                            "{\"stage\":\"decode\",\"busy\":false,\"queued\":0,\"active\":0,"
+                            "{\"stage\":\"decode\",\"busy\":false,\"queued\":0,\"active\":" + active + ","
                                     + "\"kv_used\":0,\"kv_capacity\":1000}");
         }
     }
@@ -114,6 +122,22 @@
         order.wire().answer("202 Accepted", "", "");
     }
 
+    /** What has not begun at a server when the order comes is turned away: data planes hear of it before. */
+    @Test
+    void whileRequestsRunDataPlanesAreToldBeforeTheServerIs() throws Exception {
+        keep(0);
+        Call order = answerReports(1);
+        double orderedAt = loop.now();
+        assertEquals("/order", order.message().target());
+        ServerList list = told.remove();
+        int index = servers.indexOf(order.server());
+        for (int i = 0; i < servers.size(); i++) {
+            assertEquals(i == index ? ServerEntry.CHANGING : "decode", list.servers.get(i).stage);
+        }
+        assertTrue(orderedAt - duty.since() >= 500, "ordered after " + (orderedAt - duty.since()) + " ms");
+        order.wire().answer("409 Conflict", "", "");
+    }
+
     /** What the last holder ordered may still be on its way. */
     @Test
     void aNewHolderWaitsOutTheLeaseAndMore() throws Exception {
--- a/dataplane/src/main/java/dewplank/dataplane/FleetView.java
+++ b/dataplane/src/main/java/dewplank/dataplane/FleetView.java
@@ -106,7 +106,11 @@
         if (text == null) {
             return ServerState.Stage.PLAIN;
         }
-        return text.equals("prefill") ? ServerState.Stage.PREFILL : ServerState.Stage.DECODE;
+        return switch (text) {
+            case "prefill" -> ServerState.Stage.PREFILL;
+            case ServerEntry.CHANGING -> ServerState.Stage.CHANGING;
+            default -> ServerState.Stage.DECODE;
+        };
     }
 
     private void forget(Server server) {
--- a/fleet/src/main/java/dewplank/routing/ServerState.java
+++ b/fleet/src/main/java/dewplank/routing/ServerState.java
@@ -13,7 +13,9 @@
     public enum Stage {
         PLAIN,
         PREFILL,
-        DECODE
+        DECODE,
+        /** Between two others: it takes nothing new. */
+        CHANGING
     }
 
     private final String instanceId;
--- a/messages/src/main/java/dewplank/message/ServerEntry.java
+++ b/messages/src/main/java/dewplank/message/ServerEntry.java
@@ -11,7 +11,10 @@
     public final int slotCount;
     public final boolean draining;
     public final double coldRemainingMs;
-    /** prefill, decode, or null for a plain server. */
+    /** Stage of a server that has been ordered to another one: it is to get nothing new. */
+    public static final String CHANGING = "changing";
+
+    /** prefill, decode, {@link #CHANGING}, or null for a plain server. */
     public final String stage;
 
     public ServerEntry(
@@ -33,6 +36,11 @@
         this.stage = stage;
     }
 
+    /** The same in another stage. */
+    public ServerEntry inStage(String other) {
+        return new ServerEntry(instanceId, service, address, zone, slotCount, draining, coldRemainingMs, other);
+    }
+
     /** Equal but for the cold time, which counts down by itself. */
     public boolean sameAs(ServerEntry e) {
         return e.instanceId.equals(instanceId)
