--- a/dataplane/src/main/java/dewplank/dataplane/GenerationExchange.java
+++ b/dataplane/src/main/java/dewplank/dataplane/GenerationExchange.java
@@ -70,7 +70,7 @@
 
     /**
      * Whether a decode server may prefill the prompt without a pause that its other streams would be late by. Half of
-     * the pause as the bound was worth 0.04 less on matkassen's busy day, where decode servers relieve crowded others.
+     * the pause as the bound was worth less on a busy day with few servers (docs/policy.md, rounds).
      */
     boolean mayBeReadAtDecode() {
         return route.gapAimMs() == 0 || PairChoice.readingAtDecodeMs(prefix.tokens()) <= route.gapAimMs();
