--- a/consensus/src/main/java/dewplank/membership/AcceptorPlacement.java
+++ b/consensus/src/main/java/dewplank/membership/AcceptorPlacement.java
@@ -127,10 +127,13 @@
     }
 
     private static List<AcceptorId> disklessMembers(AcceptorSet set, Collection<PeerObservation> peers) {
-        return peers.stream()
-                .filter(peer -> !peer.durable() && set.members().contains(peer.acceptor()))
+        List<AcceptorId> relays = peers.stream()
+                .filter(peer -> !peer.durable())
                 .map(PeerObservation::acceptor)
                 .toList();
+        return set.members().stream()
+                .filter(member -> member.isVolatile() || relays.contains(member))
+                .toList();
     }
 
     /**
--- a/consensus/src/main/java/dewplank/register/AcceptorId.java
+++ b/consensus/src/main/java/dewplank/register/AcceptorId.java
@@ -4,9 +4,15 @@
 
 /**
  * Names one acceptor by its address and the identity of its disk. The identity is drawn when the disk is first used, so
- * an emptied disk at the same address is a different acceptor. Immutable; neither part is null.
+ * an emptied disk at the same address is a different acceptor. A process without a disk is <em>volatile</em>: it draws
+ * an identity at each start, as it forgets its votes when it ends. Immutable; neither part is null.
  */
 public final class AcceptorId {
+    /** Begins volatile identities only; identities of disks never begin with it. */
+    private static final String VOLATILE_PREFIX = "memory:";
+
+    private static final String INCARNATION_SEPARATOR = "#";
+
     private final String address;
     private final String identity;
 
@@ -16,6 +22,21 @@
         this.identity = Objects.requireNonNull(identity);
     }
 
+    /**
+     * The identity of one incarnation of a process without a disk.
+     *
+     * @param name what all incarnations share
+     * @param incarnation differs from incarnation to incarnation
+     */
+    public static String volatileIdentity(String name, String incarnation) {
+        return VOLATILE_PREFIX + name + INCARNATION_SEPARATOR + incarnation;
+    }
+
+    /** Whether the acceptor has no disk, so that it is gone for good when its process ends. */
+    public boolean isVolatile() {
+        return identity.startsWith(VOLATILE_PREFIX);
+    }
+
     /** The address to send to, as IP:PORT. */
     public String address() {
         return address;
--- a/consensus/src/main/java/dewplank/register/AcceptorSet.java
+++ b/consensus/src/main/java/dewplank/register/AcceptorSet.java
@@ -6,9 +6,11 @@
 import java.util.Set;
 
 /**
- * The acceptors that decide on the next value. While the set is joint, a quorum is a majority of the members and also a
- * majority of the joining acceptors. Immutable. Source: joint consensus, Ongaro and Ousterhout, "In Search of an
- * Understandable Consensus Algorithm", 2014, section 6.
+ * The acceptors that decide on the next value. A quorum of a list of acceptors is a majority of it whose votes are on
+ * disks, or all of it but the volatile acceptors that are known to have ended, at least one: invariant 13 in {@code
+ * docs/register.md}. While the set is joint, a quorum needs one of the members and one of the joining acceptors.
+ * Immutable. Source: joint consensus, Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm",
+ * 2014, section 6.
  */
 public final class AcceptorSet {
     private final long generation;
@@ -61,9 +63,27 @@
         return new ArrayList<>(union);
     }
 
-    /** Whether these acceptors form a quorum; an empty set has none. */
+    /** Whether these acceptors form a quorum while no volatile one is known to have ended; an empty set has none. */
     public boolean isQuorum(Set<AcceptorId> acceptors) {
-        return isMajority(members, acceptors) && (!isJoint() || isMajority(joining, acceptors));
+        return isQuorum(acceptors, Set.of());
+    }
+
+    /**
+     * Whether these acceptors form a quorum.
+     *
+     * @param ended volatile acceptors that were known to have ended when the first of these votes was requested
+     */
+    public boolean isQuorum(Set<AcceptorId> acceptors, Set<AcceptorId> ended) {
+        if (!isJoint()) {
+            return isQuorumOf(members, acceptors, ended);
+        }
+        boolean isMembersQuorum = isEnded(ended) || isQuorumOf(members, acceptors, ended);
+        return isMembersQuorum && isQuorumOf(joining, acceptors, ended);
+    }
+
+    /** Whether all members are volatile and known to have ended: nothing can be chosen by them alone any more. */
+    boolean isEnded(Set<AcceptorId> ended) {
+        return !members.isEmpty() && ended.containsAll(members);
     }
 
     /** Whether the set is not joint and its members are these, in any order. */
@@ -81,14 +101,22 @@
         return new AcceptorSet(generation + 1, joining, List.of());
     }
 
-    private static boolean isMajority(List<AcceptorId> electorate, Set<AcceptorId> acceptors) {
-        int present = 0;
+    private static boolean isQuorumOf(List<AcceptorId> electorate, Set<AcceptorId> acceptors, Set<AcceptorId> ended) {
+        int durableVotes = 0;
+        int remaining = 0;
+        int remainingVotes = 0;
         for (AcceptorId acceptor : electorate) {
-            if (acceptors.contains(acceptor)) {
-                present++;
+            boolean hasVoted = acceptors.contains(acceptor);
+            if (hasVoted && !acceptor.isVolatile()) {
+                durableVotes++;
+            }
+            if (!ended.contains(acceptor)) {
+                remaining++;
+                remainingVotes += hasVoted ? 1 : 0;
             }
         }
-        return present * 2 > electorate.size();
+        boolean isDurableMajority = durableVotes * 2 > electorate.size();
+        return isDurableMajority || remaining > 0 && remainingVotes == remaining;
     }
 
     @Override
--- a/consensus/src/main/java/dewplank/register/AntiEntropy.java
+++ b/consensus/src/main/java/dewplank/register/AntiEntropy.java
@@ -25,6 +25,8 @@
     private final RequestIds requestIds;
     private final RandomGenerator random;
     private final Set<AcceptorId> reporters = new HashSet<>();
+    private Set<AcceptorId> queried = Set.of();
+    private Set<AcceptorId> endedAtQuery = Set.of();
     private long queryId = RequestIds.FETCH;
     private double queriedAtMs;
     private double nextRunAtMs;
@@ -88,14 +90,28 @@
         if (report.queryId() != queryId) {
             return;
         }
+        markEndedPredecessors(report.senderId());
         reporters.add(report.senderId());
         newestReported = newer(newestReported, newer(report.acceptedBallot(), report.chosenBallot()));
-        if (learner.acceptors().isQuorum(reporters)) {
+        if (learner.acceptors().isQuorum(reporters, endedAtQuery)) {
             lastQuorumAtMs = queriedAtMs;
             newestReportedByQuorum = newestReported;
         }
     }
 
+    /**
+     * A volatile acceptor whose address answers this query under another identity has ended: it was alive before the
+     * query was sent, the one that answers was after that, and incarnations at one address do not overlap.
+     */
+    private void markEndedPredecessors(AcceptorId answering) {
+        for (AcceptorId acceptor : queried) {
+            boolean isSuccessor = acceptor.address().equals(answering.address()) && !acceptor.equals(answering);
+            if (isSuccessor && acceptor.isVolatile()) {
+                learner.markEnded(acceptor);
+            }
+        }
+    }
+
     private void announceChosenTo(StatusReport report, Register.Effects<A> effects) {
         effects.send(
                 report.senderAddress(),
@@ -115,9 +131,11 @@
         queryId = requestIds.next();
         queriedAtMs = nowMs;
         reporters.clear();
+        endedAtQuery = learner.endedAcceptors();
         newestReported = Ballot.NONE;
         Set<AcceptorId> recipients = new LinkedHashSet<>(learner.acceptors().all());
         learner.unconfirmedAcceptors().ifPresent(acceptors -> recipients.addAll(acceptors.all()));
+        queried = recipients;
         for (AcceptorId recipient : recipients) {
             effects.send(
                     recipient.address(),
--- a/consensus/src/main/java/dewplank/register/Learner.java
+++ b/consensus/src/main/java/dewplank/register/Learner.java
@@ -1,6 +1,8 @@
 package dewplank.register;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The learner of one process: the newest value known to be chosen, the newest ballot seen accepted beyond it, and the
@@ -20,11 +22,14 @@
     private Ballot newestAccepted = Ballot.NONE;
     private AcceptorSet newestAcceptedSet;
     private long highestRound;
+    private AcceptorSet initialAcceptors;
+    private final Set<AcceptorId> endedAcceptors = new HashSet<>();
 
     Learner(Register.Settings settings, AcceptorId self, Acceptor acceptor) {
         this.settings = settings;
         this.self = self;
         this.acceptor = acceptor;
+        this.initialAcceptors = settings.initialAcceptors();
         DurableState recovered = acceptor.durable();
         this.chosenBallot = recovered.chosenBallot();
         this.chosenValue = recovered.chosenValue();
@@ -48,7 +53,22 @@
 
     /** The acceptors of the newest chosen value, or the initial ones. */
     AcceptorSet acceptors() {
-        return chosenValue == null ? settings.initialAcceptors() : chosenValue.acceptors();
+        return chosenValue == null ? initialAcceptors : chosenValue.acceptors();
+    }
+
+    /** Replaces the acceptors before the first chosen value; of no effect after it. */
+    void updateInitialAcceptors(AcceptorSet acceptors) {
+        initialAcceptors = acceptors;
+    }
+
+    /** Volatile acceptors of this register that are known to have ended. */
+    Set<AcceptorId> endedAcceptors() {
+        return Set.copyOf(endedAcceptors);
+    }
+
+    /** Records that a volatile acceptor has ended. */
+    void markEnded(AcceptorId acceptor) {
+        endedAcceptors.add(acceptor);
     }
 
     /** The newest accepted ballot seen that is not known to be chosen, or {@link Ballot#NONE}. */
--- a/consensus/src/main/java/dewplank/register/Proposer.java
+++ b/consensus/src/main/java/dewplank/register/Proposer.java
@@ -81,8 +81,7 @@
     /** Completes overdue tasks, ends rounds that timed out, retries after backoff. */
     void tick(double nowMs, Register.Effects<A> effects) {
         completeOverdue(nowMs, effects);
-        if (state instanceof ProposerState.InRound<A> inRound
-                && nowMs - inRound.round().phaseStartedAtMs() >= roundTimeoutMs(inRound.attempt())) {
+        if (state instanceof ProposerState.InRound<A> inRound && isTimedOut(nowMs, inRound)) {
             backOff(nowMs, inRound);
         }
         yieldToRepairs();
@@ -98,7 +97,8 @@
                 promise.acceptedValue() == null ? null : promise.acceptedValue().acceptors());
         if (!(state instanceof ProposerState.InRound<A> inRound)
                 || !inRound.round().isPreparing()
-                || !promise.ballot().equals(inRound.round().ballot())) {
+                || !promise.ballot().equals(inRound.round().ballot())
+                || isTimedOut(nowMs, inRound)) {
             return;
         }
         Round<A> round = inRound.round();
@@ -114,7 +114,8 @@
     void handleAccepted(double nowMs, Accepted accepted, Register.Effects<A> effects) {
         if (!(state instanceof ProposerState.InRound<A> inRound)
                 || inRound.round().isPreparing()
-                || !accepted.ballot().equals(inRound.round().ballot())) {
+                || !accepted.ballot().equals(inRound.round().ballot())
+                || isTimedOut(nowMs, inRound)) {
             return;
         }
         Round<A> round = inRound.round();
@@ -170,8 +171,8 @@
         Ballot ballot = new Ballot(learner.highestRound() + 1, name);
         learner.observeRound(ballot);
         RegisterValue chosen = learner.chosenValue();
-        RegisterValue read = chosen != null ? chosen : new RegisterValue(settings.initialAcceptors(), 0, null);
-        Round<A> round = new Round<>(ballot, learner.chosenBallot(), read, nowMs);
+        RegisterValue read = chosen != null ? chosen : new RegisterValue(learner.acceptors(), 0, null);
+        Round<A> round = new Round<>(ballot, learner.chosenBallot(), read, learner.endedAcceptors(), nowMs);
         transitionTo(new ProposerState.InRound<>(task, attempt, round));
         sendPrepare(round, learner.acceptors(), effects);
         learner.unconfirmedAcceptors().ifPresent(acceptors -> sendPrepare(round, acceptors, effects));
@@ -242,6 +243,11 @@
         }
     }
 
+    /** Votes that arrive later do not count: a process that was suspended ends its round instead. */
+    private boolean isTimedOut(double nowMs, ProposerState.InRound<A> inRound) {
+        return nowMs - inRound.round().phaseStartedAtMs() >= roundTimeoutMs(inRound.attempt());
+    }
+
     private double roundTimeoutMs(int attempt) {
         return settings.roundTimeoutMs() * Math.min(attempt, MAX_ROUND_TIMEOUT_FACTOR);
     }
--- a/consensus/src/main/java/dewplank/register/Reader.java
+++ b/consensus/src/main/java/dewplank/register/Reader.java
@@ -19,11 +19,13 @@
         private final long queryId;
         private final double startedAtMs;
         private final double deadlineMs;
+        private final Set<AcceptorId> endedAtStart;
         private final Set<AcceptorId> reporters = new HashSet<>();
 
-        Read(long requestId, long queryId, double startedAtMs, double deadlineMs) {
+        Read(long requestId, long queryId, Set<AcceptorId> ended, double startedAtMs, double deadlineMs) {
             this.requestId = requestId;
             this.queryId = queryId;
+            this.endedAtStart = ended;
             this.startedAtMs = startedAtMs;
             this.deadlineMs = deadlineMs;
         }
@@ -50,7 +52,7 @@
     }
 
     void start(double nowMs, long requestId, double deadlineMs, Register.Effects<A> effects) {
-        Read read = new Read(requestId, requestIds.next(), nowMs, deadlineMs);
+        Read read = new Read(requestId, requestIds.next(), learner.endedAcceptors(), nowMs, deadlineMs);
         reads.add(read);
         for (AcceptorId acceptor : learner.acceptors().all()) {
             effects.send(
@@ -97,7 +99,7 @@
             return;
         }
         read.reporters.add(report.senderId());
-        boolean isQuorum = learner.acceptors().isQuorum(read.reporters);
+        boolean isQuorum = learner.acceptors().isQuorum(read.reporters, read.endedAtStart);
         if (!isQuorum) {
             reads.add(read);
         } else if (learner.chosenValue() == null) {
--- a/consensus/src/main/java/dewplank/register/Register.java
+++ b/consensus/src/main/java/dewplank/register/Register.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -27,7 +28,8 @@
      * What is fixed for an incarnation.
      *
      * @param address the address of this process, as IP:PORT
-     * @param initialAcceptors the acceptors before the first chosen value; an empty set where they are not known
+     * @param initialAcceptors the acceptors before the first chosen value, until {@link #updateInitialAcceptors}
+     *     replaces them; an empty set where they are not known
      * @param roundTimeoutMs how long one phase of a round waits for a quorum
      * @param retryBackoffMinMs the minimum backoff before the next round
      * @param retryBackoffMaxMs the maximum backoff before the next round
@@ -175,6 +177,24 @@
         return learner.acceptors();
     }
 
+    /**
+     * Replaces the initial acceptors, whose volatile members become known one by one; of no effect once a value is
+     * known to be chosen. What the caller has to make sure of is invariant 13 in {@code docs/register.md}.
+     */
+    public void updateInitialAcceptors(AcceptorSet initialAcceptors) {
+        learner.updateInitialAcceptors(initialAcceptors);
+    }
+
+    /** Volatile acceptors that are known to have ended; their votes are not waited for. */
+    public Set<AcceptorId> endedAcceptors() {
+        return learner.endedAcceptors();
+    }
+
+    /** Whether nothing is known to be chosen and all initial acceptors, without a disk, are known to have ended. */
+    public boolean areInitialAcceptorsEnded() {
+        return learner.chosenValue() == null && learner.acceptors().isEnded(learner.endedAcceptors());
+    }
+
     /** The generation of the acceptors in the value accepted last, also when the disk does not hold it yet. */
     public long acceptedGeneration() {
         RegisterValue accepted = acceptor.current().acceptedValue();
--- a/consensus/src/main/java/dewplank/register/Round.java
+++ b/consensus/src/main/java/dewplank/register/Round.java
@@ -12,6 +12,7 @@
 final class Round<A> {
     private final Ballot ballot;
     private final Ballot chosenAtStart;
+    private final Set<AcceptorId> endedAtStart;
     private final Set<AcceptorId> prepared = new HashSet<>();
     private final Set<AcceptorId> promised = new HashSet<>();
     private final Set<AcceptorId> accepted = new HashSet<>();
@@ -21,11 +22,17 @@
     private Proposal<A> proposal;
     private double phaseStartedAtMs;
 
-    Round(Ballot ballot, Ballot readBallot, RegisterValue read, double nowMs) {
+    /**
+     * Starts a round, before any of its requests is sent.
+     *
+     * @param ended volatile acceptors that are known to have ended; what is learned later is left out, see invariant 13
+     */
+    Round(Ballot ballot, Ballot readBallot, RegisterValue read, Set<AcceptorId> ended, double nowMs) {
         this.ballot = ballot;
         this.readBallot = readBallot;
         this.read = read;
         this.chosenAtStart = readBallot;
+        this.endedAtStart = ended;
         this.phaseStartedAtMs = nowMs;
     }
 
@@ -77,7 +84,7 @@
 
     /** Whether a quorum of the value read has promised: invariant 2 in {@code docs/register.md}. */
     boolean isPromisedByQuorum() {
-        return read.acceptors().isQuorum(promised);
+        return read.acceptors().isQuorum(promised, endedAtStart);
     }
 
     /** Ends the prepare phase; throws if it has ended before. */
@@ -96,7 +103,7 @@
 
     /** Whether the proposal is chosen: the acceptors of the value it was built on decide. */
     boolean isAcceptedByQuorum() {
-        return read.acceptors().isQuorum(accepted);
+        return read.acceptors().isQuorum(accepted, endedAtStart);
     }
 
     void addRejection(AcceptorId acceptor) {
@@ -107,6 +114,6 @@
     boolean isRejected() {
         Set<AcceptorId> remaining = new HashSet<>(read.acceptors().all());
         remaining.removeAll(rejected);
-        return !read.acceptors().isQuorum(remaining);
+        return !read.acceptors().isQuorum(remaining, endedAtStart);
     }
 }
--- a/consensus/src/main/java/dewplank/singleton/Candidate.java
+++ b/consensus/src/main/java/dewplank/singleton/Candidate.java
@@ -5,6 +5,7 @@
 import dewplank.singleton.VoteRequest.Kind;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.DoubleSupplier;
 
 /**
@@ -57,6 +58,7 @@
 
     private CandidateState state;
     private AcceptorSet voters = AcceptorSet.of(List.of());
+    private Set<AcceptorId> ended = Set.of();
     private int failedElections;
     private long roundNumber;
     private long highestToken;
@@ -81,16 +83,19 @@
     }
 
     /**
-     * Takes the newest set of voters known to be chosen; a lease holder renews by it at the next tick.
+     * Takes the newest set of voters known to be chosen, or the initial set, whose members may change within its
+     * generation; a lease holder renews by a newer one at the next tick.
      *
      * @param nowMs the time by the candidate's steady clock
      * @param chosen the set; an older one than the last is ignored
+     * @param endedVoters volatile voters that are known to have ended; rounds that are sent from now on leave them out
      */
-    public void updateVoterSet(double nowMs, AcceptorSet chosen) {
+    public void updateVoterSet(double nowMs, AcceptorSet chosen, Set<AcceptorId> endedVoters) {
         boolean newer = chosen.generation() > voters.generation();
-        if (newer || voters.all().isEmpty()) {
+        if (chosen.generation() >= voters.generation()) {
             voters = chosen;
         }
+        ended = endedVoters;
         if (newer && state instanceof LeaseHolderState lease) {
             lease.renewNoLaterThan(nowMs);
         }
@@ -277,9 +282,9 @@
 
     /** The next election waits until a majority may be free; a time-out, with nobody bound, counts as a failure. */
     private void failProbe(double nowMs, VoteRound round) {
-        double majorityFreeInMs = round.majorityFreeInMs();
-        failedElections = majorityFreeInMs > 0 ? 0 : failedElections + 1;
-        transitionTo(new FollowerState(nowMs + majorityFreeInMs + drawElectionDelayMs()));
+        double quorumFreeInMs = round.quorumFreeInMs();
+        failedElections = quorumFreeInMs > 0 ? 0 : failedElections + 1;
+        transitionTo(new FollowerState(nowMs + quorumFreeInMs + drawElectionDelayMs()));
     }
 
     /**
@@ -334,7 +339,7 @@
 
     private VoteRound nextRound(double nowMs, long token) {
         roundNumber++;
-        return new VoteRound(voters, roundNumber, token, nowMs);
+        return new VoteRound(voters, ended, roundNumber, token, nowMs);
     }
 
     private void sendAll(List<AcceptorId> to, Kind kind, long token, Effects effects) {
--- a/consensus/src/main/java/dewplank/singleton/VoteRound.java
+++ b/consensus/src/main/java/dewplank/singleton/VoteRound.java
@@ -2,7 +2,6 @@
 
 import dewplank.register.AcceptorId;
 import dewplank.register.AcceptorSet;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -15,6 +14,7 @@
  */
 final class VoteRound {
     private final AcceptorSet voters;
+    private final Set<AcceptorId> ended;
     private final long number;
     private final long fencingToken;
     private final double sentAtMs;
@@ -24,11 +24,13 @@
      * A round without replies.
      *
      * @param voters the set that the requests go to
+     * @param ended volatile voters that are known to have ended before the requests are sent
      * @param number the candidate's number of the round, which replies bring back
      * @param fencingToken the token that the requests name
      * @param sentAtMs when the requests are sent, by the candidate's clock
      */
-    VoteRound(AcceptorSet voters, long number, long fencingToken, double sentAtMs) {
+    VoteRound(AcceptorSet voters, Set<AcceptorId> ended, long number, long fencingToken, double sentAtMs) {
+        this.ended = ended;
         this.voters = voters;
         this.number = number;
         this.fencingToken = fencingToken;
@@ -65,7 +67,7 @@
         repliesByIdentity.putIfAbsent(reply.requestedIdentity(), reply);
     }
 
-    /** Whether a majority of the voters granted; of both parts, while the set is joint. */
+    /** Whether a quorum of the voters granted: a majority of disks, as {@link AcceptorSet} defines it. */
     boolean isVoteGranted() {
         Set<AcceptorId> granted = new HashSet<>();
         for (AcceptorId voter : voters.all()) {
@@ -74,7 +76,7 @@
                 granted.add(voter);
             }
         }
-        return voters.isQuorum(granted);
+        return voters.isQuorum(granted, ended);
     }
 
     /** Whether no majority can grant any more, whatever the voters that have not replied yet will reply. */
@@ -85,7 +87,7 @@
                 granting.add(voter);
             }
         }
-        return !voters.isQuorum(granting);
+        return !voters.isQuorum(granting, ended);
     }
 
     /** Whether the voter replied and granted nothing, so that this round does not bind it. */
@@ -94,22 +96,26 @@
         return reply != null && !reply.isGranted();
     }
 
-    /** In how many milliseconds a majority may be free, by the replies; voters that have not replied count as free. */
-    double majorityFreeInMs() {
-        return Math.max(majorityFreeInMs(voters.members()), majorityFreeInMs(voters.joining()));
+    /** In how many milliseconds a quorum may be free, by the replies; voters that have not replied count as free. */
+    double quorumFreeInMs() {
+        double[] freeInMs =
+                voters.all().stream().mapToDouble(this::freeInMs).sorted().toArray();
+        for (double waitMs : freeInMs) {
+            Set<AcceptorId> free = new HashSet<>();
+            for (AcceptorId voter : voters.all()) {
+                if (freeInMs(voter) <= waitMs) {
+                    free.add(voter);
+                }
+            }
+            if (voters.isQuorum(free, ended)) {
+                return waitMs;
+            }
+        }
+        return 0;
     }
 
-    private double majorityFreeInMs(List<AcceptorId> members) {
-        if (members.isEmpty()) {
-            return 0;
-        }
-        double[] freeInMs = new double[members.size()];
-        for (int index = 0; index < freeInMs.length; index++) {
-            AcceptorId voter = members.get(index);
-            freeInMs[index] = hasRejected(voter) ? replyOf(voter).remainingMs() : 0;
-        }
-        Arrays.sort(freeInMs);
-        return freeInMs[freeInMs.length / 2];
+    private double freeInMs(AcceptorId voter) {
+        return hasRejected(voter) ? replyOf(voter).remainingMs() : 0;
     }
 
     private VoteReply replyOf(AcceptorId voter) {
--- a/consensus/src/test/java/dewplank/register/ModelProcess.java
+++ b/consensus/src/test/java/dewplank/register/ModelProcess.java
@@ -130,7 +130,7 @@
         Register<String> next = RegisterSnapshot.copy(register, settings, new FixedRandom(incarnation));
         List<DurableState> stored = new ArrayList<>();
         DurableState uncertain = null;
-        action.run(next, effects);
+        action.run(next, effects.of(next));
         DurableState state = disk == Disk.IN_FLIGHT ? null : effects.takePending();
         RegisterMessage selfMessage = effects.takeSelfMessage();
         while (state != null || selfMessage != null) {
@@ -155,26 +155,11 @@
                 effects,
                 stored,
                 uncertain,
-                proposals(next, effects));
+                effects.proposals);
     }
 
     private Result killed(DurableState written) {
         return new Result(
                 restarted(written), new ModelStep(settings.address(), droppedTypes), List.of(written), null, List.of());
     }
-
-    private static List<ModelProposal> proposals(Register<String> next, ModelStep effects) {
-        List<ModelProposal> found = new ArrayList<>();
-        for (ModelStep.Sent sent : effects.sent) {
-            if (sent.message() instanceof Accept) {
-                Accept accept = (Accept) sent.message();
-                RegisterValue read = (RegisterValue) RegisterSnapshot.at(next, "proposer", "state", "round", "read");
-                ModelProposal proposal = new ModelProposal(accept.ballot(), accept.value(), read.acceptors());
-                if (!found.contains(proposal)) {
-                    found.add(proposal);
-                }
-            }
-        }
-        return found;
-    }
 }
--- a/consensus/src/test/java/dewplank/register/ModelProposal.java
+++ b/consensus/src/test/java/dewplank/register/ModelProposal.java
@@ -15,6 +15,10 @@
         return deciders.isQuorum(voters);
     }
 
+    boolean hasVolatileDeciders() {
+        return deciders.all().stream().anyMatch(AcceptorId::isVolatile);
+    }
+
     /** Whether a chain of chosen values may hold both: one is the other, or comes after it and contains it. */
     boolean agreesWith(ModelProposal other) {
         if (value.revision() == other.value.revision()) {
--- a/consensus/src/test/java/dewplank/register/ModelScenario.java
+++ b/consensus/src/test/java/dewplank/register/ModelScenario.java
@@ -1,6 +1,7 @@
 package dewplank.register;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 
@@ -15,7 +16,8 @@
     int kills;
     int failures;
     int wipes;
-    int wiped;
+    final Set<Integer> wiped = new HashSet<>();
+    private final Set<Integer> withoutDisk;
     boolean slowDisks;
     boolean wipedKeepsIdentity;
 
@@ -25,19 +27,39 @@
      */
     ModelScenario(String name, int size, int members, Class<?>... droppedTypes) {
         this.name = name;
+        this.withoutDisk = Set.of();
+        Set<Class<?>> dropped = new HashSet<>(Set.of(droppedTypes));
+        dropped.add(AntiEntropy.class);
         List<AcceptorId> first = new ArrayList<>();
         for (int index = 0; index < members; index++) {
             first.add(acceptor(index, 0));
         }
         for (int index = 0; index < size; index++) {
-            AcceptorSet initial = AcceptorSet.of(index < members ? first : List.of());
-            DurableState disk = DurableState.fresh(identity(index, 0));
-            disks.add(disk);
-            processes.add(ModelProcess.started(
-                    RegisterBuilder.settings(address(index), initial), Set.of(droppedTypes), disk, 0));
+            add(index, AcceptorSet.of(index < members ? first : List.of()), dropped);
         }
     }
 
+    /**
+     * A bootstrap: all processes know the same initial acceptors, of which some have no disk. Anti-entropy's queries
+     * are delivered, as its reports tell who has ended.
+     */
+    ModelScenario(String name, int size, List<Integer> members, Set<Integer> withoutDisk, Class<?>... droppedTypes) {
+        this.name = name;
+        this.withoutDisk = withoutDisk;
+        List<AcceptorId> first = members.stream()
+                .map(index -> new AcceptorId(address(index), firstIdentity(index)))
+                .toList();
+        for (int index = 0; index < size; index++) {
+            add(index, AcceptorSet.of(first), Set.of(droppedTypes));
+        }
+    }
+
+    private void add(int index, AcceptorSet initial, Set<Class<?>> dropped) {
+        DurableState disk = DurableState.fresh(firstIdentity(index));
+        disks.add(disk);
+        processes.add(ModelProcess.started(RegisterBuilder.settings(address(index), initial), dropped, disk, 0));
+    }
+
     static String address(int index) {
         return String.valueOf((char) ('a' + index));
     }
@@ -46,6 +68,26 @@
         return address(index) + wipes;
     }
 
+    String firstIdentity(int index) {
+        return identityOf(index, 0);
+    }
+
+    /** The identity after the disk was emptied, or after a process without a disk has started again. */
+    String nextIdentity(int index) {
+        return identityOf(index, wipedKeepsIdentity ? 0 : 1);
+    }
+
+    private String identityOf(int index, int wipeCount) {
+        return withoutDisk.contains(index)
+                ? AcceptorId.volatileIdentity(address(index), String.valueOf(wipeCount))
+                : identity(index, wipeCount);
+    }
+
+    /** Retries of the process; one without a disk proposes nothing. */
+    int timeoutsOf(int index) {
+        return withoutDisk.contains(index) ? 0 : timeouts;
+    }
+
     /** The acceptor of a process whose disk was emptied so many times. */
     static AcceptorId acceptor(int index, int wipes) {
         return new AcceptorId(address(index), identity(index, wipes));
@@ -70,7 +112,14 @@
 
     ModelScenario wiping(int process) {
         wipes = 1;
-        wiped = process;
+        wiped.add(process);
+        return this;
+    }
+
+    /** Processes without a disk end and start again, each of them once at most. */
+    ModelScenario restarting(Integer... processes) {
+        wipes = processes.length;
+        wiped.addAll(List.of(processes));
         return this;
     }
 
--- a/consensus/src/test/java/dewplank/register/ModelStep.java
+++ b/consensus/src/test/java/dewplank/register/ModelStep.java
@@ -19,15 +19,34 @@
     private final Deque<RegisterMessage> selfMessages = new ArrayDeque<>();
     private final String address;
     private final Set<Class<?>> droppedTypes;
+    final List<ModelProposal> proposals = new ArrayList<>();
+    private Register<String> register;
     private DurableState pending;
     private long storeId;
 
-    /** A step of the process at this address; messages of the types given are dropped. */
+    /**
+     * A step of the process at this address; messages of the types given are dropped, and with {@link AntiEntropy}
+     * among them its queries. Without it the queries of fetches are.
+     */
     ModelStep(String address, Set<Class<?>> droppedTypes) {
         this.address = address;
         this.droppedTypes = droppedTypes;
     }
 
+    /** Names the register that takes the step, whose proposals are recorded as they are made. */
+    ModelStep of(Register<String> stepping) {
+        register = stepping;
+        return this;
+    }
+
+    private void propose(Accept accept) {
+        RegisterValue read = (RegisterValue) RegisterSnapshot.at(register, "proposer", "state", "round", "read");
+        ModelProposal proposal = new ModelProposal(accept.ballot(), accept.value(), read.acceptors());
+        if (!proposals.contains(proposal)) {
+            proposals.add(proposal);
+        }
+    }
+
     /** Takes the next message of the process to itself, or null. */
     RegisterMessage takeSelfMessage() {
         return selfMessages.poll();
@@ -46,10 +65,14 @@
 
     @Override
     public void send(String to, RegisterMessage message) {
-        boolean isAntiEntropy = message instanceof StatusQuery query && !query.wantsValue();
+        boolean isAntiEntropyDropped = droppedTypes.contains(AntiEntropy.class);
+        boolean isDroppedQuery = message instanceof StatusQuery query && query.wantsValue() != isAntiEntropyDropped;
+        if (message instanceof Accept accept) {
+            propose(accept);
+        }
         if (to.equals(address)) {
             selfMessages.add(message);
-        } else if (!isAntiEntropy && !droppedTypes.contains(message.getClass())) {
+        } else if (!isDroppedQuery && !droppedTypes.contains(message.getClass())) {
             sent.add(new Sent(to, message));
         }
     }
--- a/consensus/src/test/java/dewplank/register/RegisterModel.java
+++ b/consensus/src/test/java/dewplank/register/RegisterModel.java
@@ -20,7 +20,13 @@
 
     /** A result by the numbers of its parts; null means that the step does not exist. */
     private record Effect(
-            int process, int[] stored, int uncertain, int[] proposals, int[] sent, List<ModelStep.Answer> answers) {}
+            int process,
+            int[] stored,
+            int uncertain,
+            int[] proposals,
+            int[] sent,
+            List<ModelStep.Answer> answers,
+            Ballot learned) {}
 
     private record Outgoing(int recipient, String identity, RegisterMessage message) {}
 
@@ -51,7 +57,7 @@
             ModelProcess process = scenario.processes.get(index);
             first.processes[index] = processes.number(process.print(), process);
             first.disks[index] = number(scenario.disks.get(index));
-            first.timeouts[index] = scenario.timeouts;
+            first.timeouts[index] = scenario.timeoutsOf(index);
         }
         first.kills = scenario.kills;
         first.failures = scenario.failures;
@@ -113,6 +119,15 @@
         return this;
     }
 
+    /** Starts a process without a disk anew in the initial state. */
+    RegisterModel restarted(int process) {
+        ModelState state = frontier.get(0);
+        state.wipes++;
+        wipe(state, process);
+        restart(following.get(0));
+        return this;
+    }
+
     private void restart(ModelState state) {
         frontier = new ArrayList<>(List.of(state));
         seen.clear();
@@ -166,7 +181,8 @@
         if (state.kills > 0) {
             kill(state, process);
         }
-        if (state.wipes > 0 && process == scenario.wiped) {
+        boolean hasFirstIdentity = disks.get(state.disks[process]).identity().equals(scenario.firstIdentity(process));
+        if (state.wipes > 0 && scenario.wiped.contains(process) && hasFirstIdentity) {
             wipe(state, process);
         }
     }
@@ -266,7 +282,7 @@
     }
 
     private void wipe(ModelState state, int process) {
-        String identity = ModelScenario.identity(process, scenario.wipedKeepsIdentity ? 0 : 1);
+        String identity = scenario.nextIdentity(process);
         ModelState next = next(state, () -> "wiped " + process);
         next.wipes--;
         ModelProcess wiped = processes.get(state.processes[process]).wiped(identity);
@@ -285,7 +301,8 @@
                 0,
                 new int[0],
                 new int[0],
-                List.of());
+                List.of(),
+                found.chosenBallot());
     }
 
     private Effect effect(ModelProcess.Result result) {
@@ -295,7 +312,12 @@
                 result.uncertain() == null ? 0 : number(result.uncertain()),
                 result.proposals().stream().mapToInt(this::number).toArray(),
                 result.output().sent.stream().mapToInt(this::number).toArray(),
-                result.output().answers);
+                result.output().answers,
+                learnedBallot(result.process()));
+    }
+
+    private static Ballot learnedBallot(ModelProcess process) {
+        return (Ballot) RegisterSnapshot.at(process.register(), "learner", "chosenBallot");
     }
 
     private void apply(ModelState next, int process, Effect effect) {
@@ -315,6 +337,7 @@
         for (int message : effect.sent) {
             next.send(message);
         }
+        learned(next, effect.learned);
         for (ModelStep.Answer answer : effect.answers) {
             answered(next, answer);
         }
@@ -335,6 +358,21 @@
         }
     }
 
+    /**
+     * What a process has learned is chosen by the votes of a quorum; or, among acceptors without a disk, by those that
+     * the process that counted knew to remain.
+     */
+    private void learned(ModelState state, Ballot ballot) {
+        for (int at = 0; at < state.votes.length; at += 2) {
+            ModelProposal proposal = proposals.get(state.votes[at]);
+            if (state.votes[at + 1] != CHOSEN && proposal.ballot().equals(ballot)) {
+                check(state, proposal.hasVolatileDeciders(), "learned but not chosen: " + proposal);
+                state.votes = ModelState.with(state.votes, at + 1, CHOSEN);
+                checkChosen(state, proposal);
+            }
+        }
+    }
+
     private Set<AcceptorId> voters(int bits) {
         Set<AcceptorId> voters = new HashSet<>();
         for (int number = 1; number <= acceptors.size(); number++) {
--- a/consensus/src/test/java/dewplank/register/RegisterModelTest.java
+++ b/consensus/src/test/java/dewplank/register/RegisterModelTest.java
@@ -1,5 +1,7 @@
 package dewplank.register;
 
+import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 
@@ -154,6 +156,69 @@
                 3);
     }
 
+    /** Both founders have no disk. A value is chosen and learned by one process; then any of them restart. */
+    @Test
+    void foundersWithoutADiskRestartOnceAValueIsChosen() {
+        explore(
+                model(foundersWithoutADisk(2).restarting(2, 3))
+                        .begin(0, ModelScenario.change(1, 0))
+                        .playUntil(registers -> registers.get(0).chosenValue() != null)
+                        .begin(1, ModelScenario.change(2, 0))
+                        .begin(0, ModelScenario.change(3, 1)),
+                8,
+                2);
+    }
+
+    /** The same from the start: any of them restart before, between and after the phases of two proposers. */
+    @Test
+    void foundersWithoutADiskRestartBetweenThePhases() {
+        explore(twoChanges(foundersWithoutADisk(1).restarting(2, 3)), 9, 1);
+    }
+
+    /** One founder of three has a disk, and proposes; the others restart. */
+    @Test
+    void foundersWithAndWithoutADisk() {
+        ModelScenario mixed = new ModelScenario(
+                        "founders with and without a disk",
+                        4,
+                        List.of(0, 2, 3),
+                        Set.of(2, 3),
+                        Chosen.class,
+                        Reject.class)
+                .with(1, 0, 0)
+                .restarting(2, 3);
+        explore(twoChanges(mixed), 8, 1);
+    }
+
+    /** A set without a disk is replaced by one with, and all its members restart: the joint set stays decidable. */
+    @Test
+    void foundersWithoutADiskRestartDuringTheirReplacement() {
+        explore(
+                model(foundersWithoutADisk(2))
+                        .begin(0, ModelScenario.reconfigure(0, A, B))
+                        .playUntil(registers -> registers.get(0).acceptors().isJoint())
+                        .restarted(2)
+                        .restarted(3)
+                        .begin(1, ModelScenario.change(1, 0)),
+                12,
+                2);
+    }
+
+    private static ModelScenario foundersWithoutADisk(int timeouts) {
+        return new ModelScenario("founders without a disk", 4, List.of(2, 3), Set.of(2, 3), Chosen.class, Reject.class)
+                .with(timeouts, 0, 0);
+    }
+
+    @Test
+    void detectsAFounderWithoutADiskThatKeepsItsIdentity() {
+        RegisterModel model = model(foundersWithoutADisk(1).restarting(2, 3).keepingIdentity())
+                .begin(0, ModelScenario.change(1, 0))
+                .playUntil(registers -> registers.get(0).chosenValue() != null)
+                .begin(1, ModelScenario.change(2, 0));
+        AssertionError noticed = Assertions.assertThrows(AssertionError.class, () -> model.explore(14));
+        Assertions.assertTrue(noticed.getMessage().startsWith("chosen are"), noticed.getMessage());
+    }
+
     @Test
     void detectsAWipedDiskThatKeepsItsIdentity() {
         ModelScenario broken = new ModelScenario("kept identity", 3, 3, OPTIONAL_TYPES)
--- a/consensus/src/test/java/dewplank/register/RegisterSnapshot.java
+++ b/consensus/src/test/java/dewplank/register/RegisterSnapshot.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,9 +31,11 @@
             ProposerState.InRound.class,
             ProposerState.BackingOff.class);
 
-    /** Fields without influence on messages or votes: the reports counted by anti-entropy, attempts and ids. */
+    /**
+     * Fields without influence on messages or votes: the reports counted by anti-entropy, attempts and ids. It
+     * uses one query id in all runs, as ids are reset: a report to any of its queries counts for the last.
+     */
     private static final Set<String> EXCLUDED_FIELDS = Set.of(
-            "AntiEntropy.queryId",
             "AntiEntropy.reporters",
             "AntiEntropy.newestReported",
             "AntiEntropy.newestReportedByQuorum",
@@ -91,7 +94,7 @@
             if (field.getType() == double.class) {
                 boolean isInThePast = Set.of("nextRunAtMs", "fetchStartedAtMs").contains(field.getName());
                 set(field, part, isInThePast ? Double.NEGATIVE_INFINITY : 0.0);
-            } else if (nameOf(field).equals("RequestIds.last") || nameOf(field).equals("AntiEntropy.queryId")) {
+            } else if (nameOf(field).equals("RequestIds.last")) {
                 set(field, part, 0L);
             } else if (field.getName().equals("attempt")) {
                 set(field, part, 1);
@@ -110,7 +113,7 @@
         for (Field field : fields(from.getClass())) {
             Object value = get(field, from);
             if (value instanceof ProposerState.InRound) {
-                Round<?> round = new Round<>(Ballot.NONE, Ballot.NONE, null, 0);
+                Round<?> round = new Round<>(Ballot.NONE, Ballot.NONE, null, Set.of(), 0);
                 ProposerState.InRound<?> inRound = new ProposerState.InRound<>(null, 0, round);
                 copyInto(value, inRound, seen);
                 set(field, to, inRound);
@@ -118,7 +121,7 @@
                 set(field, to, value);
             } else if (value != null && MUTABLE_PARTS.contains(value.getClass())) {
                 copyInto(value, get(field, to), seen);
-            } else if (value instanceof Collection) {
+            } else if (value instanceof Collection && !isImmutableSet(value)) {
                 copyElements(field, (Collection<?>) value, to);
             } else {
                 set(field, to, value);
@@ -126,6 +129,10 @@
         }
     }
 
+    private static boolean isImmutableSet(Object value) {
+        return value instanceof Set<?> set && Set.copyOf(set) == set;
+    }
+
     @SuppressWarnings("unchecked")
     private static void copyElements(Field field, Collection<?> elements, Object to) {
         if (Modifier.isFinal(field.getModifiers())) {
@@ -133,7 +140,7 @@
             target.clear();
             target.addAll(elements);
         } else {
-            set(field, to, new ArrayList<>(elements));
+            set(field, to, field.getType() == Set.class ? new HashSet<>(elements) : new ArrayList<>(elements));
         }
     }
 
--- a/consensus/src/test/java/dewplank/singleton/CandidateStateTest.java
+++ b/consensus/src/test/java/dewplank/singleton/CandidateStateTest.java
@@ -6,11 +6,13 @@
 import dewplank.register.AcceptorSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class CandidateStateTest {
     private static final LeaseTiming TIMING = new LeaseTiming(3_000, 150, 500, 250);
-    private static final VoteRound ROUND = new VoteRound(AcceptorSet.of(List.of(new AcceptorId("x", "x1"))), 1, 1, 100);
+    private static final VoteRound ROUND =
+            new VoteRound(AcceptorSet.of(List.of(new AcceptorId("x", "x1"))), Set.of(), 1, 1, 100);
     private static final CandidateState FOLLOWER = new FollowerState(100);
     private static final CandidateState PROBING = new ProbingState(ROUND, 600);
     private static final CandidateState REQUESTING_VOTES = new RequestingVotesState(ROUND, 600);
--- a/consensus/src/test/java/dewplank/singleton/CandidateTest.java
+++ b/consensus/src/test/java/dewplank/singleton/CandidateTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 
@@ -54,7 +55,7 @@
     private final Candidate candidate = new Candidate("list", "me", TIMING, () -> RANDOM_DRAW, 0);
 
     CandidateTest() {
-        candidate.updateVoterSet(0, AcceptorSet.of(VOTERS));
+        candidate.updateVoterSet(0, AcceptorSet.of(VOTERS), Set.of());
     }
 
     private void reply(double now, String voter, Verdict verdict, long number, double remainingMs) {
@@ -219,8 +220,8 @@
 
     @Test
     void tokensOfALaterSetAreAboveThoseOfEarlierSets() {
-        candidate.updateVoterSet(0, new AcceptorSet(2, VOTERS, List.of()));
-        candidate.updateVoterSet(0, new AcceptorSet(1, VOTERS.subList(0, 1), List.of()));
+        candidate.updateVoterSet(0, new AcceptorSet(2, VOTERS, List.of()), Set.of());
+        candidate.updateVoterSet(0, new AcceptorSet(1, VOTERS.subList(0, 1), List.of()), Set.of());
         acquireLease();
         assertEquals((2L << 20) + 1, candidate.fencingToken());
     }
@@ -241,7 +242,7 @@
     @Test
     void aJointSetNeedsBothMajorities() {
         List<AcceptorId> joining = List.of(VOTERS.get(0), new AcceptorId("y", "y2"), new AcceptorId("w", "w1"));
-        candidate.updateVoterSet(0, new AcceptorSet(1, VOTERS, joining));
+        candidate.updateVoterSet(0, new AcceptorSet(1, VOTERS, joining), Set.of());
         candidate.tick(125, effects);
         reply(150, "x", Verdict.GRANTED, 0, 0);
         reply(150, "z", Verdict.GRANTED, 0, 0);
@@ -263,14 +264,14 @@
     @Test
     void renewsByANewSetAtOnceButNotWithinAVoteTimeoutOfTheExpiry() {
         acquireLease();
-        candidate.updateVoterSet(1_000, new AcceptorSet(1, VOTERS, List.of()));
+        candidate.updateVoterSet(1_000, new AcceptorSet(1, VOTERS, List.of()), Set.of());
         assertEquals(1_000, candidate.nextTickAtMs());
         candidate.tick(1_000, effects);
         reply(1_010, "x", Verdict.GRANTED, 8, 3_000);
         reply(1_010, "y", Verdict.GRANTED, 8, 3_000);
         assertTrue(candidate.isLeaseHolder(1_000 + 2_849));
         double lateMs = 1_000 + 2_850 - 499;
-        candidate.updateVoterSet(lateMs, new AcceptorSet(2, VOTERS, List.of()));
+        candidate.updateVoterSet(lateMs, new AcceptorSet(2, VOTERS, List.of()), Set.of());
         candidate.tick(lateMs, effects);
         reply(lateMs + 10, "x", Verdict.GRANTED, 8, 3_000);
         reply(lateMs + 10, "y", Verdict.GRANTED, 8, 3_000);
--- a/consensus/src/test/java/dewplank/singleton/LeaseSimulation.java
+++ b/consensus/src/test/java/dewplank/singleton/LeaseSimulation.java
@@ -386,7 +386,7 @@
         private void updateVoterSets() {
             if (isUp()) {
                 voter.updateVoterSet(clock(), chosenSet.generation(), acceptedGeneration);
-                candidate.updateVoterSet(clock(), chosenSet);
+                candidate.updateVoterSet(clock(), chosenSet, Set.of());
             }
         }
 
--- a/controlplane/src/main/java/dewplank/controlplane/Bootstrap.java
+++ b/controlplane/src/main/java/dewplank/controlplane/Bootstrap.java
@@ -8,7 +8,8 @@
 
 /**
  * The bootstrap of the fleet: at its first start the seeds of the settings are the first acceptors, each with an
- * identity that follows from its address. Called while a process is created, before its loop runs.
+ * identity that follows from its address, or that {@link FounderTracker} learns where it has no disk. Called while a
+ * process is created, before its loop runs.
  */
 final class Bootstrap {
     private Bootstrap() {}
@@ -20,16 +21,20 @@
      */
     static Storage storage(NodeSettings settings, ControlEnvironment environment, MessageCodec codec, String address)
             throws StoreException {
-        String identityIfNew = settings.initialStart() ? bootstrapIdentity(address) : environment.newIdentity();
         if (settings.dataDirectory() == null) {
-            FleetBootstrap bootstrap = new FleetBootstrap(seeds(settings), settings.initialStart());
-            return new MemoryStorage(environment.scheduler(), identityIfNew, bootstrap);
+            String identity = AcceptorId.volatileIdentity(bootstrapIdentity(address), environment.newIdentity());
+            FleetBootstrap bootstrap = new FleetBootstrap(seeds(settings), true); // no vote under this identity yet
+            return new MemoryStorage(environment.scheduler(), identity, bootstrap);
         }
+        String identityIfNew = settings.initialStart() ? bootstrapIdentity(address) : environment.newIdentity();
         return new DiskStorage(
                 settings, identityIfNew, seeds(settings), environment.files(), environment.disk(), codec);
     }
 
-    /** The first set of acceptors, for a process that was one of them; empty for others, which receive the set. */
+    /**
+     * The first set of acceptors as if all had a disk, for a process that has one and that took part in the bootstrap;
+     * empty for others, which receive the set.
+     */
     static List<AcceptorId> initialAcceptors(Storage storage, String address) {
         return storage.identity().equals(bootstrapIdentity(address))
                 ? storage.founders().stream()
--- a/controlplane/src/main/java/dewplank/controlplane/ConfigurationStore.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ConfigurationStore.java
@@ -18,6 +18,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
@@ -211,6 +212,26 @@
         return register.acceptedGeneration();
     }
 
+    @Override
+    public Set<AcceptorId> endedAcceptors() {
+        return register.endedAcceptors();
+    }
+
+    /** Replaces the acceptors before the first chosen value. */
+    void updateInitialAcceptors(AcceptorSet initialAcceptors) {
+        register.updateInitialAcceptors(initialAcceptors);
+    }
+
+    /** Whether a value is known to be chosen. */
+    boolean hasChosenValue() {
+        return register.chosenValue() != null;
+    }
+
+    /** Whether none is, and the initial acceptors, without a disk, have all ended. */
+    boolean areInitialAcceptorsEnded() {
+        return register.areInitialAcceptorsEnded();
+    }
+
     /** Milliseconds since the last request that a quorum answered was sent; -1 where none was in this incarnation. */
     long quorumAgeMs() {
         double at = register.lastQuorumAtMs();
--- a/controlplane/src/main/java/dewplank/controlplane/ControlComponents.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlComponents.java
@@ -44,6 +44,7 @@
     private final ConfigurationStore configuration;
     private final ConfigurationHistory history = new ConfigurationHistory();
     private final QuorumConfirmation confirmation;
+    private final FounderTracker founderTracker;
     private final SingletonRoles roles;
     private final EndpointPoller poller;
     private final SessionTable sessionTable = new SessionTable(SESSION_LEASE_MS);
@@ -77,6 +78,8 @@
                 storage,
                 random,
                 new RegisterCallbacks());
+        founderTracker = new FounderTracker(
+                loop, Bootstrap.initialAcceptors(storage, address), bounds.catchUpMs(), storage, mesh, configuration);
         confirmation = new QuorumConfirmation(loop, storage.identity(), durable, mesh, configuration, history);
         double roleLeaseMs = LeaseTiming.leaseMs(bounds.catchUpMs(), bounds.contactMs(), bounds.drainMs());
         roles = new SingletonRoles(loop, self, roleLeaseMs, storage, random, configuration, mesh::send);
@@ -92,7 +95,12 @@
                 new StageController(loop, node, bounds.leaseMs(), poller, role, environment.modelServers(), policy);
         operatorApi = new OperatorApi(
                 configuration,
-                new QuorumRedirects(settings.control().getPort(), address, mesh, confirmation::canConfirm),
+                new QuorumRedirects(
+                        settings.control().getPort(),
+                        address,
+                        mesh,
+                        confirmation::canConfirm,
+                        founderTracker::areFoundersLost),
                 new OperatorViews(this));
         dispatcher =
                 new PeerMessageDispatcher(loop, configuration, sessionTable, sessions, mesh, poller, storage, roles);
@@ -203,6 +211,10 @@
         return history;
     }
 
+    FounderTracker founderTracker() {
+        return founderTracker;
+    }
+
     SingletonRoles roles() {
         return roles;
     }
--- a/controlplane/src/main/java/dewplank/controlplane/ControlMesh.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlMesh.java
@@ -145,6 +145,17 @@
         return links.size();
     }
 
+    /** Whether the link to the address is up. */
+    boolean isUp(String address) {
+        PeerLink link = links.get(address);
+        return link != null && link.isUp();
+    }
+
+    /** Whether the links to all control planes that are known are up, but for those to relays. */
+    boolean areAllControlPlanesUp() {
+        return links.values().stream().allMatch(link -> link.isUp() || isRelay(link.address()));
+    }
+
     /** Own address and those of the links that are up, without relays. */
     List<String> liveAddresses() {
         List<String> live = new ArrayList<>();
--- a/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
@@ -98,6 +98,7 @@
         boolean durable = components.isDurable();
         if (durable) {
             components.configuration().start();
+            components.founderTracker().start();
         }
         components
                 .mesh()
--- a/controlplane/src/main/java/dewplank/controlplane/DiskStorage.java
+++ b/controlplane/src/main/java/dewplank/controlplane/DiskStorage.java
@@ -10,6 +10,7 @@
 import dewplank.store.ChecksummedFile;
 import dewplank.store.DiskExecutor;
 import dewplank.store.DiskResult;
+import dewplank.store.FounderIdentities;
 import dewplank.store.StoreException;
 import dewplank.store.StoreFiles;
 import java.nio.ByteBuffer;
@@ -25,6 +26,8 @@
     private final ChecksummedFile serverList;
     private final MessageCodec codec;
     private final FleetBootstrap bootstrap;
+    private final FounderIdentities founderIdentities;
+    private final FounderIdentities.Record founderIdentitiesWhenOpened;
     private EndpointList pendingList;
     private boolean listSavePending;
 
@@ -51,6 +54,8 @@
         store = AcceptorStore.open(
                 settings.dataDirectory(), files, settings.resources().diskBytes(), identityIfNew);
         bootstrap = new FleetBootstrap(founders, settings.initialStart() && store.isNew());
+        founderIdentities = new FounderIdentities(files, settings.dataDirectory());
+        founderIdentitiesWhenOpened = founderIdentities.load();
         serverList = new ChecksummedFile(files, settings.dataDirectory(), "servers");
     }
 
@@ -79,6 +84,16 @@
         executor.submit(() -> store.saveFencingToken(role, token), done);
     }
 
+    @Override
+    public FounderIdentities.Record founderIdentities() {
+        return founderIdentitiesWhenOpened;
+    }
+
+    @Override
+    public void saveFounderIdentities(FounderIdentities.Record record, Consumer<DiskResult> done) {
+        executor.submit(() -> founderIdentities.store(record), done);
+    }
+
     @Override
     public Optional<EndpointList> savedList() {
         return serverList.read().flatMap(this::decode);
--- a/controlplane/src/main/java/dewplank/controlplane/MemoryStorage.java
+++ b/controlplane/src/main/java/dewplank/controlplane/MemoryStorage.java
@@ -4,13 +4,15 @@
 import dewplank.net.Scheduler;
 import dewplank.register.DurableState;
 import dewplank.store.DiskResult;
+import dewplank.store.FounderIdentities;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
  * The storage of a process without a disk, which lasts as long as the process. Such a process is an acceptor only at
- * the bootstrap of the fleet, if its address is among the seeds, until a process with a disk has replaced it.
+ * the bootstrap of the fleet, if its address is among the seeds, until a process with a disk has replaced it. Its
+ * identity is volatile, another one in each incarnation.
  */
 final class MemoryStorage implements Storage {
     private final Scheduler loop;
@@ -48,6 +50,16 @@
         loop.execute(() -> done.accept(DiskResult.Succeeded.INSTANCE));
     }
 
+    @Override
+    public FounderIdentities.Record founderIdentities() {
+        return FounderIdentities.Record.NONE;
+    }
+
+    @Override
+    public void saveFounderIdentities(FounderIdentities.Record record, Consumer<DiskResult> done) {
+        loop.execute(() -> done.accept(DiskResult.Succeeded.INSTANCE));
+    }
+
     @Override
     public Optional<EndpointList> savedList() {
         return Optional.empty();
--- a/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
@@ -59,6 +59,9 @@
         /** Whether a quorum of acceptors was reached recently, so that a call may succeed. */
         boolean hasQuorum();
 
+        /** Whether the first acceptors, without a disk, have all ended before this process knew of a chosen value. */
+        boolean areFoundersLost();
+
         /**
          * Where a control plane that recently had a quorum takes operators' calls, as IP:PORT; empty if none is known.
          */
@@ -185,11 +188,14 @@
         }
         List<String> others =
                 redirects.knownEndpoints().stream().map(JsonText::quoted).toList();
+        boolean foundersLost = redirects.areFoundersLost();
         respond(
                 caller,
                 OperatorResponse.result(
-                        ResultCode.NOT_CURRENT,
-                        "no majority of acceptors was reached lately",
+                        foundersLost ? ResultCode.FOUNDERS_LOST : ResultCode.NOT_CURRENT,
+                        foundersLost
+                                ? "the first acceptors, which had no disk, have all ended before anything was chosen"
+                                : "no majority of acceptors was reached lately",
                         JsonText.plain("elsewhere", JsonText.array(others))));
     }
 
--- a/controlplane/src/main/java/dewplank/controlplane/OperatorViews.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorViews.java
@@ -108,6 +108,8 @@
                         JsonText.plain(
                                 "acceptors_generation",
                                 components.configuration().acceptors().generation()),
+                        JsonText.plain(
+                                "founders_lost", components.founderTracker().areFoundersLost()),
                         JsonText.plain("config_version", components.history().version()),
                         JsonText.plain("acceptors", JsonText.array(acceptors)))
                 + "\n";
--- a/controlplane/src/main/java/dewplank/controlplane/QuorumConfirmation.java
+++ b/controlplane/src/main/java/dewplank/controlplane/QuorumConfirmation.java
@@ -63,6 +63,9 @@
     }
 
     private boolean isDurable(AcceptorId acceptor, boolean helloRequired) {
+        if (acceptor.isVolatile()) {
+            return false;
+        }
         Optional<ControlMesh.Peer> introduced =
                 mesh.peer(acceptor.address()).filter(p -> p.identity().equals(acceptor.identity()));
         return introduced.isPresent() ? introduced.get().durable() : !helloRequired;
--- a/controlplane/src/main/java/dewplank/controlplane/QuorumRedirects.java
+++ b/controlplane/src/main/java/dewplank/controlplane/QuorumRedirects.java
@@ -10,6 +10,7 @@
     private final String self;
     private final ControlMesh mesh;
     private final BooleanSupplier quorate;
+    private final BooleanSupplier foundersLost;
 
     /**
      * Ports are alike on all machines.
@@ -17,8 +18,11 @@
      * @param controlPort where operators call, here and elsewhere
      * @param self the own address on the links
      * @param quorate whether a majority was reached recently
+     * @param foundersLost whether the first acceptors are known to be gone for good
      */
-    QuorumRedirects(int controlPort, String self, ControlMesh mesh, BooleanSupplier quorate) {
+    QuorumRedirects(
+            int controlPort, String self, ControlMesh mesh, BooleanSupplier quorate, BooleanSupplier foundersLost) {
+        this.foundersLost = foundersLost;
         this.controlPort = controlPort;
         this.self = self;
         this.mesh = mesh;
@@ -30,6 +34,11 @@
         return quorate.getAsBoolean();
     }
 
+    @Override
+    public boolean areFoundersLost() {
+        return foundersLost.getAsBoolean();
+    }
+
     @Override
     public Optional<String> quorateEndpoint() {
         return mesh.quorateAddress().map(this::operatorEndpoint);
--- a/controlplane/src/main/java/dewplank/controlplane/SingletonRoles.java
+++ b/controlplane/src/main/java/dewplank/controlplane/SingletonRoles.java
@@ -8,6 +8,7 @@
 import dewplank.singleton.LeaseVoter;
 import dewplank.singleton.VoteReply;
 import dewplank.singleton.VoteRequest;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -34,6 +35,9 @@
         /** The newest set known to be chosen. */
         AcceptorSet acceptors();
 
+        /** Volatile acceptors that are known to have ended. */
+        Set<AcceptorId> endedAcceptors();
+
         /** The generation of the set accepted here last, whether or not it is chosen. */
         long acceptedGeneration();
     }
@@ -81,7 +85,7 @@
     /** Called before each vote: an acceptance leaves this process only after it was stored, so it is counted here. */
     private void updateVoters() {
         voter.updateVoterSet(loop.now(), voters.acceptors().generation(), voters.acceptedGeneration());
-        candidate.updateVoterSet(loop.now(), voters.acceptors());
+        candidate.updateVoterSet(loop.now(), voters.acceptors(), voters.endedAcceptors());
     }
 
     /** A candidate requests a vote; it may be this process's own. */
--- a/controlplane/src/test/java/dewplank/controlplane/OperatorApiTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/OperatorApiTest.java
@@ -57,12 +57,18 @@
     private static final class StandInRedirects implements OperatorApi.Redirects {
         private volatile boolean current = true;
         private volatile String better;
+        private volatile boolean foundersLost;
 
         @Override
         public boolean hasQuorum() {
             return current;
         }
 
+        @Override
+        public boolean areFoundersLost() {
+            return foundersLost;
+        }
+
         @Override
         public Optional<String> quorateEndpoint() {
             return Optional.ofNullable(better);
@@ -211,6 +217,18 @@
         assertEquals(200, get("/status").statusCode());
     }
 
+    @Test
+    void saysThatTheFoundersAreLostUnlessAnotherHasAQuorum() {
+        redirects.current = false;
+        redirects.foundersLost = true;
+        Map<String, Object> fields = result(ResultCode.FOUNDERS_LOST, get("/configuration"));
+        assertEquals(List.of("10.0.0.4:8080", "10.0.0.5:8080"), fields.get("elsewhere"));
+        result(ResultCode.FOUNDERS_LOST, call("PUT", "/configuration", "0", configuration(3)));
+        redirects.better = "10.0.0.4:8080";
+        result(ResultCode.ELSEWHERE, get("/configuration"));
+        assertEquals(List.of(), register.waits());
+    }
+
     @Test
     void redirectsToOneThatLatelyHadAQuorum() {
         redirects.current = false;
--- a/controlplane/src/test/java/dewplank/controlplane/OperatorRequestsTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/OperatorRequestsTest.java
@@ -63,6 +63,11 @@
             return true;
         }
 
+        @Override
+        public boolean areFoundersLost() {
+            return false;
+        }
+
         @Override
         public Optional<String> quorateEndpoint() {
             return Optional.empty();
--- a/simulation/src/test/java/dewplank/controlplane/ControlProcess.java
+++ b/simulation/src/test/java/dewplank/controlplane/ControlProcess.java
@@ -105,6 +105,16 @@
         return plane.components().configuration().acceptors();
     }
 
+    /** Whether it knows of a chosen value, so that {@link #acceptors} is a chosen set. */
+    public boolean hasChosenValue() {
+        return plane.components().configuration().hasChosenValue();
+    }
+
+    /** Whether it reports that all founders, without a disk, have ended too early. */
+    public boolean areFoundersLost() {
+        return plane.components().founderTracker().areFoundersLost();
+    }
+
     /** The identity of its disk. */
     public String identity() {
         return plane.components().storage().identity();
--- a/simulation/src/test/java/dewplank/simulation/ControlMachine.java
+++ b/simulation/src/test/java/dewplank/simulation/ControlMachine.java
@@ -24,6 +24,7 @@
     private final SimulatedDiskExecutor.DiskFaults diskFaults = new SimulatedDiskExecutor.DiskFaults();
     private List<String> seeds;
     private boolean initialStart;
+    private boolean settingsStayInitial;
     private ControlProcess process;
     private SimulatedDiskExecutor executor;
     private String incarnationName;
@@ -79,6 +80,11 @@
         }
     }
 
+    /** Its settings say {@code initial_start} also when it starts again. */
+    void keepInitialSettings() {
+        settingsStayInitial = true;
+    }
+
     /** The disk is lost while the machine is down. */
     void wipe() {
         fleet().log(name() + " loses its disk");
@@ -101,7 +107,7 @@
             fleet().log(name() + ": " + e.getMessage());
             return false;
         }
-        initialStart = false;
+        initialStart = initialStart && settingsStayInitial;
         process.start();
         return true;
     }
--- /dev/null
+++ b/simulation/src/test/java/dewplank/simulation/FounderRestartTest.java
@@ -0,0 +1,125 @@
+package dewplank.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * The first seconds of a fleet whose seeds name machines without a disk: all of them, or all machines, are killed or
+ * lose power at some moment of the bootstrap and start again, with settings that still say {@code initial_start} or no
+ * longer do. No two acceptor sets are ever chosen under one generation, no fencing token is granted twice, nothing that
+ * was confirmed is lost (all by {@link InvariantChecker}), and the fleet takes changes in the end.
+ */
+class FounderRestartTest {
+    private static final double LAST_KILL_MS = 2_700;
+    private static final double KILL_STEP_MS = 150;
+    private static final double MAX_DOWN_MS = 1_000;
+    private static final double CHANGES_UNTIL_MS = 6_000;
+    private static final double MEAN_PAUSE_MS = 250;
+    /** A bootstrap that begins anew waits for catch_up_s first, as long again where a machine comes up meanwhile. */
+    private static final double MAX_RECOVERY_MS = SimulatedFleet.RECOVERY_MS + 2 * SimulatedFleet.CATCH_UP_MS;
+
+    private static final double STEP_MS = 50;
+
+    /** Which machines end. */
+    enum Victims {
+        /** Those that the first seeds name and that have no disk. */
+        FOUNDERS_WITHOUT_A_DISK,
+        /** All machines. */
+        ALL
+    }
+
+    static Stream<Arguments> restarts() {
+        List<Arguments> restarts = new ArrayList<>();
+        long seed = 1;
+        for (int relays : new int[] {0, 1, 2, 3}) {
+            for (Victims victims : Victims.values()) {
+                for (boolean staysInitial : new boolean[] {true, false}) {
+                    restarts.add(Arguments.of(seed++, relays, victims, staysInitial));
+                }
+            }
+        }
+        return restarts.stream();
+    }
+
+    @ParameterizedTest
+    @MethodSource("restarts")
+    void aFleetIsFoundedOnceHoweverItsFoundersRestart(long seed, int relays, Victims victims, boolean staysInitial) {
+        for (double killAtMs = 0; killAtMs <= LAST_KILL_MS; killAtMs += KILL_STEP_MS) {
+            SplittableRandom random = new SplittableRandom(seed * 1_000_003 + (long) killAtMs);
+            SimulatedFleet fleet = new SimulatedFleet(3 + random.nextInt(3), relays, 3, random.split());
+            List<Machine> killed = victims == Victims.ALL ? fleet.machines() : List.copyOf(fleet.relays());
+            if (staysInitial) {
+                fleet.relays().forEach(ControlMachine::keepInitialSettings);
+                fleet.core().forEach(ControlMachine::keepInitialSettings);
+            }
+            fleet.contact().beyondTolerance();
+            FaultInjector faults = new FaultInjector(fleet, random.split());
+            boolean powerLost = random.nextBoolean();
+            fleet.time().after(killAtMs, () -> restartAll(killed, faults, powerLost, random));
+            play(fleet, random);
+        }
+    }
+
+    /** The founders without a disk restart one after the other, each while the next one still runs. */
+    @ParameterizedTest
+    @MethodSource("restarts")
+    void aFleetIsFoundedOnceWhenItsFoundersRestartInTurn(long seed, int relays, Victims victims, boolean staysInitial) {
+        for (double killAtMs = 0; killAtMs <= LAST_KILL_MS; killAtMs += KILL_STEP_MS) {
+            SplittableRandom random = new SplittableRandom(seed * 7_000_003 + (long) killAtMs);
+            SimulatedFleet fleet = new SimulatedFleet(3 + random.nextInt(3), relays, 3, random.split());
+            if (staysInitial) {
+                fleet.relays().forEach(ControlMachine::keepInitialSettings);
+            }
+            fleet.contact().beyondTolerance();
+            FaultInjector faults = new FaultInjector(fleet, random.split());
+            double atMs = killAtMs;
+            for (ControlMachine relay : fleet.relays()) {
+                fleet.time().after(atMs, () -> faults.kill(relay, random.nextDouble() * 100, () -> {}));
+                atMs += random.nextDouble() * 400;
+            }
+            play(fleet, random);
+        }
+    }
+
+    private static void restartAll(
+            List<Machine> machines, FaultInjector faults, boolean powerLost, SplittableRandom random) {
+        for (Machine machine : machines) {
+            double downMs = random.nextDouble() * MAX_DOWN_MS;
+            if (powerLost) {
+                faults.powerLoss(machine, downMs, () -> {});
+            } else {
+                faults.kill(machine, downMs, () -> {});
+            }
+        }
+    }
+
+    private static void play(SimulatedFleet fleet, SplittableRandom random) {
+        Operators operators = new Operators(fleet, random.split());
+        fleet.start();
+        operators.begin(CHANGES_UNTIL_MS + MAX_RECOVERY_MS, MEAN_PAUSE_MS);
+        fleet.time().playUntil(CHANGES_UNTIL_MS);
+        double endMs = CHANGES_UNTIL_MS + MAX_RECOVERY_MS;
+        while (!isCaughtUp(fleet)) {
+            fleet.invariants()
+                    .check(fleet.time().now() < endMs, "the fleet does not take changes after " + MAX_RECOVERY_MS);
+            fleet.time().playUntil(fleet.time().now() + STEP_MS);
+        }
+        assertTrue(fleet.core().stream().noneMatch(control -> control.process().areFoundersLost()));
+    }
+
+    private static boolean isCaughtUp(SimulatedFleet fleet) {
+        long floor = fleet.invariants().floor();
+        return floor > 0
+                && fleet.core().stream()
+                        .allMatch(control -> control.runs() && control.process().version() >= floor)
+                && fleet.edge().stream()
+                        .allMatch(data -> data.runs() && data.process().version() >= floor);
+    }
+}
--- a/simulation/src/test/java/dewplank/simulation/InvariantChecker.java
+++ b/simulation/src/test/java/dewplank/simulation/InvariantChecker.java
@@ -2,6 +2,7 @@
 
 import dewplank.configuration.Configuration;
 import dewplank.configuration.Route;
+import dewplank.register.AcceptorSet;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -29,6 +30,7 @@
     private final Map<String, Long> learned = new HashMap<>();
     private final Map<Machine, Lists> lastListsOf = new HashMap<>();
     private final Map<ControlMachine, String> leaseHolders = new HashMap<>();
+    private final Map<Long, AcceptorSet> setByGeneration = new HashMap<>();
     private long floor;
     private long digest = 1;
     private long answers;
@@ -82,6 +84,9 @@
             observed(control.process().configuration());
             mark(incarnation + " learns " + version);
         }
+        if (control.process().hasChosenValue()) {
+            chosen(control.process().acceptors(), incarnation);
+        }
         if (control.process().holdsList()) {
             holds(control, incarnation);
         } else {
@@ -89,6 +94,14 @@
         }
     }
 
+    /** Of each generation one acceptor set is chosen: two would decide apart from each other. */
+    private void chosen(AcceptorSet acceptors, String incarnation) {
+        AcceptorSet other = setByGeneration.putIfAbsent(acceptors.generation(), acceptors);
+        check(
+                other == null || other.equals(acceptors),
+                incarnation + " has " + acceptors + " where " + other + " was chosen");
+    }
+
     private void holds(ControlMachine control, String incarnation) {
         long number = control.process().fencingToken();
         String other = holders.putIfAbsent(number, incarnation);
