--- a/consensus/src/test/java/dewplank/membership/AcceptorPlacementTest.java
+++ b/consensus/src/test/java/dewplank/membership/AcceptorPlacementTest.java
@@ -144,4 +144,35 @@
         AcceptorSet joint = new AcceptorSet(1, List.of(A, B, C), List.of(D, B, C));
         assertEquals(joint.members(), placement.targetMembers(9_000, joint, settled(9_000, B, C, D, E)));
     }
+
+    private static AcceptorId volatileAcceptor(String address) {
+        return new AcceptorId(address, AcceptorId.volatileIdentity(address, "1"));
+    }
+
+    /** Also one from which nothing was ever received here: its identity says that it has no disk. */
+    @Test
+    void aSpareReplacesAnAcceptorWithoutADiskAtOnce() {
+        AcceptorId x = volatileAcceptor("x:1");
+        AcceptorId y = volatileAcceptor("y:1");
+        assertEquals(List.of(A, y), placement.targetMembers(0, set(x, y), settled(0, A)));
+        assertEquals(List.of(B, A), placement.targetMembers(0, set(x, A), settled(0, A, B)));
+    }
+
+    @Test
+    void acceptorsWithoutADiskAreRemovedOnceAllThatStartedTogetherHadTime() {
+        AcceptorId x = volatileAcceptor("x:1");
+        AcceptorSet mixed = set(A, x);
+        assertEquals(List.of(A, x), placement.targetMembers(0, mixed, settled(0, A)));
+        double early = TIMING.bootstrapGraceMs() - 1;
+        assertEquals(List.of(A, x), placement.targetMembers(early, mixed, settled(early, A)));
+        double late = TIMING.bootstrapGraceMs();
+        assertEquals(List.of(A), placement.targetMembers(late, mixed, settled(late, A)));
+        assertEquals(List.of(x), placement.targetMembers(late, set(x), List.of()), "some acceptor has to stay");
+    }
+
+    @Test
+    void aJointSetIsLeftToItsCompletion() {
+        AcceptorSet joint = new AcceptorSet(1, List.of(A, B, C), List.of(A, B, D));
+        assertEquals(List.of(A, B, C), placement.targetMembers(0, joint, settled(0, A, B, D, E)));
+    }
 }
--- a/consensus/src/test/java/dewplank/membership/SessionTableTest.java
+++ b/consensus/src/test/java/dewplank/membership/SessionTableTest.java
@@ -55,4 +55,30 @@
         assertEquals(SessionTable.Renewal.REJECTED_MAX_SESSIONS, table.renew(0, member("one more", 1)));
         assertEquals(SessionTable.Renewal.RENEWED, table.renew(0, member("n0", 1)), "one that is there is renewed");
     }
+
+    @Test
+    void leasesLastToTheirEndAndAreExtendedByTheTimeOfAStall() {
+        assertEquals(2_000, table.leaseMs());
+        table.renew(0, member("a", 1));
+        table.onSessionsReported(0, "other", List.of(member("b", 1)));
+        assertEquals(2, table.members(2_000).size());
+        table.extendLeases(500);
+        assertEquals(List.of(member("a", 1), member("b", 1)), table.members(2_500));
+        assertEquals(List.of(member("a", 1)), table.localSessions(2_500));
+        assertTrue(table.members(2_501).isEmpty());
+    }
+
+    @Test
+    void membersAreInTheOrderOfTheirNodes() {
+        table.renew(0, member("c", 1));
+        table.renew(0, member("a", 1));
+        table.onSessionsReported(0, "other", List.of(member("b", 1)));
+        assertEquals(List.of(member("a", 1), member("b", 1), member("c", 1)), table.members(1));
+    }
+
+    @Test
+    void theDigestDependsOnTheOrder() {
+        long inOrder = SessionTable.digest(List.of(member("a", 1), member("b", 1)));
+        assertNotEquals(inOrder, SessionTable.digest(List.of(member("b", 1), member("a", 1))));
+    }
 }
--- a/consensus/src/test/java/dewplank/singleton/LeaseVoterTest.java
+++ b/consensus/src/test/java/dewplank/singleton/LeaseVoterTest.java
@@ -229,4 +229,25 @@
         assertEquals(
                 Verdict.GRANTED, vote(voter, 0, Kind.REQUEST_VOTE, "a", 1, 3).verdict());
     }
+
+    /** A holder whose token is on disk renews without it; one whose token is not waits until the disk may be back. */
+    @Test
+    void aRenewalWaitsForADiskThatFailedOnlyWhereItNeedsOne() {
+        vote(0, Kind.REQUEST_VOTE, "a", 1);
+        diskFails = true;
+        failedAt = LEASE_MS;
+        assertEquals(
+                Verdict.ABSTAINED, vote(LEASE_MS, Kind.REQUEST_VOTE, "b", 2).verdict());
+        double duringBackoff = LEASE_MS + LEASE_MS / 4 - 1;
+        assertEquals(Verdict.ABSTAINED, vote(duringBackoff, Kind.RENEW, "b", 3).verdict());
+        diskFails = false;
+        assertEquals(Verdict.ABSTAINED, vote(duringBackoff, Kind.RENEW, "b", 3).verdict());
+        assertEquals(List.of(1L), effects.persistedTokens);
+        assertEquals(
+                Verdict.GRANTED, vote(duringBackoff + 1, Kind.RENEW, "b", 3).verdict());
+        assertEquals(List.of(1L, 3L), effects.persistedTokens);
+        diskFails = true;
+        assertEquals(
+                Verdict.GRANTED, vote(duringBackoff + 2, Kind.RENEW, "b", 3).verdict());
+    }
 }
