Close seven lines of behaviour noticed while reading, and log losses of the quorum

Change: the disk executor ends without an interrupt; a checksummed file above 16 MiB counts as damaged; a session that says a control plane's hello is closed; a malformed member address does not stop health summaries; an answered free cancels its timer; encode names an unlisted type; a closed discovery client opens no watch; a class of value 0 divides by nothing. A line when a control plane loses and regains its quorum.

--- a/balancer/src/main/java/dewplank/balancer/adaptive/ValueModel.java
+++ b/balancer/src/main/java/dewplank/balancer/adaptive/ValueModel.java
@@ -80,7 +80,8 @@
         }
         double requested =
                 classes.values().stream().mapToDouble(c -> c.valueRequested).sum();
-        double worstClass = isWorst ? settings.goal().worstClass() * requested / stats.valueRequested : 0;
+        boolean hasValue = stats.valueRequested > 0; // a class may be worth nothing
+        double worstClass = isWorst && hasValue ? settings.goal().worstClass() * requested / stats.valueRequested : 0;
         return settings.goal().all() + worstClass;
     }
 
--- a/balancer/src/test/java/dewplank/balancer/adaptive/AdmissionTest.java
+++ b/balancer/src/test/java/dewplank/balancer/adaptive/AdmissionTest.java
@@ -3,12 +3,16 @@
 import static dewplank.balancer.adaptive.BalancerFixture.actionsOf;
 import static dewplank.balancer.adaptive.BalancerFixture.firstSend;
 import static dewplank.balancer.adaptive.SettingsBuilder.settings;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dewplank.balancer.Action;
 import dewplank.balancer.Action.Reject;
 import dewplank.balancer.Action.Send;
+import dewplank.balancer.Settings.DeduplicationScope;
+import dewplank.balancer.Settings.Idempotency;
+import dewplank.balancer.Settings.RequestClass;
 import dewplank.balancer.Settings.Tenant;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -219,4 +223,30 @@
         }
         assertTrue(rejected <= 3, rejected + " rejected");
     }
+
+    /** Its share of the goal is a fraction with a divisor of zero. */
+    @Test
+    void aClassThatIsWorthNothingIsServedByAnIdleFleetAndRejectedFirst() {
+        SettingsBuilder worthless = settings().classes(requestClass("read", 0), requestClass("act", 5));
+        BalancerFixture fixture = BalancerFixture.withServers(worthless, 4);
+        assertArrayEquals(new int[] {0, 0}, load(fixture, 100, 20));
+        load(fixture, 100, 60);
+        int[] rejected = load(fixture, 200, 60);
+        assertTrue(rejected[0] > 10, rejected[0] + " reads rejected");
+        assertTrue(rejected[1] < rejected[0] / 4, rejected[1] + " acts rejected");
+    }
+
+    private static RequestClass requestClass(String name, double value) {
+        return new RequestClass(
+                name,
+                Idempotency.SAFE,
+                DeduplicationScope.ALL,
+                0,
+                SettingsBuilder.LATENCY_TARGET_MS,
+                0,
+                SettingsBuilder.DEADLINE_MS,
+                value,
+                0,
+                false);
+    }
 }
--- a/controlplane/src/main/java/dewplank/controlplane/ControlComponents.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlComponents.java
@@ -45,6 +45,7 @@
     private final ConfigurationHistory history = new ConfigurationHistory();
     private final QuorumConfirmation confirmation;
     private final FounderTracker founderTracker;
+    private final QuorumLog quorumLog;
     private final SingletonRoles roles;
     private final EndpointPoller poller;
     private final SessionTable sessionTable = new SessionTable(SESSION_LEASE_MS);
@@ -81,6 +82,7 @@
         founderTracker = new FounderTracker(
                 loop, Bootstrap.initialAcceptors(storage, address), bounds.catchUpMs(), storage, mesh, configuration);
         confirmation = new QuorumConfirmation(loop, storage.identity(), durable, mesh, configuration, history);
+        quorumLog = new QuorumLog(loop, () -> configuration.hasQuorum(QuorumConfirmation.QUORUM_VALIDITY_MS));
         double roleLeaseMs = LeaseTiming.leaseMs(bounds.catchUpMs(), bounds.contactMs(), bounds.drainMs());
         roles = new SingletonRoles(loop, self, roleLeaseMs, storage, random, configuration, mesh::send);
         SingletonRole role = roles.endpointList();
@@ -211,6 +213,10 @@
         return history;
     }
 
+    QuorumLog quorumLog() {
+        return quorumLog;
+    }
+
     FounderTracker founderTracker() {
         return founderTracker;
     }
--- a/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
@@ -131,6 +131,9 @@
             pushedMembersDigest = digest;
             components.sessions().pushUpdates();
         }
+        if (components.isDurable()) {
+            components.quorumLog().check();
+        }
         loop.after(MEMBERS_CHECK_INTERVAL_MS, this::pushMembers);
     }
 
--- a/controlplane/src/main/java/dewplank/controlplane/InboundLink.java
+++ b/controlplane/src/main/java/dewplank/controlplane/InboundLink.java
@@ -39,7 +39,7 @@
     public void received(MessageLink connection, Object message) {
         if (peer != null) {
             receivedFromPeer(connection, message);
-        } else if (message instanceof ControlHello hello) {
+        } else if (message instanceof ControlHello hello && session == null) {
             peer = hello;
             mesh.helloReceived(hello);
         } else if (message instanceof SessionOpen opening && session == null) {
--- /dev/null
+++ b/controlplane/src/main/java/dewplank/controlplane/QuorumLog.java
@@ -0,0 +1,61 @@
+package dewplank.controlplane;
+
+import dewplank.net.Scheduler;
+import dewplank.settings.ResultCode;
+import java.util.function.BooleanSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Logs when this control plane loses and regains its quorum: one line each, with the numbered code that operators get
+ * meanwhile. A loss shorter than the time that calls rely on a quorum is none. On the loop's thread only.
+ */
+final class QuorumLog {
+    private static final Logger LOG = LoggerFactory.getLogger(QuorumLog.class);
+
+    /** What {@link #check} found. */
+    enum Transition {
+        NONE,
+        LOST,
+        REGAINED
+    }
+
+    private final Scheduler loop;
+    private final BooleanSupplier quorate;
+    private boolean wasQuorate;
+    private double lastQuorateAtMs;
+
+    /** @param quorate whether a quorum was reached within the time that calls rely on */
+    QuorumLog(Scheduler loop, BooleanSupplier quorate) {
+        this.loop = loop;
+        this.quorate = quorate;
+    }
+
+    /** To be called a few times a second; returns what was logged. */
+    Transition check() {
+        boolean isQuorate = quorate.getAsBoolean();
+        if (isQuorate == wasQuorate) {
+            lastQuorateAtMs = isQuorate ? loop.now() : lastQuorateAtMs;
+            return Transition.NONE;
+        }
+        boolean isFirst = lastQuorateAtMs == 0;
+        double lostForMs = loop.now() - lastQuorateAtMs;
+        wasQuorate = isQuorate;
+        lastQuorateAtMs = isQuorate ? loop.now() : lastQuorateAtMs;
+        return isQuorate ? logRegained(isFirst, lostForMs) : logLost();
+    }
+
+    private static Transition logLost() {
+        LOG.warn("{}", ResultCode.NOT_CURRENT.line("quorum lost: changes and reads are answered elsewhere"));
+        return Transition.LOST;
+    }
+
+    private static Transition logRegained(boolean isFirst, double lostForMs) {
+        if (isFirst) {
+            LOG.info("quorum reached");
+        } else {
+            LOG.info("quorum regained lostForMs={}", Math.round(lostForMs));
+        }
+        return Transition.REGAINED;
+    }
+}
--- a/dataplane/src/main/java/dewplank/dataplane/HealthGossip.java
+++ b/dataplane/src/main/java/dewplank/dataplane/HealthGossip.java
@@ -9,7 +9,6 @@
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
@@ -99,7 +98,7 @@
         peers.removeIf(m -> !m.role.equals(Member.DATA) || m.address.equals(self.address));
         Collections.shuffle(peers, random);
         for (Member peer : peers.subList(0, Math.min(PARAMETERS.maxPeersPerRound(), peers.size()))) {
-            send(bytes, SocketAddresses.parse(peer.address));
+            send(bytes, peer);
         }
     }
 
@@ -121,11 +120,12 @@
         return new HealthSummary(self.incarnation, ++sequence, suspected, healthy);
     }
 
-    private void send(byte[] bytes, InetSocketAddress to) {
+    /** A member with a malformed address, which its own session named, must not keep summaries from the others. */
+    private void send(byte[] bytes, Member to) {
         try {
-            socket.send(new DatagramPacket(bytes, bytes.length, to));
-        } catch (IOException e) { // the next summary may reach it
-            LOG.debug("health summary not sent peer={}", to, e);
+            socket.send(new DatagramPacket(bytes, bytes.length, SocketAddresses.parse(to.address)));
+        } catch (IOException | IllegalArgumentException e) { // the next summary may reach it
+            LOG.debug("health summary not sent peer={}", to.address, e);
         }
     }
 
--- a/dataplane/src/main/java/dewplank/dataplane/KvHandle.java
+++ b/dataplane/src/main/java/dewplank/dataplane/KvHandle.java
@@ -25,6 +25,7 @@
     void free(Forwarder forwarder) {
         EventLoop loop = forwarder.loop();
         forwarder.counters().add(Counters.Count.FREED);
+        DiscardingListener listener = new DiscardingListener();
         HttpCall delete = new HttpCall(
                         loop,
                         server.address,
@@ -32,9 +33,9 @@
                         MessageWriter.request("DELETE", "/kv-handle/" + id, server.addressText)
                                 .header(HeaderNames.TARGET_INSTANCE, server.state.instanceId())
                                 .body(new byte[0]),
-                        new DiscardingListener())
+                        listener)
                 .exclusive();
         delete.start(forwarder.connectTimeoutMs());
-        loop.after(FREE_TIMEOUT_MS, delete::cancel);
+        listener.cancelWhenOver(loop.after(FREE_TIMEOUT_MS, delete::cancel));
     }
 }
--- a/messages/src/main/java/dewplank/message/MessageCodec.java
+++ b/messages/src/main/java/dewplank/message/MessageCodec.java
@@ -44,10 +44,15 @@
     /**
      * Encodes a message as one frame, ready to be read.
      *
-     * @param message of one of the codec's types; any other is an error of the caller
+     * @param message of one of the codec's types
+     * @throws IllegalArgumentException if the message is of another type, an error of the caller
      */
     public ByteBuffer encode(Object message) {
-        int number = typeNumbers.get(message.getClass());
+        Integer number = typeNumbers.get(message.getClass());
+        if (number == null) {
+            throw new IllegalArgumentException(
+                    "no message type: " + message.getClass().getName());
+        }
         byte[] body;
         try {
             body = ProtostuffIOUtil.toByteArray(message, schemas.get(number), buffer);
@@ -56,7 +61,7 @@
         }
         return ByteBuffer.allocate(HEADER_BYTES + body.length)
                 .putInt(body.length)
-                .put((byte) number)
+                .put(number.byteValue())
                 .put(body)
                 .flip();
     }
--- a/messages/src/test/java/dewplank/message/MessageCodecTest.java
+++ b/messages/src/test/java/dewplank/message/MessageCodecTest.java
@@ -326,4 +326,10 @@
             }
         }
     }
+
+    @Test
+    void namesATypeThatIsNoMessage() {
+        IllegalArgumentException failure = assertThrows(IllegalArgumentException.class, () -> codec.encode("text"));
+        assertEquals("no message type: java.lang.String", failure.getMessage());
+    }
 }
--- a/sidecar/src/main/java/dewplank/discovery/DiscoveryClient.java
+++ b/sidecar/src/main/java/dewplank/discovery/DiscoveryClient.java
@@ -89,11 +89,11 @@
     }
 
     /**
-     * Discovery listens elsewhere from now on. Its watch is moved at once: the old address takes no new
-     * connection, and closes those that it has.
+     * Discovery listens elsewhere from now on; of no effect once closed. Its watch is moved at once: the old address
+     * takes no new connection, and closes those that it has.
      */
     public void moveTo(InetSocketAddress next) {
-        if (!next.equals(discoveryAddress)) {
+        if (!isClosed && !next.equals(discoveryAddress)) {
             discoveryAddress = next;
             isWatchUp = false;
             if (watch != null) {
--- a/sidecar/src/test/java/dewplank/sidecar/DiscoveryClientTest.java
+++ b/sidecar/src/test/java/dewplank/sidecar/DiscoveryClientTest.java
@@ -83,6 +83,27 @@
         }
     }
 
+    /** A reload may come in the last moments of a drain. */
+    @Test
+    void aMoveOnceClosedOpensNoWatch() throws Exception {
+        EventLoop loop = new EventLoop();
+        try (ScriptedPeer agent = new ScriptedPeer();
+                ScriptedPeer moved = new ScriptedPeer();
+                ScriptedPeer probe = new ScriptedPeer()) {
+            DiscoveryClient discovery = new DiscoveryClient(loop, agent.address(), false, false, update -> {});
+            DiscoveryClient open = new DiscoveryClient(loop, agent.address(), false, false, update -> {});
+            loop.execute(() -> {
+                discovery.close();
+                discovery.moveTo(moved.address());
+                open.moveTo(probe.address());
+            });
+            assertNotNull(probe.next());
+            assertTrue(moved.hasNoRequest());
+        } finally {
+            loop.stop();
+        }
+    }
+
     @Test
     void aListMayComeIndentedAndInChunks() throws Exception {
         try (LoopbackNetwork net = new LoopbackNetwork(0)) {
--- a/simulation/src/test/java/dewplank/simulation/FounderRestartTest.java
+++ b/simulation/src/test/java/dewplank/simulation/FounderRestartTest.java
@@ -1,14 +1,18 @@
 package dewplank.simulation;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dewplank.register.AcceptorId;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * The first seconds of a fleet whose seeds name machines without a disk: all of them, or all machines, are killed or
@@ -26,6 +30,9 @@
     private static final double MAX_RECOVERY_MS = SimulatedFleet.RECOVERY_MS + 2 * SimulatedFleet.CATCH_UP_MS;
 
     private static final double STEP_MS = 50;
+    private static final double CUT_STEP_MS = 2;
+    /** Several times catch_up_s, after which a bootstrap may begin anew. */
+    private static final double PARTITION_MS = 4 * SimulatedFleet.CATCH_UP_MS;
 
     /** Which machines end. */
     enum Victims {
@@ -88,6 +95,72 @@
         }
     }
 
+    /**
+     * A control plane heard of the founders and is then partitioned from everyone, while the other four found the
+     * fleet and confirm changes. The founders restart and can be reached by all, the four not. The one must not found
+     * a second fleet with the founders' successors, however long that lasts, and it says why.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void noSecondFleetIsFoundedWhileOneIsOutOfReach(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        SimulatedFleet fleet = new SimulatedFleet(5, 3, 3, random.split());
+        fleet.relays().forEach(ControlMachine::keepInitialSettings);
+        fleet.contact().beyondTolerance();
+        Operators operators = new Operators(fleet, random.split());
+        FaultInjector faults = new FaultInjector(fleet, random.split());
+        List<ControlMachine> founding = fleet.core().subList(0, 4);
+        List<ControlMachine> apart = fleet.core().subList(4, 5);
+        fleet.start();
+        cut(fleet, apart, founding, true);
+        cut(fleet, founding, fleet.relays(), true);
+        playUntil(fleet, () -> apart.stream().allMatch(FounderRestartTest::knowsAllFounders));
+        cut(fleet, apart, fleet.relays(), true);
+        cut(fleet, founding, fleet.relays(), false);
+        operators.begin(fleet.time().now() + 4 * PARTITION_MS, MEAN_PAUSE_MS);
+        playUntil(fleet, () -> fleet.invariants().floor() > 0);
+        assertTrue(apart.stream().noneMatch(control -> control.process().hasChosenValue()));
+        fleet.relays().forEach(relay -> faults.kill(relay, random.nextDouble() * 100, () -> {}));
+        cut(fleet, apart, fleet.relays(), false);
+        playUntil(fleet, () -> apart.stream()
+                .allMatch(control -> control.process().areFoundersLost()));
+        fleet.time().playUntil(fleet.time().now() + PARTITION_MS);
+        for (ControlMachine control : apart) {
+            assertTrue(control.process().areFoundersLost(), control.name());
+            assertFalse(control.process().hasChosenValue(), control.name());
+        }
+        cut(fleet, apart, founding, false);
+        playUntil(fleet, () -> isCaughtUp(fleet));
+    }
+
+    private static boolean knowsAllFounders(ControlMachine control) {
+        return control.process() != null
+                && control.process().acceptors().members().stream().allMatch(AcceptorId::isVolatile);
+    }
+
+    private static void cut(
+            SimulatedFleet fleet, List<ControlMachine> some, List<ControlMachine> others, boolean begins) {
+        for (ControlMachine one : some) {
+            for (ControlMachine other : others) {
+                if (begins) {
+                    fleet.network().cut(one.ip(), other.ip());
+                    fleet.network().cut(other.ip(), one.ip());
+                } else {
+                    fleet.network().heal(one.ip(), other.ip());
+                    fleet.network().heal(other.ip(), one.ip());
+                }
+            }
+        }
+    }
+
+    private static void playUntil(SimulatedFleet fleet, BooleanSupplier condition) {
+        double endMs = fleet.time().now() + MAX_RECOVERY_MS;
+        while (!condition.getAsBoolean()) {
+            fleet.invariants().check(fleet.time().now() < endMs, "not within " + MAX_RECOVERY_MS + " ms");
+            fleet.time().playUntil(fleet.time().now() + CUT_STEP_MS);
+        }
+    }
+
     private static void restartAll(
             List<Machine> machines, FaultInjector faults, boolean powerLost, SplittableRandom random) {
         for (Machine machine : machines) {
--- a/store/src/main/java/dewplank/store/ChecksummedFile.java
+++ b/store/src/main/java/dewplank/store/ChecksummedFile.java
@@ -15,6 +15,10 @@
  */
 public final class ChecksummedFile {
     private static final int CHECKSUM_BYTES = Long.BYTES;
+
+    /** Far above the largest list of endpoints; a larger file was not written here, and would not fit into memory. */
+    static final long MAX_FILE_BYTES = 16 * 1024 * 1024;
+
     private static final String NEXT_SUFFIX = ".next";
 
     private final StoreFiles files;
@@ -43,10 +47,11 @@
     }
 
     private static Optional<byte[]> read(StoreFile file) throws IOException {
-        if (file.size() < CHECKSUM_BYTES) {
+        long size = file.size();
+        if (size < CHECKSUM_BYTES || size > MAX_FILE_BYTES) {
             return Optional.empty();
         }
-        ByteBuffer bytes = ByteBuffer.allocate((int) file.size());
+        ByteBuffer bytes = ByteBuffer.allocate((int) size);
         file.read(bytes, 0);
         bytes.flip();
         long checksum = bytes.getLong();
@@ -59,9 +64,13 @@
      * Replaces the content. It is durable when this returns. Blocks on syncs: called on the disk thread, or before the
      * event loop runs.
      *
-     * @throws StoreException if the disk failed; the file then has the old content, or the new one
+     * @throws StoreException if the content is too large, or the disk failed; the file then has the old content, or
+     *     after a failure the new one
      */
     public void replace(byte[] content) throws StoreException {
+        if (content.length > MAX_FILE_BYTES - CHECKSUM_BYTES) {
+            throw new StoreException(path.getFileName() + " is too large: " + content.length + " bytes");
+        }
         try {
             files.delete(nextPath);
             try (StoreFile next = files.open(nextPath)) {
--- a/store/src/main/java/dewplank/store/SingleThreadDiskExecutor.java
+++ b/store/src/main/java/dewplank/store/SingleThreadDiskExecutor.java
@@ -16,9 +16,11 @@
 
     private record Submission(Task task, Consumer<DiskResult> completion) {}
 
+    /** Wakes the thread, which then sees that the executor is closed; never run. */
+    private static final Submission WAKE_UP = new Submission(() -> {}, result -> {});
+
     private final BlockingQueue<Submission> queue = new ArrayBlockingQueue<>(MAX_QUEUED_TASKS);
     private final Executor loop;
-    private final Thread thread;
     private volatile boolean closed;
 
     /**
@@ -28,7 +30,7 @@
      */
     public SingleThreadDiskExecutor(Executor loop) {
         this.loop = loop;
-        this.thread = new Thread(this::runQueue, "disk");
+        Thread thread = new Thread(this::runQueue, "disk");
         thread.setDaemon(true);
         thread.start();
     }
@@ -43,14 +45,17 @@
     @Override
     public void close() {
         closed = true;
-        thread.interrupt();
+        queue.clear();
+        queue.add(WAKE_UP); // an interrupt would close the channel that the task in progress writes to
     }
 
     private void runQueue() {
         while (!closed) {
             try {
                 Submission next = queue.take();
-                complete(next.completion, run(next.task));
+                if (!closed) {
+                    complete(next.completion, run(next.task));
+                }
             } catch (InterruptedException stopped) {
                 return;
             }
--- a/store/src/test/java/dewplank/store/SingleThreadDiskExecutorTest.java
+++ b/store/src/test/java/dewplank/store/SingleThreadDiskExecutorTest.java
@@ -1,5 +1,9 @@
 package dewplank.store;
 
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -9,6 +13,7 @@
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 @Timeout(20)
 class SingleThreadDiskExecutorTest {
@@ -71,6 +76,34 @@
         Assertions.assertEquals("hanging done", results.get(1));
     }
 
+    /** An interrupt would close the channel under a write, and the write's outcome would be unknown. */
+    @Test
+    void closingLetsTheTaskInProgressEndAndDropsThoseQueued(@TempDir Path directory) throws Exception {
+        CountDownLatch closed = new CountDownLatch(1);
+        CountDownLatch begun = new CountDownLatch(1);
+        Path file = directory.resolve("written");
+        submit("in progress", () -> {
+            begun.countDown();
+            awaitQuietly(closed);
+            try (StoreFile written = new DiskFiles().open(file)) {
+                written.write(ByteBuffer.wrap(new byte[] {1, 2, 3}), 0);
+                written.sync();
+            } catch (IOException e) {
+                throw new StoreException("interrupted", e);
+            }
+        });
+        submit("queued", () -> {});
+        begun.await();
+        disk.close();
+        closed.countDown();
+        runLoop(1);
+        Assertions.assertEquals(List.of("in progress done"), results);
+        Assertions.assertEquals(3, Files.size(file));
+        submit("late", () -> {});
+        runLoop(1);
+        Assertions.assertEquals(List.of("in progress done", "late failed"), results);
+    }
+
     private static void awaitQuietly(CountDownLatch latch) {
         try {
             latch.await();
