Bound the bytes that are queued for peers that do not read

Change: WriteBudget counts queued bytes by connection (12 MiB) and by process (24 MiB or a quarter of the heap); beyond, the connection with the longest queue ends as if its peer had broken it, with one log line and a count. Above 4 MiB queued in all, pieces of 4 KiB. Connection's queue is a class of its own.

--- a/transport/src/main/java/dewplank/net/Connection.java
+++ b/transport/src/main/java/dewplank/net/Connection.java
@@ -7,15 +7,14 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.function.Consumer;
 
 /**
  * A TCP connection on an {@link EventLoop}.
  *
  * <p>A read is always pending, so that a peer that closes is noticed at once. One write is pending at a time; further
- * ones wait in a queue, which the user has to bound. Every method is called, and every callback runs, on the loop's
+ * ones wait in a queue. A peer that does not read while more is queued than {@link WriteBudget} allows loses the
+ * connection, as if it had broken it. Every method is called, and every callback runs, on the loop's
  * thread. Errors of the socket end the connection and reach the {@link Handler}; no method throws them.
  */
 public final class Connection {
@@ -42,15 +41,13 @@
         default void readAheadExceeded() {}
     }
 
-    private record Write(ByteBuffer bytes, Runnable onWritten) {}
-
     private final EventLoop loop;
     private final AsynchronousSocketChannel channel;
     private ByteBuffer input = ByteBuffer.allocate(BUFFER_BYTES);
     private int consumedTo; // the handler has consumed the bytes before this index
     private int filledTo; // the rest belongs to the pending read, which another thread may be filling
     private boolean hasReadAheadBuffer;
-    private final Deque<Write> writes = new ArrayDeque<>();
+    private final WriteQueue writes;
     private Handler handler;
     private boolean reading;
     private boolean delivering;
@@ -65,6 +62,7 @@
         this.loop = loop;
         this.channel = channel;
         this.handler = handler;
+        this.writes = new WriteQueue(this, loop.writeBudget());
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
     }
 
@@ -286,12 +284,20 @@
         if (closed) {
             return;
         }
-        writes.addLast(new Write(bytes, onWritten));
-        if (writes.size() == 1) {
-            channel.write(bytes, null, onWriteDone);
+        if (writes.add(bytes, onWritten)) {
+            channel.write(writes.nextPiece(), null, onWriteDone);
         }
     }
 
+    /** In a later task: neither the writer nor a handler expects the end of a connection within a write. */
+    void closeForOverflow() {
+        LOG.log(
+                System.Logger.Level.WARNING,
+                "connection closed: its peer does not read, queuedBytes={0} of all connections",
+                Long.toString(loop.writeBudget().totalBytes()));
+        loop.execute(() -> closeAndNotify(new IOException("the peer does not read")));
+    }
+
     private void onWriteDone(int n, Throwable failure) {
         if (closed) {
             return;
@@ -300,16 +306,13 @@
             closeAndNotify(asIoException(failure));
             return;
         }
-        ByteBuffer bytes = writes.peekFirst().bytes();
-        if (bytes.hasRemaining()) { // a partial write
-            channel.write(bytes, null, onWriteDone);
-            return;
-        }
-        Write done = writes.removeFirst();
+        Runnable onWritten = writes.taken(n);
         if (!writes.isEmpty()) {
-            channel.write(writes.peekFirst().bytes(), null, onWriteDone);
+            channel.write(writes.nextPiece(), null, onWriteDone);
+        }
+        if (onWritten != null) {
+            onWritten.run();
         }
-        done.onWritten().run();
         shutdownOutputIfDrained();
     }
 
@@ -353,6 +356,7 @@
             closed = true;
             closeQuietly(channel);
             releaseReadAhead();
+            writes.clear();
             onClosed.run();
         }
     }
--- a/transport/src/main/java/dewplank/net/EventLoop.java
+++ b/transport/src/main/java/dewplank/net/EventLoop.java
@@ -27,11 +27,18 @@
     private final long nanosAtStart = System.nanoTime();
     private final TimerWheel wheel = new TimerWheel(now(), TICK_MS);
     private final ByteBuffer discardBuffer = ByteBuffer.allocateDirect(DISCARD_BUFFER_BYTES);
+    private final WriteBudget writeBudget;
     private volatile Thread thread;
     private volatile boolean isStopping;
     private int readAheadBuffers;
 
+    /** Starts the thread, with bounds of queued bytes that suit the heap. */
     public EventLoop() throws IOException {
+        this(new WriteBudget());
+    }
+
+    EventLoop(WriteBudget writeBudget) throws IOException {
+        this.writeBudget = writeBudget;
         executor = new ScheduledThreadPoolExecutor(1, task -> {
             thread = new Thread(task, "loop");
             thread.setDaemon(true); // a program whose main thread fails must end, not linger without it
@@ -104,6 +111,11 @@
         readAheadBuffers--;
     }
 
+    /** Bounds what connections queue for peers that do not read. */
+    WriteBudget writeBudget() {
+        return writeBudget;
+    }
+
     AsynchronousChannelGroup group() {
         return group;
     }
