--- a/consensus/src/test/java/dewplank/singleton/CandidateTest.java
+++ b/consensus/src/test/java/dewplank/singleton/CandidateTest.java
@@ -290,4 +290,63 @@
         candidate.tick(5_325, effects);
         assertEquals(all(Kind.PROBE), effects.drain());
     }
+
+    @Test
+    void aCandidateThatShutsDownWithdrawsTheVotesItRequested() {
+        candidate.tick(125, effects);
+        reply(150, "x", Verdict.GRANTED, 7, 0);
+        reply(150, "z", Verdict.GRANTED, 4, 0);
+        effects.drain();
+        candidate.shutDown(160, effects);
+        assertEquals(List.of("WITHDRAW x", "WITHDRAW y", "WITHDRAW z"), effects.drain());
+        assertEquals(Double.POSITIVE_INFINITY, candidate.nextTickAtMs());
+        candidate.tick(1e9, effects);
+        candidate.stepDown(1e9, 1, effects);
+        candidate.shutDown(1e9, effects);
+        assertEquals(List.of(), effects.drain());
+    }
+
+    @Test
+    void aCandidateThatStepsDownDuringAnElectionWithdrawsAndWaits() {
+        candidate.tick(125, effects);
+        reply(150, "x", Verdict.GRANTED, 7, 0);
+        reply(150, "z", Verdict.GRANTED, 4, 0);
+        effects.drain();
+        candidate.stepDown(160, 5_000, effects);
+        assertEquals(List.of("WITHDRAW x", "WITHDRAW y", "WITHDRAW z"), effects.drain());
+        candidate.onLeaseReleased(170);
+        candidate.tick(5_159, effects);
+        assertEquals(List.of(), effects.drain());
+        candidate.tick(5_160 + 250, effects);
+        assertEquals(List.of("PROBE x", "PROBE y", "PROBE z"), effects.drain());
+    }
+
+    /** Where a voter without a disk has ended, the others decide; a round that was sent before waits for it. */
+    @Test
+    void roundsLeaveOutVotersThatHadEndedBeforeTheyWereSent() {
+        AcceptorId founder = new AcceptorId("x", AcceptorId.volatileIdentity("x", "1"));
+        AcceptorId other = new AcceptorId("y", AcceptorId.volatileIdentity("y", "1"));
+        AcceptorSet founders = AcceptorSet.of(List.of(founder, other));
+        candidate.updateVoterSet(0, founders, Set.of());
+        candidate.tick(125, effects);
+        replyAs(150, other, Verdict.GRANTED);
+        assertEquals(List.of("PROBE x", "PROBE y"), effects.drain());
+        candidate.updateVoterSet(160, founders, Set.of(founder));
+        replyAs(170, other, Verdict.GRANTED);
+        assertEquals(List.of(), effects.drain(), "the probe was sent before");
+        candidate.tick(10_000, effects);
+        candidate.tick(20_000, effects);
+        assertEquals(List.of("PROBE x", "PROBE y"), effects.drain());
+        replyAs(20_001, other, Verdict.GRANTED);
+        assertEquals(List.of("REQUEST_VOTE x", "REQUEST_VOTE y"), effects.drain());
+        replyAs(20_002, other, Verdict.GRANTED);
+        assertEquals(1, effects.drain().size());
+        assertTrue(candidate.isLeaseHolder(20_003));
+    }
+
+    private void replyAs(double now, AcceptorId voter, Verdict verdict) {
+        VoteRequest request = effects.lastRequests.get(voter.address());
+        candidate.onVoteReply(
+                now, new VoteReply(request, voter.identity(), verdict, new VoteState(0, null, 0)), effects);
+    }
 }
