--- a/balancer/src/main/java/dewplank/balancer/adaptive/ValueModel.java
+++ b/balancer/src/main/java/dewplank/balancer/adaptive/ValueModel.java
@@ -80,9 +80,10 @@
         }
         double requested =
                 classes.values().stream().mapToDouble(c -> c.valueRequested).sum();
-        boolean hasValue = stats.valueRequested > 0; // a class may be worth nothing
-        double worstClass = isWorst && hasValue ? settings.goal().worstClass() * requested / stats.valueRequested : 0;
-        return settings.goal().all() + worstClass;
+        if (!isWorst || stats.valueRequested <= 0) { // a class may be worth nothing
+            return settings.goal().all();
+        }
+        return settings.goal().all() + settings.goal().worstClass() * requested / stats.valueRequested;
     }
 
     /**
