Do not wait for a lease that was released while a probe or a renewal was on its way

Two faults of the program: a candidate whose probe crosses the release was told how long the votes still bind, and waited for it; and a voter that had not voted for the holder ignored its release, so a renewal that came after it bound that voter. Change: a release counts at every voter; what it overtook is rejected. A probe that fails within a vote's time-out of a release is repeated after the usual delay.

--- a/consensus/src/main/java/dewplank/singleton/Candidate.java
+++ b/consensus/src/main/java/dewplank/singleton/Candidate.java
@@ -64,6 +64,7 @@
     private long highestToken;
     private long fencingToken;
     private double leaseAcquiredAtMs;
+    private double leaseReleasedAtMs = Double.NEGATIVE_INFINITY;
 
     /**
      * A candidacy at the start of a process.
@@ -156,6 +157,7 @@
      * @param nowMs the time by the candidate's steady clock
      */
     public void onLeaseReleased(double nowMs) {
+        leaseReleasedAtMs = nowMs;
         if (state instanceof FollowerState follower && follower.isEligible(nowMs)) {
             follower.electNoLaterThan(nowMs + drawElectionDelayMs());
         }
@@ -280,9 +282,14 @@
         }
     }
 
-    /** The next election waits until a majority may be free; a time-out, with nobody bound, counts as a failure. */
+    /**
+     * The next election waits until a majority may be free; a time-out, with nobody bound, counts as a failure. A
+     * voter that rejected the probe may have done so just before the release of the lease reached it too, so this
+     * wait is left out shortly after a release.
+     */
     private void failProbe(double nowMs, VoteRound round) {
-        double quorumFreeInMs = round.quorumFreeInMs();
+        boolean justReleased = nowMs - leaseReleasedAtMs < timing.voteTimeoutMs();
+        double quorumFreeInMs = justReleased ? 0 : round.quorumFreeInMs();
         failedElections = quorumFreeInMs > 0 ? 0 : failedElections + 1;
         transitionTo(new FollowerState(nowMs + quorumFreeInMs + drawElectionDelayMs()));
     }
--- a/consensus/src/main/java/dewplank/singleton/LeaseVoter.java
+++ b/consensus/src/main/java/dewplank/singleton/LeaseVoter.java
@@ -187,7 +187,8 @@
         if (nowMs < abstainsUntilMs) {
             return Verdict.ABSTAINED;
         }
-        if (request.fencingToken() <= vote.highestToken || isExcluded(nowMs, request, vote)) {
+        long usedToken = Math.max(vote.highestToken, vote.releasedToken);
+        if (request.fencingToken() <= usedToken || isExcluded(nowMs, request, vote)) {
             return Verdict.REJECTED;
         }
         return nowMs < noVoteUntilMs() ? Verdict.ABSTAINED : Verdict.GRANTED;
@@ -244,6 +245,12 @@
         return request.candidate().equals(vote.grantedTo) && request.fencingToken() == vote.highestToken;
     }
 
+    private static boolean isGrantedToAnother(VoteRequest request, Vote vote) {
+        return vote.grantedTo != null
+                && request.fencingToken() == vote.highestToken
+                && !request.candidate().equals(vote.grantedTo);
+    }
+
     private static void revoke(VoteRequest request, Vote vote) {
         if (isGrantedTo(request, vote)) {
             vote.grantedTo = null;
@@ -251,11 +258,21 @@
         }
     }
 
+    /**
+     * Only the winner of a token releases it, so a release counts at a voter that did not vote for it too: the holder's
+     * requests that are still on their way must not bind this vote.
+     */
     private static void release(VoteRequest request, Vote vote, Effects effects) {
+        long token = request.fencingToken();
+        boolean superseded = token < vote.highestToken || token <= vote.releasedToken;
+        if (superseded || isGrantedToAnother(request, vote)) {
+            return;
+        }
+        vote.releasedToken = token;
         if (isGrantedTo(request, vote)) {
-            revoke(request, vote);
-            effects.leaseReleased(request.duty());
+            vote.grantedTo = null;
         }
+        effects.leaseReleased(request.duty());
     }
 
     private void reply(double nowMs, VoteRequest request, Vote vote, Verdict verdict, Effects effects) {
--- a/consensus/src/test/java/dewplank/singleton/CandidateTest.java
+++ b/consensus/src/test/java/dewplank/singleton/CandidateTest.java
@@ -207,6 +207,20 @@
         assertEquals(425, candidate.nextTickAtMs());
     }
 
+    /** The release reached this process's voter, and the other voters only after they had rejected the probe. */
+    @Test
+    void aProbeThatCrossesTheReleaseIsRepeatedAfterTheUsualDelay() {
+        candidate.tick(125, effects);
+        candidate.onLeaseReleased(140);
+        reply(150, "x", Verdict.REJECTED, 3, 2_000);
+        reply(150, "y", Verdict.REJECTED, 3, 2_000);
+        assertEquals(150 + 250, candidate.nextTickAtMs());
+        candidate.tick(400, effects);
+        reply(410 + TIMING.voteTimeoutMs(), "x", Verdict.REJECTED, 4, 2_000);
+        reply(410 + TIMING.voteTimeoutMs(), "y", Verdict.REJECTED, 4, 2_000);
+        assertEquals(400 + TIMING.voteTimeoutMs() + 10 + 2_000 + 125, candidate.nextTickAtMs());
+    }
+
     @Test
     void repliesToAnotherIncarnationAreIgnored() {
         candidate.tick(125, effects);
--- a/consensus/src/test/java/dewplank/singleton/LeaseSuccessionTest.java
+++ b/consensus/src/test/java/dewplank/singleton/LeaseSuccessionTest.java
@@ -10,6 +10,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** How long a singleton role stays vacant where links and disks are healthy. */
 class LeaseSuccessionTest {
@@ -112,6 +114,28 @@
 
     @Property(tries = 300, shrinking = ShrinkingMode.OFF)
     void aVoterThatCannotPersistTokensDoesNotKeepTheRoleVacant(@ForAll long seed) {
+        releaseWithAVoterThatCannotPersist(seed);
+    }
+
+    /** The release crossed a probe in the first, and overtook a renewal in the others. */
+    @ParameterizedTest
+    @ValueSource(
+            longs = {
+                1611871518158773392L,
+                4825388683250503226L,
+                3391180622633804030L,
+                -3659840296068049507L,
+                4067987372199291215L,
+                4395382800490218624L,
+                -6034498071845183329L,
+                1818257679834831530L,
+                2126169683034152654L
+            })
+    void historiesInWhichTheRoleWasVacantForALease(long seed) {
+        releaseWithAVoterThatCannotPersist(seed);
+    }
+
+    private static void releaseWithAVoterThatCannotPersist(long seed) {
         LeaseSimulation simulation = withHolder(seed);
         SimulatedNode holder = simulation.leaseHolder();
         simulation.voters().stream()
--- a/consensus/src/test/java/dewplank/singleton/LeaseVoterTest.java
+++ b/consensus/src/test/java/dewplank/singleton/LeaseVoterTest.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class LeaseVoterTest {
     private static final double LEASE_MS = 3_000;
@@ -106,6 +108,30 @@
         assertEquals(Verdict.GRANTED, vote(10, Kind.REQUEST_VOTE, "b", 2).verdict());
     }
 
+    /** A voter whose vote the holder did not need: the release overtakes the holder's requests. */
+    @ParameterizedTest
+    @EnumSource(
+            value = Kind.class,
+            names = {"REQUEST_VOTE", "RENEW"})
+    void aRequestThatArrivesAfterTheReleaseOfItsLeaseDoesNotBind(Kind overtaken) {
+        vote(0, Kind.RELEASE, "a", 3);
+        assertEquals(List.of("list"), effects.released);
+        assertEquals(Verdict.REJECTED, vote(1, overtaken, "a", 3).verdict());
+        assertEquals(List.of(), effects.persistedTokens);
+        assertEquals(Verdict.GRANTED, vote(2, Kind.REQUEST_VOTE, "b", 4).verdict());
+    }
+
+    @Test
+    void theReleaseOfAnEarlierLeaseIsIgnored() {
+        vote(0, Kind.REQUEST_VOTE, "b", 4);
+        vote(1, Kind.RELEASE, "a", 3);
+        assertEquals(List.of(), effects.released);
+        assertEquals(Verdict.GRANTED, vote(2, Kind.RENEW, "b", 4).verdict());
+        vote(3, Kind.RELEASE, "b", 4);
+        vote(4, Kind.RELEASE, "b", 4);
+        assertEquals(List.of("list"), effects.released);
+    }
+
     @Test
     void aWithdrawnVoteIsNoReleasedLease() {
         vote(0, Kind.REQUEST_VOTE, "a", 1);
