Serve without a vote where the disk refuses at the start, and take it up later

Cause: a control plane whose first sync was refused ended with 701 and was started again until the disk recovered; its operators' and data planes' connections were refused meanwhile, and an end by itself counts as running. A founders' record that a full disk refused was tried and logged 20 times a second. Change: such a process serves as a relay under an identity that never votes, probes the disk each second, and begins anew with it in the same process (ControlPlaneRunner, DiskRecovery; disk_refused in /status). Only a data_directory that is no writable directory ends it. A refused founders' record is saved again after 1 s.

--- a/cli/src/main/java/dewplank/FleetCommands.java
+++ b/cli/src/main/java/dewplank/FleetCommands.java
@@ -1,6 +1,6 @@
 package dewplank;
 
-import dewplank.controlplane.ControlPlane;
+import dewplank.controlplane.ControlPlaneRunner;
 import dewplank.dataplane.DataPlane;
 import dewplank.rehearsal.FleetRehearsal;
 import dewplank.routing.Mechanism;
@@ -80,15 +80,15 @@
         public void run() throws InterruptedException {
             SettingsReloader reloader = reloader();
             FileWatch file = new FileWatch(NodeSettings.path(System.getenv()));
-            ControlPlane plane;
+            ControlPlaneRunner runner;
             try {
-                plane = new ControlPlane(settings().requireControlPlaneKeys(), policy());
+                runner = new ControlPlaneRunner(settings().requireControlPlaneKeys(), policy());
             } catch (IOException | StoreException e) {
                 throw StartFailures.of(e);
             }
-            onTermination(plane::drain);
-            plane.start();
-            reloader.run(file, () -> reload(plane::reload));
+            onTermination(runner::drain);
+            runner.start();
+            reloader.run(file, () -> reload(runner::reload));
         }
     }
 
--- a/cli/src/main/java/dewplank/rehearsal/FleetRehearsal.java
+++ b/cli/src/main/java/dewplank/rehearsal/FleetRehearsal.java
@@ -1,11 +1,12 @@
 package dewplank.rehearsal;
 
-import dewplank.controlplane.ControlPlane;
+import dewplank.controlplane.ControlPlaneRunner;
 import dewplank.dataplane.DataPlane;
 import dewplank.exchange.InboundConnection;
 import dewplank.http.Headers;
 import dewplank.net.EventLoop;
 import dewplank.net.Listener;
+import dewplank.routing.Policy;
 import dewplank.settings.NodeSettings;
 import dewplank.store.StoreException;
 import java.io.IOException;
@@ -50,7 +51,8 @@
         Listener servers = new Listener(
                 loop, new InetSocketAddress(HOST, ports[4]), 64, () -> new InboundConnection(loop, new StandIn()));
         loop.execute(servers::accept);
-        ControlPlane control = new ControlPlane(NodeSettings.parse(settings("core", ports[0], true)));
+        ControlPlaneRunner control =
+                new ControlPlaneRunner(NodeSettings.parse(settings("core", ports[0], true)), Policy.ALL_ENABLED);
         control.start();
         DataPlane data = new DataPlane(NodeSettings.parse(settings("edge", ports[0], false)));
         data.start();
--- a/cli/src/test/java/dewplank/OperatorMainTest.java
+++ b/cli/src/test/java/dewplank/OperatorMainTest.java
@@ -4,14 +4,17 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.sun.net.httpserver.HttpServer;
-import dewplank.controlplane.ControlPlane;
+import dewplank.controlplane.ControlPlaneRunner;
+import dewplank.routing.Policy;
 import dewplank.settings.Json;
 import dewplank.settings.NodeSettings;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.URL;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -40,7 +43,7 @@
     private static Path folder;
 
     private static HttpServer platform;
-    private static ControlPlane controlPlane;
+    private static ControlPlaneRunner controlPlane;
     private static Path settings;
     private static String control;
 
@@ -57,7 +60,8 @@
         List<Integer> ports = freePorts();
         control = CONTROL_HOST + ":" + ports.get(0);
         settings = write("node.json", settings(control, ports.get(1), ports.get(2), "\"" + folder + "\""));
-        controlPlane = new ControlPlane(NodeSettings.read(settings).requireControlPlaneKeys());
+        controlPlane =
+                new ControlPlaneRunner(NodeSettings.read(settings).requireControlPlaneKeys(), Policy.ALL_ENABLED);
         controlPlane.start();
     }
 
@@ -263,9 +267,51 @@
         assertTrue(startFault(disk).startsWith("701 DISK_NOT_USABLE: "), startFault(disk));
     }
 
+    /** A directory in the place of the store's file cannot be opened as one, until it is removed. */
+    @Test
+    void aControlPlaneWhoseDiskCannotBeUsedServesWithoutAVoteAndStartsWithItsDiskLater() throws Exception {
+        List<Integer> ports = freePorts();
+        String at = CONTROL_HOST + ":" + ports.get(0);
+        Path disk = Files.createDirectories(folder.resolve("refused"));
+        Path inTheWay = Files.createDirectories(disk.resolve("acceptor.mv"));
+        Path file = write("refused.json", settings(at, ports.get(1), ports.get(2), "\"" + disk + "\""));
+        ControlPlaneRunner runner =
+                new ControlPlaneRunner(NodeSettings.read(file).requireControlPlaneKeys(), Policy.ALL_ENABLED);
+        runner.start();
+        try {
+            String refused = awaitStatus(at, "\"disk_refused\":true");
+            assertTrue(refused.contains("\"quorate\":false"), refused);
+            Files.delete(inTheWay);
+            String usable = awaitStatus(at, "\"quorate\":true");
+            assertTrue(usable.contains("\"disk_refused\":false"), usable);
+        } finally {
+            runner.drain();
+        }
+    }
+
+    /** The control plane's status once it contains the text. */
+    private static String awaitStatus(String at, String text) {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIST_TIMEOUT_S);
+        String status = "";
+        while (!status.contains(text)) {
+            assertTrue(System.nanoTime() < endNs, "no " + text + ": " + status);
+            status = status(at);
+        }
+        return status;
+    }
+
+    /** Empty while it does not answer. */
+    private static String status(String at) {
+        try (InputStream answer = new URL("http://" + at + "/status").openStream()) {
+            return new String(answer.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException notServing) {
+            return "";
+        }
+    }
+
     private static String startFault(Path file) {
         try {
-            new ControlPlane(NodeSettings.read(file));
+            new ControlPlaneRunner(NodeSettings.read(file), Policy.ALL_ENABLED);
             return "";
         } catch (Exception e) {
             return StartFailures.of(e).getMessage();
--- a/controlplane/src/main/java/dewplank/controlplane/ControlComponents.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlComponents.java
@@ -17,6 +17,7 @@
 import dewplank.singleton.LeaseTiming;
 import dewplank.store.StoreException;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
@@ -40,6 +41,8 @@
     private final String address;
     private final boolean durable;
     private final Storage storage;
+    private final Optional<StoreException> diskFailure;
+    private final DiskRecovery diskRecovery;
     private final ControlMesh mesh;
     private final ConfigurationStore configuration;
     private final ConfigurationHistory history = new ConfigurationHistory();
@@ -57,16 +60,31 @@
     private final PeerMessageDispatcher dispatcher;
     private Set<String> seeds = Set.of();
 
-    /** Opens the disk and creates all parts; nothing runs yet. */
-    ControlComponents(NodeSettings settings, ControlEnvironment environment, MessageCodec codec, Policy policy)
-            throws StoreException {
+    /**
+     * Opens the disk and creates all parts; nothing runs yet.
+     *
+     * @param diskUsable told on the loop's thread when a disk that failed now can be used
+     */
+    ControlComponents(
+            NodeSettings settings,
+            ControlEnvironment environment,
+            MessageCodec codec,
+            Policy policy,
+            Runnable diskUsable) {
         NodeSettings.Bounds bounds = settings.bounds();
         loop = environment.scheduler();
         node = settings.nodeName();
         address = settings.address() + ":" + settings.internalPorts()[0];
         RandomGenerator random = environment.random();
-        durable = settings.dataDirectory() != null;
-        storage = Bootstrap.storage(settings, environment, codec, address);
+        Bootstrap.OpenedStorage opened = Bootstrap.storage(settings, environment, codec, address);
+        storage = opened.storage();
+        durable = storage.isDurable();
+        diskFailure = opened.diskFailure();
+        diskRecovery = new DiskRecovery(
+                loop,
+                environment.disk(),
+                () -> Bootstrap.onDisk(settings, environment, codec, address).closeFiles(),
+                diskUsable);
         AcceptorId self = new AcceptorId(address, storage.identity());
         Member member = new Member(node, Member.CONTROL, address, settings.zone(), environment.wallClockMs());
         ControlHello hello = new ControlHello(member, storage.identity(), durable);
@@ -193,11 +211,20 @@
         return address;
     }
 
-    /** Whether this process has a disk; one without is a relay. */
+    /** Whether this process uses a disk; one without is a relay. */
     boolean isDurable() {
         return durable;
     }
 
+    /** Why the disk could not be used when this process started; empty where it is used, or there is none. */
+    Optional<StoreException> diskFailure() {
+        return diskFailure;
+    }
+
+    DiskRecovery diskRecovery() {
+        return diskRecovery;
+    }
+
     Storage storage() {
         return storage;
     }
--- a/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
@@ -24,7 +24,7 @@
  *
  * <p>On a machine without a disk it is a relay: it names the control planes with a disk to operators and data planes,
  * holds no lease and no session, and is an acceptor only until the first set, which the seeds name, has moved to
- * machines with a disk.
+ * machines with a disk. So is it where the disk can't be used at the start, though no acceptor then.
  *
  * <p>The public methods may be called from any thread; the work is done on the event loop's.
  */
@@ -51,34 +51,32 @@
     /**
      * Opens the disk and the sockets of this machine.
      *
-     * @throws IOException where an address can't be listened on
-     * @throws StoreException where the disk can't be used
-     */
-    public ControlPlane(NodeSettings settings) throws IOException, StoreException {
-        this(settings, Policy.ALL_ENABLED);
-    }
-
-    /**
-     * The same for a trial.
-     *
      * @param policy the mechanisms that are enabled
+     * @param diskUsable told on the loop's thread, where the disk failed now, when it can be used: the control plane is
+     *     then to be drained and another one to be created
      * @throws IOException where an address can't be listened on
-     * @throws StoreException where the disk can't be used
+     * @throws StoreException where the data directory is none that this process may use
      */
-    public ControlPlane(NodeSettings settings, Policy policy) throws IOException, StoreException {
-        this(settings, FleetMessages.codec(), policy);
+    public ControlPlane(NodeSettings settings, Policy policy, Runnable diskUsable) throws IOException, StoreException {
+        this(settings, FleetMessages.codec(), policy, diskUsable);
     }
 
-    private ControlPlane(NodeSettings settings, MessageCodec codec, Policy policy) throws IOException, StoreException {
-        this(settings, new SystemEnvironment(settings, codec), codec, policy);
+    private ControlPlane(NodeSettings settings, MessageCodec codec, Policy policy, Runnable diskUsable)
+            throws IOException, StoreException {
+        this(settings, SystemEnvironment.of(settings, codec), codec, policy, diskUsable);
     }
 
-    ControlPlane(NodeSettings settings, ControlEnvironment environment, MessageCodec codec, Policy policy)
-            throws IOException, StoreException {
+    ControlPlane(
+            NodeSettings settings,
+            ControlEnvironment environment,
+            MessageCodec codec,
+            Policy policy,
+            Runnable diskUsable)
+            throws IOException {
         this.settings = settings;
         this.environment = environment;
         loop = environment.scheduler();
-        components = new ControlComponents(settings, environment, codec, policy);
+        components = new ControlComponents(settings, environment, codec, policy, diskUsable);
         control = environment.operators(components.operatorApi());
         internal = environment
                 .transport()
@@ -110,6 +108,7 @@
             components.reconfigurer().start();
             components.stageController().start();
         }
+        components.diskFailure().ifPresent(components.diskRecovery()::start);
         components.stallDetector().start();
         pushMembers();
         LOG.info(
@@ -152,6 +151,7 @@
         drained.await((long) (2 * MAX_DRAIN_MS), TimeUnit.MILLISECONDS);
         environment.stop();
         components.storage().close();
+        components.diskRecovery().close();
     }
 
     /** The same without blocking, and without closing links and disk. */
--- a/controlplane/src/main/java/dewplank/controlplane/DiskStorage.java
+++ b/controlplane/src/main/java/dewplank/controlplane/DiskStorage.java
@@ -59,6 +59,11 @@
         serverList = new ChecksummedFile(files, settings.dataDirectory(), "servers");
     }
 
+    @Override
+    public boolean isDurable() {
+        return true;
+    }
+
     @Override
     public DurableState recovered() {
         return store.recovered();
@@ -132,4 +137,9 @@
     public void close() {
         executor.close();
     }
+
+    /** Closes the files only; what was stored stays. For a caller that only wants to know whether they can be used. */
+    void closeFiles() {
+        store.close();
+    }
 }
--- a/controlplane/src/main/java/dewplank/controlplane/FounderTracker.java
+++ b/controlplane/src/main/java/dewplank/controlplane/FounderTracker.java
@@ -41,6 +41,9 @@
     /** A peer that has been heard so lately is asked for its agreement. */
     private static final double PEER_VALIDITY_MS = 1_000;
 
+    /** A disk that refused a record is asked again after this: it is full, or hangs, for seconds. */
+    private static final double SAVE_RETRY_MS = 1_000;
+
     /** Where the identities are stored. */
     interface Store {
         /** The identities as they were stored when this process started. */
@@ -62,6 +65,7 @@
     private boolean isActive;
     private boolean isContested;
     private boolean isSavePending;
+    private double saveRetryAtMs = Double.NEGATIVE_INFINITY;
     private boolean isLossLogged;
     private double allReachableSinceMs = Double.NaN;
 
@@ -143,7 +147,8 @@
     }
 
     private Optional<ControlMesh.Peer> volatilePeer(AcceptorId founder) {
-        return mesh.peer(founder.address()).filter(peer -> !peer.durable());
+        return mesh.peer(founder.address())
+                .filter(peer -> Bootstrap.isVolatileFounder(new AcceptorId(founder.address(), peer.identity())));
     }
 
     private void merge(FounderIdentities.Record other) {
@@ -227,7 +232,7 @@
     // ---- what is stored --------------------------------------------------------------------------------
 
     private void save(FounderIdentities.Record next) {
-        if (isSavePending) {
+        if (isSavePending || loop.now() < saveRetryAtMs) {
             return;
         }
         isSavePending = true;
@@ -235,6 +240,8 @@
             isSavePending = false;
             if (result.isSuccess()) {
                 stored(next);
+            } else {
+                saveRetryAtMs = loop.now() + SAVE_RETRY_MS;
             }
         });
     }
--- a/controlplane/src/main/java/dewplank/controlplane/MemoryStorage.java
+++ b/controlplane/src/main/java/dewplank/controlplane/MemoryStorage.java
@@ -25,6 +25,11 @@
         this.bootstrap = bootstrap;
     }
 
+    @Override
+    public boolean isDurable() {
+        return false;
+    }
+
     @Override
     public DurableState recovered() {
         return fresh;
--- a/controlplane/src/main/java/dewplank/controlplane/OperatorViews.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorViews.java
@@ -110,6 +110,7 @@
                                 components.configuration().acceptors().generation()),
                         JsonText.plain(
                                 "founders_lost", components.founderTracker().areFoundersLost()),
+                        JsonText.plain("disk_refused", components.diskFailure().isPresent()),
                         JsonText.plain("config_version", components.history().version()),
                         JsonText.plain("acceptors", JsonText.array(acceptors)))
                 + "\n";
--- a/controlplane/src/main/java/dewplank/controlplane/Storage.java
+++ b/controlplane/src/main/java/dewplank/controlplane/Storage.java
@@ -14,6 +14,9 @@
  * <p>Called on the loop's thread only; writes are done apart from it, and their results arrive on it in a later task.
  */
 interface Storage extends ConfigurationStore.Disk, FounderTracker.Store {
+    /** Whether what is saved outlasts the process, so that it may vote. */
+    boolean isDurable();
+
     /** The acceptor's state as it was when this process started. */
     DurableState recovered();
 
--- a/controlplane/src/main/java/dewplank/controlplane/SystemEnvironment.java
+++ b/controlplane/src/main/java/dewplank/controlplane/SystemEnvironment.java
@@ -12,8 +12,11 @@
 import dewplank.store.DiskExecutor;
 import dewplank.store.DiskFiles;
 import dewplank.store.SingleThreadDiskExecutor;
+import dewplank.store.StoreException;
 import dewplank.store.StoreFiles;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
@@ -29,7 +32,21 @@
     private final DiskExecutor disk;
     private final MessageTransport transport;
 
-    SystemEnvironment(NodeSettings settings, MessageCodec codec) throws IOException {
+    /**
+     * The environment of a process with these settings.
+     *
+     * @throws IOException if sockets can't be opened
+     * @throws StoreException if the data directory is none that this process may write to
+     */
+    static SystemEnvironment of(NodeSettings settings, MessageCodec codec) throws IOException, StoreException {
+        Path directory = settings.dataDirectory();
+        if (directory != null && !(Files.isDirectory(directory) && Files.isWritable(directory))) {
+            throw new StoreException("data_directory is no directory that can be written to: " + directory);
+        }
+        return new SystemEnvironment(settings, codec);
+    }
+
+    private SystemEnvironment(NodeSettings settings, MessageCodec codec) throws IOException {
         this.settings = settings;
         loop = new EventLoop();
         disk = new SingleThreadDiskExecutor(loop::execute);
--- a/simulation/src/test/java/dewplank/controlplane/ControlProcess.java
+++ b/simulation/src/test/java/dewplank/controlplane/ControlProcess.java
@@ -14,7 +14,6 @@
 import dewplank.routing.Policy;
 import dewplank.settings.NodeSettings;
 import dewplank.store.DiskExecutor;
-import dewplank.store.StoreException;
 import dewplank.store.StoreFiles;
 import java.io.IOException;
 import java.util.Collection;
@@ -52,9 +51,10 @@
     private OperatorApi operators;
     private boolean takesCalls;
 
-    public ControlProcess(NodeSettings settings, Surroundings surroundings, MessageCodec codec)
-            throws IOException, StoreException {
-        plane = new ControlPlane(settings, new Environment(surroundings), codec, Policy.ALL_ENABLED);
+    /** @param diskUsable told when a disk that can't be used now can be */
+    public ControlProcess(NodeSettings settings, Surroundings surroundings, MessageCodec codec, Runnable diskUsable)
+            throws IOException {
+        plane = new ControlPlane(settings, new Environment(surroundings), codec, Policy.ALL_ENABLED, diskUsable);
     }
 
     /** Begins as the program does. */
@@ -115,6 +115,16 @@
         return plane.components().founderTracker().areFoundersLost();
     }
 
+    /** Whether it serves without a vote, as its disk could not be used when it started. */
+    public boolean isDiskRefused() {
+        return plane.components().diskFailure().isPresent();
+    }
+
+    /** What it tells operators of itself. */
+    public String status() {
+        return new OperatorViews(plane.components()).status();
+    }
+
     /** The identity of its disk. */
     public String identity() {
         return plane.components().storage().identity();
--- a/simulation/src/test/java/dewplank/simulation/ControlMachine.java
+++ b/simulation/src/test/java/dewplank/simulation/ControlMachine.java
@@ -7,7 +7,6 @@
 import dewplank.net.Scheduler;
 import dewplank.settings.NodeSettings;
 import dewplank.store.DiskExecutor;
-import dewplank.store.StoreException;
 import dewplank.store.StoreFiles;
 import java.io.IOException;
 import java.util.List;
@@ -102,16 +101,26 @@
         executor = new SimulatedDiskExecutor(fleet().time(), begun, disk, diskFaults, random().split());
         incarnationName = name() + "#" + incarnationCount();
         try {
-            process = new ControlProcess(settings(), new Given(begun), FleetMessages.codec());
-        } catch (IOException | StoreException e) {
+            process = new ControlProcess(settings(), new Given(begun), FleetMessages.codec(), () -> diskUsable(begun));
+        } catch (IOException e) {
             fleet().log(name() + ": " + e.getMessage());
             return false;
         }
-        initialStart = initialStart && settingsStayInitial;
+        initialStart = initialStart && (settingsStayInitial || process.isDiskRefused());
         process.start();
         return true;
     }
 
+    /** The process ends itself and begins anew with the same settings. */
+    private void diskUsable(ProcessIncarnation withoutDisk) {
+        fleet().time().after(0, () -> {
+            if (incarnation() == withoutDisk) {
+                kill();
+                start();
+            }
+        });
+    }
+
     @Override
     void ended(boolean powerLost) {
         executor.die();
--- a/simulation/src/test/java/dewplank/simulation/FounderRestartTest.java
+++ b/simulation/src/test/java/dewplank/simulation/FounderRestartTest.java
@@ -1,5 +1,6 @@
 package dewplank.simulation;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dewplank.register.AcceptorId;
@@ -29,6 +30,9 @@
     /** A bootstrap that begins anew waits for catch_up_s first, as long again where a machine comes up meanwhile. */
     private static final double MAX_RECOVERY_MS = SimulatedFleet.RECOVERY_MS + 2 * SimulatedFleet.CATCH_UP_MS;
 
+    private static final double FIRST_VOTES_MS = 1_000;
+    private static final double SUSPENSION_STEP_MS = 70;
+    private static final double FULL_DISK_MS = 8_000;
     private static final double STEP_MS = 50;
     private static final double CUT_STEP_MS = 2;
     /** Several times catch_up_s, after which a bootstrap may begin anew. */
@@ -150,6 +154,68 @@
         playUntil(fleet, () -> isCaughtUp(fleet));
     }
 
+    /**
+     * One control plane is suspended, with founders' votes on their way to it, and partitioned from everyone, while the
+     * founders restart. It learns what was chosen only when it runs again. The links of the others to it look well for
+     * a second: they must not found the fleet anew before they have noticed that it is out of reach.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void noSecondFleetIsFoundedWhileASuspendedOneStillHasVotesToCount(long seed) {
+        for (double killAtMs = FIRST_VOTES_MS; killAtMs <= LAST_KILL_MS; killAtMs += SUSPENSION_STEP_MS) {
+            SplittableRandom random = new SplittableRandom(seed * 13_000_003 + (long) killAtMs);
+            SimulatedFleet fleet = new SimulatedFleet(3, 3, 3, random.split());
+            fleet.relays().forEach(ControlMachine::keepInitialSettings);
+            fleet.contact().beyondTolerance();
+            FaultInjector faults = new FaultInjector(fleet, random.split());
+            ControlMachine suspended = fleet.core().get(random.nextInt(3));
+            List<ControlMachine> suspendedOnly = List.of(suspended);
+            List<ControlMachine> others = others(fleet, suspended);
+            fleet.time().after(killAtMs, () -> faults.freeze(suspended, random.nextDouble() * MAX_DOWN_MS, () -> {}));
+            fleet.time().after(killAtMs + SHORT_STEP_MS, () -> {
+                cut(fleet, suspendedOnly, others, true);
+                fleet.relays().forEach(relay -> faults.kill(relay, random.nextDouble() * SHORT_STEP_MS, () -> {}));
+            });
+            fleet.time().after(killAtMs + PARTITION_MS, () -> cut(fleet, suspendedOnly, others, false));
+            play(fleet, random);
+        }
+    }
+
+    private static List<ControlMachine> others(SimulatedFleet fleet, ControlMachine one) {
+        List<ControlMachine> others = new ArrayList<>(fleet.core());
+        others.addAll(fleet.relays());
+        others.remove(one);
+        return others;
+    }
+
+    /** A full disk is asked once a second whether it takes the founders' identities, and takes them in the end. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void theIdentitiesThatAFullDiskRefusesAreSavedAgainOnceASecond(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        SimulatedFleet fleet = new SimulatedFleet(3, 3, 1, random.split());
+        fleet.contact().beyondTolerance();
+        ControlMachine full = fleet.core().get((int) (seed % 3));
+        List<ControlMachine> others = new ArrayList<>(fleet.core());
+        others.remove(full);
+        fleet.start();
+        playUntil(fleet, () -> full.process() != null);
+        full.disk().fill(true);
+        cut(fleet, List.of(full), others, true);
+        cut(fleet, fleet.relays(), others, true);
+        fleet.time().playUntil(FULL_DISK_MS);
+        assertFalse(knowsAllFounders(full));
+        int failed = full.diskFaults().failed;
+        assertTrue(failed > 1 && failed <= 1 + FULL_DISK_MS / 1_000, failed + " attempts");
+        full.disk().fill(false);
+        playUntil(fleet, () -> knowsAllFounders(full));
+        cut(fleet, List.of(full), others, false);
+        cut(fleet, fleet.relays(), others, false);
+        Operators operators = new Operators(fleet, random.split());
+        operators.begin(fleet.time().now() + MAX_RECOVERY_MS, MEAN_PAUSE_MS);
+        playUntil(fleet, () -> isCaughtUp(fleet));
+    }
+
     /** It says why it waits, or a relay has handed it what the others chose. */
     private static boolean isWaitingOrFollows(ControlMachine control) {
         return control.process().areFoundersLost() || control.process().hasChosenValue();
--- a/simulation/src/test/java/dewplank/simulation/SimulatedDisk.java
+++ b/simulation/src/test/java/dewplank/simulation/SimulatedDisk.java
@@ -36,6 +36,7 @@
     private final TreeMap<Path, Content> names = new TreeMap<>();
     private final TreeMap<Path, Content> syncedNames = new TreeMap<>();
     private boolean full;
+    private boolean syncFails;
     private int writesLeft = Integer.MAX_VALUE;
     private long maxTotalBytes;
     private long written;
@@ -49,6 +50,11 @@
         full = isFull;
     }
 
+    /** Refuses every sync from now on, or no more; reads and writes go on. */
+    void failSync(boolean fails) {
+        syncFails = fails;
+    }
+
     /** The process dies in the middle of its work: what it does beyond so many writes doesn't happen. */
     void dieAfterWrites(int count) {
         writesLeft = count;
@@ -148,7 +154,7 @@
 
     @Override
     public void syncDirectory(Path directory) throws IOException {
-        refuseDead();
+        refuseSync();
         syncedNames.clear();
         syncedNames.putAll(names);
     }
@@ -161,6 +167,13 @@
         writesLeft--;
     }
 
+    private void refuseSync() throws IOException {
+        refuseDead();
+        if (syncFails) {
+            throw new IOException("not synced");
+        }
+    }
+
     private void refuseDead() throws IOException {
         if (writesLeft <= 0) {
             throw new IOException("the process has died");
@@ -211,7 +224,7 @@
 
         @Override
         public void sync() throws IOException {
-            refuseDead();
+            refuseSync();
             content.synced = content.now;
             content.unsynced.clear();
             if (name.equals(content.createdAs) && names.get(name) == content) {
--- a/simulation/src/test/java/dewplank/simulation/SimulatedDiskExecutor.java
+++ b/simulation/src/test/java/dewplank/simulation/SimulatedDiskExecutor.java
@@ -30,6 +30,8 @@
     static final class DiskFaults {
         double slowerBy;
         double stalledUntil;
+        /** Tasks that failed. */
+        int failed;
     }
 
     SimulatedDiskExecutor(
@@ -78,6 +80,7 @@
         Submission finished = active;
         active = null;
         DiskResult result = perform(finished.task);
+        faults.failed += result.isSuccess() ? 0 : 1;
         incarnation.execute(() -> finished.completion.accept(result));
         next();
     }
