Bring about partitions, power, quotas, clocks and full disks at chosen moments

Cause: the simulation drew its faults; it never had a partition exactly between two rounds, halves of the core, a minority behind an empty disk, zones, a processor as a quota, clocks set back under restarts, power lost everywhere during growth. No test showed that the founders' wait for catch_up_s matters.

--- a/simulation/src/test/java/dewplank/simulation/FaultInjector.java
+++ b/simulation/src/test/java/dewplank/simulation/FaultInjector.java
@@ -147,6 +147,23 @@
         });
     }
 
+    /** A processor with a quota: the process runs for a while and stands still for a while, again and again. */
+    void quota(Machine machine, double runMs, double standMs, double untilMs) {
+        if (fleet.time().now() >= untilMs) {
+            return;
+        }
+        ProcessIncarnation standing = machine.incarnation();
+        if (standing != null) {
+            standing.freeze();
+        }
+        fleet.time().after(standMs, () -> {
+            if (standing != null && !standing.isOver()) {
+                standing.thaw(random.nextBoolean());
+            }
+            fleet.time().after(runMs, () -> quota(machine, runMs, standMs, untilMs));
+        });
+    }
+
     /** Cuts a core machine off from the core, one way or both, and perhaps from all else too. */
     void cutOff(ControlMachine machine, double length, boolean all, boolean bothWays, Runnable back) {
         boolean out = bothWays || random.nextBoolean();
--- a/simulation/src/test/java/dewplank/simulation/Schedule.java
+++ b/simulation/src/test/java/dewplank/simulation/Schedule.java
@@ -97,6 +97,11 @@
                                 .allMatch(data -> !data.runs() || data.process().version() >= newest));
     }
 
+    /** Cuts each of some machines off from each of the others, both ways, or joins them again. */
+    void cutAll(List<? extends Machine> some, List<? extends Machine> others, boolean begins) {
+        some.forEach(machine -> cut(machine, others, begins));
+    }
+
     /** Cuts a machine off from these, both ways, or joins it again. */
     void cut(Machine machine, List<? extends Machine> others, boolean begins) {
         fleet.contact().disturbed(machine);
--- a/simulation/src/test/java/dewplank/simulation/SimulatedLink.java
+++ b/simulation/src/test/java/dewplank/simulation/SimulatedLink.java
@@ -59,6 +59,7 @@
     @Override
     public void send(Object message) {
         if (isOpen()) {
+            network.sending(this, message);
             transmit(message);
         }
     }
--- a/simulation/src/test/java/dewplank/simulation/SimulatedNetwork.java
+++ b/simulation/src/test/java/dewplank/simulation/SimulatedNetwork.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
 /**
@@ -27,6 +28,7 @@
     private final Map<String, Machine> machines = new HashMap<>();
     private final Map<String, Integer> cuts = new HashMap<>();
     private final List<SimulatedLink> links = new ArrayList<>();
+    private BiConsumer<SimulatedLink, Object> observer = (link, message) -> {};
 
     SimulatedNetwork(VirtualTime time, SplittableRandom random) {
         this.time = time;
@@ -78,6 +80,15 @@
         return cuts.isEmpty();
     }
 
+    /** Told of each message that is sent, before it is on its way. */
+    void onSending(BiConsumer<SimulatedLink, Object> next) {
+        observer = next;
+    }
+
+    void sending(SimulatedLink link, Object message) {
+        observer.accept(link, message);
+    }
+
     void opened(SimulatedLink link) {
         links.add(link);
         if (links.size() % 256 == 0) {
