Tell by data plane which configuration it acts on, since when, and who lags

Cause: an operator could see which version each control plane has, not which one each data plane acts on. Control planes of an earlier version, which answer 404, are left out. Memory not measured.

--- a/cli/src/main/java/dewplank/FleetViewCommands.java
+++ b/cli/src/main/java/dewplank/FleetViewCommands.java
@@ -53,13 +53,16 @@
         }
     }
 
-    /** Shows quorum, version and acceptors as each control plane sees them. */
+    /** Shows quorum, version and acceptors as each control plane sees them, and which version each data plane has. */
     public static final class Status extends FleetCommand {
         @Override
         public void run() throws IOException, InterruptedException {
             ControlClient client = client();
             Map<String, ControlResponse> answers = client.callEach(ControlCall.get("/status"));
-            print(FleetText.json(client.addresses(), answers), FleetText.status(client.addresses(), answers));
+            Map<String, ControlResponse> dataPlanes = client.callEach(ControlCall.get("/data-planes"));
+            print(
+                    FleetText.statusJson(client.addresses(), answers, dataPlanes),
+                    FleetText.status(client.addresses(), answers) + "\n" + FleetText.dataPlanes(dataPlanes));
         }
     }
 }
--- a/client/src/main/java/dewplank/client/FleetText.java
+++ b/client/src/main/java/dewplank/client/FleetText.java
@@ -3,12 +3,15 @@
 import dewplank.settings.Fields;
 import dewplank.settings.InvalidInputException;
 import dewplank.settings.ResultCode;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.stream.Collectors;
 
 /** Formats responses of control planes as text for operators. Column headings and phrases are part of the commands. */
 public final class FleetText {
+    private static final double MS_PER_SECOND = 1_000;
     private static final String NO_RESPONSE = "no clear answer";
 
     private FleetText() {}
@@ -111,6 +114,64 @@
         return table.toString();
     }
 
+    /**
+     * Formats which configuration each data plane acts on, since when, and who lags or is not heard.
+     *
+     * @param answers of the control planes to {@code /data-planes}; those of earlier versions, which have no such path,
+     *     are left out
+     */
+    public static String dataPlanes(Map<String, ControlResponse> answers) {
+        List<Fields> readable = new ArrayList<>();
+        for (ControlResponse answer : answers.values()) {
+            if (answer.isSuccess()) {
+                readable.add(new Fields(answer.fields(), ""));
+            }
+        }
+        long newest = readable.stream()
+                .mapToLong(fields -> fields.integer("config_version"))
+                .max()
+                .orElse(0);
+        TextTable table =
+                new TextTable("DATA PLANE", "ADDRESS", "ZONE", "CONFIGURATION", "SINCE S", "HEARD S", "STATE");
+        for (DataPlaneStatus status : DataPlaneStatus.of(readable)) {
+            table.row(
+                    status.node(),
+                    status.address(),
+                    status.zone(),
+                    status.configurationVersion(),
+                    seconds(status.sinceMs()),
+                    seconds(status.heardMsAgo()),
+                    status.state(newest));
+        }
+        return table.toString();
+    }
+
+    private static String seconds(long ms) {
+        return String.format(Locale.ROOT, "%.1f", ms / MS_PER_SECOND);
+    }
+
+    /** Formats the answers to {@code /status}, each with what the same control plane says of data planes. */
+    public static String statusJson(
+            List<String> addresses, Map<String, ControlResponse> answers, Map<String, ControlResponse> dataPlanes) {
+        List<String> statuses = new ArrayList<>();
+        for (String address : addresses) {
+            statuses.add(JsonValues.toJson(address) + ":" + statusJson(answers.get(address), dataPlanes.get(address)));
+        }
+        return "{" + String.join(",", statuses) + "}";
+    }
+
+    private static String statusJson(ControlResponse answer, ControlResponse dataPlanes) {
+        if (answer == null) {
+            return "null";
+        }
+        String status = answer.text().strip();
+        if (!answer.isSuccess() || dataPlanes == null || !dataPlanes.isSuccess()) {
+            return status;
+        }
+        String reports = JsonValues.toJson(dataPlanes.fields().get("data_planes"));
+        return status.substring(0, status.lastIndexOf('}')) + ",\"data_planes\":" + reports + "}";
+    }
+
     /** A control plane that reaches a quorum but lags its configuration is behind. */
     private static String quorum(Fields status) {
         if (!status.flag("quorate")) {
--- /dev/null
+++ b/client/src/test/java/dewplank/client/FleetTextTest.java
@@ -0,0 +1,79 @@
+package dewplank.client;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What operators read of data planes, put together from several control planes. */
+class FleetTextTest {
+    private static final String ONE = "10.0.0.1:1";
+    private static final String OTHER = "10.0.0.2:1";
+    private static final String EARLIER_VERSION = "10.0.0.3:1";
+
+    private final Map<String, ControlResponse> statuses = new LinkedHashMap<>();
+    private final Map<String, ControlResponse> dataPlanes = new LinkedHashMap<>();
+
+    private static ControlResponse response(int status, String body) {
+        return new ControlResponse(ONE, status, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String report(String node, long version, long sinceMs, long heardMsAgo, boolean session) {
+        return """
+            {"node":"%s","address":"10.1.0.1:2","zone":"z","config_version":%d,"since_ms":%d,"heard_ms_ago":%d,\
+            "session":%s}"""
+                .formatted(node, version, sinceMs, heardMsAgo, session);
+    }
+
+    private void reported(String address, long newest, String... reports) {
+        String body = "{\"answered_by\":\"core\",\"config_version\":" + newest + ",\"data_planes\":["
+                + String.join(",", reports) + "]}\n";
+        dataPlanes.put(address, response(200, body));
+    }
+
+    private String state(int row) {
+        String[] lines = FleetText.dataPlanes(dataPlanes).split("\n");
+        return lines[row].replaceAll(" {2,}", "|");
+    }
+
+    @Test
+    void tellsWhoIsCurrentWhoLagsAndWhoIsNotHeard() {
+        reported(ONE, 7, report("edge-1", 7, 61_000, 240, true), report("edge-2", 6, 3_000, 100, true));
+        reported(OTHER, 6, report("edge-3", 7, 90_000, 80_500, false));
+        assertEquals("DATA PLANE|ADDRESS|ZONE|CONFIGURATION|SINCE S|HEARD S|STATE", state(0));
+        assertEquals("edge-1|10.1.0.1:2|z|7|61.0|0.2|current", state(1));
+        assertEquals("edge-2|10.1.0.1:2|z|6|3.0|0.1|behind", state(2));
+        assertEquals("edge-3|10.1.0.1:2|z|7|90.0|80.5|not heard", state(3));
+    }
+
+    @Test
+    void ofTwoReportsTheOneHeardLastCounts() {
+        reported(ONE, 7, report("edge-1", 6, 50_000, 9_000, false), report("edge-2", 7, 70_000, 4_000, false));
+        reported(OTHER, 7, report("edge-1", 7, 2_000, 100, true), report("edge-2", 7, 3_000, 200, true));
+        assertEquals("edge-1|10.1.0.1:2|z|7|2.0|0.1|current", state(1));
+        assertEquals("edge-2|10.1.0.1:2|z|7|70.0|0.2|current", state(2));
+    }
+
+    @Test
+    void aControlPlaneOfAnEarlierVersionSaysNothingOfDataPlanes() {
+        dataPlanes.put(EARLIER_VERSION, response(404, "{\"code\":201,\"result\":\"NO_SUCH_PATH\"}"));
+        assertEquals(1, FleetText.dataPlanes(dataPlanes).lines().count());
+        statuses.put(EARLIER_VERSION, response(200, "{\"node\":\"core\"}\n"));
+        assertEquals(
+                "{\"10.0.0.3:1\":{\"node\":\"core\"}}",
+                FleetText.statusJson(List.of(EARLIER_VERSION), statuses, dataPlanes));
+    }
+
+    @Test
+    void asJsonEachStatusContainsTheReportsOfItsControlPlane() {
+        statuses.put(ONE, response(200, "{\"node\":\"core\"}\n"));
+        reported(ONE, 7, report("edge-1", 7, 61_000, 240, true));
+        assertEquals(
+                "{\"10.0.0.1:1\":{\"node\":\"core\",\"data_planes\":[" + report("edge-1", 7, 61_000, 240, true)
+                        + "]},\"10.0.0.2:1\":null}",
+                FleetText.statusJson(List.of(ONE, OTHER), statuses, dataPlanes));
+    }
+}
--- a/controlplane/src/main/java/dewplank/controlplane/DataPlaneSessions.java
+++ b/controlplane/src/main/java/dewplank/controlplane/DataPlaneSessions.java
@@ -40,6 +40,7 @@
     private final Scheduler loop;
     private final SessionTable table;
     private final UpdateSource source;
+    private final DataPlaneReports reports = new DataPlaneReports();
     private final Set<Session> sessions = new LinkedHashSet<>(); // updates go out in the order of opening
 
     DataPlaneSessions(Scheduler loop, SessionTable table, UpdateSource source) {
@@ -76,6 +77,11 @@
         return sessions.size();
     }
 
+    /** Which configuration each data plane acts on, as it told this control plane. */
+    List<DataPlaneReports.Report> reports() {
+        return reports.reports(loop.now());
+    }
+
     /** One data plane's session, from its opening to the end of its connection. */
     final class Session {
         private final MessageLink connection;
@@ -94,6 +100,7 @@
             lastHeartbeatAt = loop.now();
             table.renew(lastHeartbeatAt, member);
             versions.onHeartbeat(heartbeat);
+            reports.heard(lastHeartbeatAt, member, heartbeat.configurationVersion);
             connection.send(new HeartbeatAck(heartbeat.sequence, source.isCurrent(), source.controlAddresses()));
             sendUpdate();
         }
@@ -122,6 +129,7 @@
         void closed() {
             sessions.remove(this);
             table.close(member);
+            reports.sessionEnded(member);
             LOG.info("session closed node={}", member.node);
         }
     }
--- a/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
@@ -43,6 +43,9 @@
         Optional<String> server(String instanceId);
 
         String status();
+
+        /** Which configuration each data plane acts on, as far as this control plane knows. */
+        String dataPlanes();
     }
 
     /** The configuration in the register. */
@@ -100,6 +103,7 @@
                 .path("*")
                 .on("GET", (request, caller, parameters) -> server(caller, parameters.get(0)));
         router.path("status").on("GET", (request, caller, parameters) -> document(caller, views.status()));
+        router.path("data-planes").on("GET", (request, caller, parameters) -> document(caller, views.dataPlanes()));
     }
 
     InboundConnection connection(EventLoop loop) {
--- a/controlplane/src/main/java/dewplank/controlplane/OperatorViews.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorViews.java
@@ -116,6 +116,31 @@
                 + "\n";
     }
 
+    @Override
+    public String dataPlanes() {
+        double nowMs = components.loop().now();
+        List<String> reports = components.sessions().reports().stream()
+                .map(report -> dataPlane(report, nowMs))
+                .toList();
+        return JsonText.object(
+                        JsonText.field("answered_by", components.node()),
+                        JsonText.plain("config_version", components.history().version()),
+                        JsonText.plain("data_planes", JsonText.array(reports)))
+                + "\n";
+    }
+
+    private static String dataPlane(DataPlaneReports.Report report, double nowMs) {
+        Member member = report.member();
+        return JsonText.object(
+                JsonText.field("node", member.node),
+                JsonText.field("address", member.address),
+                JsonText.field("zone", member.zone),
+                JsonText.plain("config_version", report.configurationVersion()),
+                JsonText.plain("since_ms", Math.round(nowMs - report.sinceMs())),
+                JsonText.plain("heard_ms_ago", Math.round(nowMs - report.heardAtMs())),
+                JsonText.plain("session", report.hasSession()));
+    }
+
     private static String acceptor(AcceptorId a) {
         return JsonText.object(JsonText.field("address", a.address()), JsonText.field("identity", a.identity()));
     }
--- /dev/null
+++ b/controlplane/src/test/java/dewplank/controlplane/DataPlaneReportsTest.java
@@ -0,0 +1,75 @@
+package dewplank.controlplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dewplank.membership.Member;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Which configuration data planes act on, since when, as their heartbeats told. */
+class DataPlaneReportsTest {
+    private static final double DAY_MS = DataPlaneReports.RETENTION_MS;
+
+    private final DataPlaneReports reports = new DataPlaneReports();
+
+    private static Member member(String node, long incarnation) {
+        return new Member(node, Member.DATA, "10.0.0.1:1", "z", incarnation);
+    }
+
+    private DataPlaneReports.Report only(double nowMs) {
+        List<DataPlaneReports.Report> all = reports.reports(nowMs);
+        assertEquals(1, all.size());
+        return all.get(0);
+    }
+
+    @Test
+    void sinceIsTheFirstHeartbeatWithTheVersion() {
+        reports.heard(100, member("edge", 1), 0);
+        reports.heard(400, member("edge", 1), 7);
+        reports.heard(700, member("edge", 1), 7);
+        DataPlaneReports.Report report = only(800);
+        assertEquals(7, report.configurationVersion());
+        assertEquals(400, report.sinceMs());
+        assertEquals(700, report.heardAtMs());
+        assertTrue(report.hasSession());
+    }
+
+    @Test
+    void aSessionThatIsOpenedAgainContinuesTheReport() {
+        reports.heard(100, member("edge", 1), 7);
+        reports.sessionEnded(member("edge", 1));
+        assertFalse(only(150).hasSession());
+        reports.heard(900, member("edge", 1), 7);
+        assertEquals(100, only(1_000).sinceMs());
+    }
+
+    @Test
+    void aNewIncarnationBeginsAnewAndOutlastsTheEndOfTheEarlierSession() {
+        reports.heard(100, member("edge", 1), 7);
+        reports.heard(900, member("edge", 2), 7);
+        reports.sessionEnded(member("edge", 1));
+        assertEquals(900, only(1_000).sinceMs());
+        assertTrue(only(1_000).hasSession());
+    }
+
+    @Test
+    void aDataPlaneWithoutASessionIsForgottenAfterADay() {
+        reports.heard(100, member("edge", 1), 7);
+        assertEquals(1, reports.reports(100 + 2 * DAY_MS).size());
+        reports.sessionEnded(member("edge", 1));
+        assertEquals(1, reports.reports(100 + DAY_MS).size());
+        assertEquals(0, reports.reports(101 + DAY_MS).size());
+    }
+
+    @Test
+    void beyondTheBoundTheOneHeardLongestAgoIsForgotten() {
+        for (int index = 0; index <= DataPlaneReports.MAX_REPORTS; index++) {
+            reports.heard(index, member("edge-" + index, 1), 7);
+        }
+        List<DataPlaneReports.Report> all = reports.reports(DataPlaneReports.MAX_REPORTS);
+        assertEquals(DataPlaneReports.MAX_REPORTS, all.size());
+        assertTrue(all.stream().noneMatch(report -> report.member().node.equals("edge-0")));
+    }
+}
--- a/controlplane/src/test/java/dewplank/controlplane/DataPlaneSessionsTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/DataPlaneSessionsTest.java
@@ -145,6 +145,19 @@
         return new FleetUpdate(new byte[] {1}, version, 0, null, null);
     }
 
+    @Test
+    void theVersionInAHeartbeatIsReportedUntilAfterTheSession() throws Exception {
+        MessageLink connection = opened();
+        dataPlane.send(connection, new SessionHeartbeat(1, 7, EndpointListVersion.NONE, 0));
+        dataPlane.nextIs(HeartbeatAck.class);
+        DataPlaneReports.Report open = OnLoop.get(loop, sessions::reports).get(0);
+        assertEquals(7, open.configurationVersion());
+        assertEquals(DATA, open.member());
+        assertTrue(open.hasSession());
+        dataPlane.end(connection);
+        OnLoop.await(loop, () -> !sessions.reports().get(0).hasSession());
+    }
+
     @Test
     void aHeartbeatIsAcknowledgedWithOrWithoutAnUpdate() throws Exception {
         MessageLink connection = opened();
--- a/controlplane/src/test/java/dewplank/controlplane/OperatorApiTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/OperatorApiTest.java
@@ -105,6 +105,11 @@
         public String status() {
             return "{\"quorate\":true}";
         }
+
+        @Override
+        public String dataPlanes() {
+            return "{\"data_planes\":[]}";
+        }
     }
 
     private static String configuration(long version) {
@@ -253,8 +258,8 @@
 
     @Test
     void servesItsViews() {
-        for (String path :
-                List.of("/members", "/duties", "/servers", "/status", "/status?pretty=1", "/servers/?zone=x")) {
+        for (String path : List.of(
+                "/members", "/duties", "/servers", "/status", "/data-planes", "/status?pretty=1", "/servers/?zone=x")) {
             HttpResponse<String> answer = get(path);
             assertEquals(200, answer.statusCode(), path);
             Json.object(answer.body());
--- a/controlplane/src/test/java/dewplank/controlplane/OperatorRequestsTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/OperatorRequestsTest.java
@@ -54,6 +54,11 @@
         public String status() {
             return "{}";
         }
+
+        @Override
+        public String dataPlanes() {
+            return "{}";
+        }
     }
 
     /** A control sidecar that reaches a majority. */
