--- a/cli/src/main/java/dewplank/Help.java
+++ b/cli/src/main/java/dewplank/Help.java
@@ -49,9 +49,15 @@
         return CommandLine.OK;
     }
 
-    /** One line on how the command is written that these arguments begin with. */
-    static String usage(List<String> args) {
-        Map<String, Class<?>> commands = commands();
+    /**
+     * One line on how the command is written that these arguments begin with.
+     *
+     * @param root where that command is declared; no other commands are loaded, which may be in a file that is not
+     *     there
+     */
+    static String usage(Class<?> root, List<String> args) {
+        Map<String, Class<?>> commands = new LinkedHashMap<>();
+        collect("", root, commands);
         String command = command(words(args), commands);
         return usage(command, commands.get(command)) + "see: java -jar dewplank.jar " + (command + " " + FLAG).strip();
     }
--- a/cli/src/main/java/dewplank/OperatorMain.java
+++ b/cli/src/main/java/dewplank/OperatorMain.java
@@ -32,7 +32,7 @@
             main.command.run();
             return CommandLine.OK;
         } catch (CmdLineException | WrongUseException e) {
-            CommandLine.printError(e.getMessage() + "\n" + Help.usage(args));
+            CommandLine.printError(e.getMessage() + "\n" + Help.usage(OperatorMain.class, args));
             return CommandLine.WRONG_USAGE;
         } catch (NoResponseException e) {
             return failed(NO_ANSWER, e);
--- a/emulator/src/main/java/dewplank/emulator/fleet/StandInServer.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/StandInServer.java
@@ -239,8 +239,8 @@
         private String report() {
             String stage = identity.stage() == ServerStage.NONE
                     ? "null"
-                    : identity.stage().wireName();
-            return "{\"stage\":\"" + stage + "\",\"models\":[],\"busy\":true,\"sequence_number\":1,"
+                    : "\"" + identity.stage().wireName() + "\"";
+            return "{\"stage\":" + stage + ",\"models\":[],\"busy\":true,\"sequence_number\":1,"
                     + "\"queued\":0,\"active\":0,\"kv_used\":0,\"kv_capacity\":1,\"context_handles\":0}";
         }
 
--- a/emulator/src/main/java/dewplank/emulator/loopback/ServerEndpoint.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/ServerEndpoint.java
@@ -122,8 +122,8 @@
 
         @Override
         protected void ended() {
-            connections.remove(this);
-            if (state != ConnectionState.UNCOUNTED) {
+            boolean isFirstEnd = connections.remove(this); // a reset reply may end what the sidecar has closed
+            if (isFirstEnd && state != ConnectionState.UNCOUNTED) {
                 server.disconnect(incarnation);
             }
         }
--- a/simulation/src/test/java/dewplank/controlplane/ControlProcess.java
+++ b/simulation/src/test/java/dewplank/controlplane/ControlProcess.java
@@ -5,6 +5,7 @@
 import dewplank.exchange.Responder;
 import dewplank.http.CallHeaders;
 import dewplank.http.Headers;
+import dewplank.membership.Member;
 import dewplank.message.Endpoint;
 import dewplank.message.MessageCodec;
 import dewplank.message.MessageTransport;
@@ -120,6 +121,13 @@
         return plane.components().diskFailure().isPresent();
     }
 
+    /** The data planes that it knows as members. */
+    public List<Member> members() {
+        return plane.components()
+                .sessionTable()
+                .members(plane.components().loop().now());
+    }
+
     /** What it tells operators of itself. */
     public String status() {
         return new OperatorViews(plane.components()).status();
--- a/simulation/src/test/java/dewplank/simulation/DataMachine.java
+++ b/simulation/src/test/java/dewplank/simulation/DataMachine.java
@@ -9,6 +9,7 @@
 final class DataMachine extends Machine {
     private List<String> seeds;
     private DataProcess process;
+    private long incarnationAtStart;
 
     DataMachine(SimulatedFleet fleet, String name, String ip, List<String> seeds, SplittableRandom random) {
         super(fleet, name, ip, random);
@@ -19,6 +20,11 @@
         return process;
     }
 
+    /** The incarnation that the process names itself by. */
+    long incarnationAtStart() {
+        return incarnationAtStart;
+    }
+
     void seeds(List<String> next) {
         seeds = next;
         if (process != null) {
@@ -34,7 +40,8 @@
 
     @Override
     boolean begin(ProcessIncarnation begun) {
-        Member self = new Member(name(), Member.DATA, ip() + ":" + (INTERNAL_PORT + 1), "z", wallClockMs());
+        incarnationAtStart = wallClockMs();
+        Member self = new Member(name(), Member.DATA, ip() + ":" + (INTERNAL_PORT + 1), "z", incarnationAtStart);
         process = new DataProcess(
                 begun,
                 fleet().network().transport(this, begun),
--- a/simulation/src/test/java/dewplank/simulation/MachineScheduleTest.java
+++ b/simulation/src/test/java/dewplank/simulation/MachineScheduleTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dewplank.membership.Member;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.stream.LongStream;
@@ -15,6 +16,8 @@
     private static final double QUOTA_RUN_MS = 30;
     private static final double QUOTA_STAND_MS = 70;
     private static final double QUOTA_MS = 20_000;
+    /** A session's lease (2 s), a heartbeat between control planes and a data plane's next attempt to connect. */
+    private static final double SESSION_MS = 3_500;
     /** More than any lease, session or agreement lasts. */
     private static final double CLOCK_STEP_MS = 60_000;
 
@@ -147,6 +150,37 @@
         schedule.awaitAllCaughtUp(SimulatedFleet.CATCH_UP_MS);
     }
 
+    /**
+     * A restarted data plane whose clock is behind its earlier incarnation's: the earlier one is named until its
+     * session ends, at the same address, so peers reach the present one all the same; it is named once all the time.
+     */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void aRestartedDataPlaneWhoseClockWasSetBackStaysTheOneMemberThatItIs(long seed) {
+        Schedule schedule = new Schedule(seed, 3);
+        schedule.play(SESSION_MS);
+        DataMachine restarted = schedule.fleet.edge().get((int) (seed % 3));
+        restarted.stepClock(-CLOCK_STEP_MS);
+        boolean powerLost = seed % 2 == 0;
+        double downMs = seed * 30;
+        if (powerLost) {
+            schedule.faults.powerLoss(restarted, downMs, () -> {});
+        } else {
+            schedule.faults.kill(restarted, downMs, () -> {});
+        }
+        schedule.play(downMs + SESSION_MS);
+        long present = restarted.incarnationAtStart();
+        for (ControlMachine control : schedule.fleet.core()) {
+            List<Member> members = control.process().members();
+            assertEquals(3, members.size());
+            Member named = members.stream()
+                    .filter(member -> member.node.equals(restarted.name()))
+                    .findFirst()
+                    .orElseThrow();
+            assertEquals(present, named.incarnation);
+        }
+    }
+
     /** The store has grown to its bound, and the disk is full: the file can't be rewritten, and lasts as it is. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
--- a/transport/src/test/java/dewplank/net/EventLoopTest.java
+++ b/transport/src/test/java/dewplank/net/EventLoopTest.java
@@ -11,7 +11,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Everything runs on the loop's one thread, without a lock. */
 class EventLoopTest {
@@ -55,6 +58,34 @@
         }
     }
 
+    /** One path that lacks a class fails alone: what does not need the class is served on. */
+    @ParameterizedTest
+    @MethodSource("failures")
+    void aTaskThatFailsEndsNeitherTheLoopNorItsTimers(Throwable failure) throws Exception {
+        EventLoop loop = new EventLoop();
+        CountDownLatch ran = new CountDownLatch(2);
+        loop.execute(() -> {
+            loop.after(1, () -> throwUnchecked(failure));
+            loop.after(10, ran::countDown);
+            throwUnchecked(failure);
+        });
+        loop.execute(ran::countDown);
+        assertTrue(ran.await(PATIENCE_S, TimeUnit.SECONDS));
+        loop.stop();
+    }
+
+    static Stream<Throwable> failures() {
+        return Stream.of(
+                new IllegalStateException("a fault"), new NoClassDefFoundError("gone"), new StackOverflowError());
+    }
+
+    private static void throwUnchecked(Throwable failure) {
+        if (failure instanceof Error error) {
+            throw error;
+        }
+        throw (RuntimeException) failure;
+    }
+
     @Test
     void handlersAndTimersRunOnTheLoopsThreadOnly() throws Exception {
         EventLoop loop = new EventLoop();
