--- a/store/src/test/java/dewplank/store/MemoryFiles.java
+++ b/store/src/test/java/dewplank/store/MemoryFiles.java
@@ -74,6 +74,7 @@
     private final Map<Path, Content> names = new HashMap<>();
     private Map<Path, Content> syncedNames = new HashMap<>();
     private int writesLeft = Integer.MAX_VALUE;
+    private int stepsLeft = Integer.MAX_VALUE;
     private boolean full;
     private boolean syncFails;
     private int syncs;
@@ -88,6 +89,11 @@
         writesLeft = count;
     }
 
+    /** The process ends after so many changes, removals and syncs of files and names: none takes place beyond. */
+    void endAfterSteps(int count) {
+        stepsLeft = count;
+    }
+
     void failSyncs(boolean fails) {
         syncFails = fails;
     }
@@ -96,6 +102,11 @@
         return syncs;
     }
 
+    /** How many files there are. */
+    int count() {
+        return names.size();
+    }
+
     /** The largest size that all files had together. */
     long maxTotalBytes() {
         return maxTotalBytes;
@@ -146,6 +157,7 @@
         full = false;
         syncFails = false;
         writesLeft = Integer.MAX_VALUE;
+        stepsLeft = Integer.MAX_VALUE;
     }
 
     private static void survive(Content content, Write write, Unsynced unsynced, SplittableRandom random) {
@@ -176,7 +188,8 @@
     }
 
     @Override
-    public void delete(Path file) {
+    public void delete(Path file) throws IOException {
+        failIfEnded();
         names.remove(file);
     }
 
@@ -190,13 +203,22 @@
         if (full || writesLeft <= 0) {
             throw new IOException("no room");
         }
+        failIfEnded();
         writesLeft--;
     }
 
+    private void failIfEnded() throws IOException {
+        if (stepsLeft <= 0) {
+            throw new IOException("the process has ended");
+        }
+        stepsLeft--;
+    }
+
     private void failIfSyncsAreFailing() throws IOException {
         if (syncFails || writesLeft <= 0) {
             throw new IOException("sync failed");
         }
+        failIfEnded();
         syncs++;
     }
 
