Name the holder of a lease and the last heartbeat by the field's words

Cause: isHeld, leaseHeldSince and heardAtMs are plain words where the code's own terms are lease holder and heartbeat. Change: isLeaseHolder, leaseAcquiredAt, lastHeartbeatAtMs, heartbeatAgeMs, onHeartbeat; printed output, paths and JSON names are as they were. CandidateTest's repeated beginning of an election is one method.

--- a/client/src/main/java/dewplank/client/DataPlaneStatus.java
+++ b/client/src/main/java/dewplank/client/DataPlaneStatus.java
@@ -15,7 +15,7 @@
  * @param zone its zone; empty where it has none
  * @param configurationVersion the version that it reported last; 0 where it has none
  * @param sinceMs for how long it has been known to act on that version, in milliseconds
- * @param heardMsAgo how long ago it was heard last, in milliseconds
+ * @param heartbeatAgeMs how long ago it was heard last, in milliseconds
  * @param hasSession whether it has a session with any of the control planes that answered
  */
 record DataPlaneStatus(
@@ -24,7 +24,7 @@
         String zone,
         long configurationVersion,
         long sinceMs,
-        long heardMsAgo,
+        long heartbeatAgeMs,
         boolean hasSession) {
     /** What the control planes' answers say of all data planes, by the name of the node. */
     static List<DataPlaneStatus> of(Collection<Fields> answers) {
@@ -53,7 +53,7 @@
 
     /** The one heard last counts; an earlier session may have seen the same version before. */
     private static DataPlaneStatus combined(DataPlaneStatus one, DataPlaneStatus other) {
-        DataPlaneStatus newer = one.heardMsAgo <= other.heardMsAgo ? one : other;
+        DataPlaneStatus newer = one.heartbeatAgeMs <= other.heartbeatAgeMs ? one : other;
         boolean isSame = one.configurationVersion == other.configurationVersion;
         return new DataPlaneStatus(
                 newer.node,
@@ -61,7 +61,7 @@
                 newer.zone,
                 newer.configurationVersion,
                 isSame ? Math.max(one.sinceMs, other.sinceMs) : newer.sinceMs,
-                newer.heardMsAgo,
+                newer.heartbeatAgeMs,
                 one.hasSession || other.hasSession);
     }
 
--- a/client/src/main/java/dewplank/client/FleetText.java
+++ b/client/src/main/java/dewplank/client/FleetText.java
@@ -140,7 +140,7 @@
                     status.zone(),
                     status.configurationVersion(),
                     seconds(status.sinceMs()),
-                    seconds(status.heardMsAgo()),
+                    seconds(status.heartbeatAgeMs()),
                     status.state(newest));
         }
         return table.toString();
--- a/client/src/test/java/dewplank/client/FleetTextTest.java
+++ b/client/src/test/java/dewplank/client/FleetTextTest.java
@@ -21,11 +21,11 @@
         return new ControlResponse(ONE, status, body.getBytes(StandardCharsets.UTF_8));
     }
 
-    private static String report(String node, long version, long sinceMs, long heardMsAgo, boolean session) {
+    private static String report(String node, long version, long sinceMs, long heartbeatAgeMs, boolean session) {
         return """
             {"node":"%s","address":"10.1.0.1:2","zone":"z","config_version":%d,"since_ms":%d,"heard_ms_ago":%d,\
             "session":%s}"""
-                .formatted(node, version, sinceMs, heardMsAgo, session);
+                .formatted(node, version, sinceMs, heartbeatAgeMs, session);
     }
 
     private void reported(String address, long newest, String... reports) {
--- a/consensus/src/test/java/dewplank/singleton/CandidateTest.java
+++ b/consensus/src/test/java/dewplank/singleton/CandidateTest.java
@@ -73,6 +73,14 @@
         reply(160, "y", Verdict.GRANTED, 8, 3_000);
     }
 
+    /** Probed at 125, votes requested at 150, none granted yet. */
+    private void requestVotes() {
+        candidate.tick(125, effects);
+        reply(150, "x", Verdict.GRANTED, 7, 0);
+        reply(150, "z", Verdict.GRANTED, 4, 0);
+        effects.drain();
+    }
+
     private static List<String> all(Kind kind) {
         return VOTERS.stream().map(voter -> kind + " " + voter.address()).toList();
     }
@@ -307,10 +315,7 @@
 
     @Test
     void aCandidateThatShutsDownWithdrawsTheVotesItRequested() {
-        candidate.tick(125, effects);
-        reply(150, "x", Verdict.GRANTED, 7, 0);
-        reply(150, "z", Verdict.GRANTED, 4, 0);
-        effects.drain();
+        requestVotes();
         candidate.shutDown(160, effects);
         assertEquals(List.of("WITHDRAW x", "WITHDRAW y", "WITHDRAW z"), effects.drain());
         assertEquals(Double.POSITIVE_INFINITY, candidate.nextTickAtMs());
@@ -322,10 +327,7 @@
 
     @Test
     void aCandidateThatStepsDownDuringAnElectionWithdrawsAndWaits() {
-        candidate.tick(125, effects);
-        reply(150, "x", Verdict.GRANTED, 7, 0);
-        reply(150, "z", Verdict.GRANTED, 4, 0);
-        effects.drain();
+        requestVotes();
         candidate.stepDown(160, 5_000, effects);
         assertEquals(List.of("WITHDRAW x", "WITHDRAW y", "WITHDRAW z"), effects.drain());
         candidate.onLeaseReleased(170);
--- a/controlplane/src/main/java/dewplank/controlplane/AcceptorReconfigurer.java
+++ b/controlplane/src/main/java/dewplank/controlplane/AcceptorReconfigurer.java
@@ -57,7 +57,7 @@
         AcceptorSet set = configuration.acceptors();
         List<AcceptorId> target = placement.targetMembers(loop.now(), set, observations());
         boolean differs = !set.isJoint() && !target.equals(set.members());
-        if (differs && !changePending && role.isHeld() && configuration.hasQuorum(QUORUM_VALIDITY_MS)) {
+        if (differs && !changePending && role.isLeaseHolder() && configuration.hasQuorum(QUORUM_VALIDITY_MS)) {
             LOG.info("acceptor change started from={} to={}", set.members(), target);
             changePending = true;
             configuration.replaceAcceptors(set.generation(), target, CHANGE_TIMEOUT_MS, () -> changePending = false);
--- a/controlplane/src/main/java/dewplank/controlplane/DataPlaneReports.java
+++ b/controlplane/src/main/java/dewplank/controlplane/DataPlaneReports.java
@@ -25,15 +25,16 @@
      * @param member the process
      * @param configurationVersion the version that it acts on; 0 where it has none
      * @param sinceMs when it reported that version for the first time
-     * @param heardAtMs when it reported it last
+     * @param lastHeartbeatAtMs when it reported it last
      * @param hasSession whether its session with this control plane is open
      */
-    record Report(Member member, long configurationVersion, double sinceMs, double heardAtMs, boolean hasSession) {}
+    record Report(
+            Member member, long configurationVersion, double sinceMs, double lastHeartbeatAtMs, boolean hasSession) {}
 
     private final Map<String, Report> reportsByNode = new HashMap<>();
 
     /** A heartbeat of the data plane arrived. */
-    void heard(double nowMs, Member member, long configurationVersion) {
+    void onHeartbeat(double nowMs, Member member, long configurationVersion) {
         Report last = reportsByNode.get(member.node);
         boolean isSame = last != null
                 && last.configurationVersion() == configurationVersion
@@ -50,13 +51,16 @@
         reportsByNode.computeIfPresent(
                 member.node,
                 (node, last) -> last.member().equals(member)
-                        ? new Report(member, last.configurationVersion(), last.sinceMs(), last.heardAtMs(), false)
+                        ? new Report(
+                                member, last.configurationVersion(), last.sinceMs(), last.lastHeartbeatAtMs(), false)
                         : last);
     }
 
     /** All reports that are kept, by the name of the node. */
     List<Report> reports(double nowMs) {
-        reportsByNode.values().removeIf(report -> !report.hasSession() && nowMs - report.heardAtMs() > RETENTION_MS);
+        reportsByNode
+                .values()
+                .removeIf(report -> !report.hasSession() && nowMs - report.lastHeartbeatAtMs() > RETENTION_MS);
         List<Report> reports = new ArrayList<>(reportsByNode.values());
         reports.sort(Comparator.comparing(report -> report.member().node));
         return reports;
@@ -64,7 +68,7 @@
 
     private void evictOldest() {
         reportsByNode.values().stream()
-                .min(Comparator.comparingDouble(Report::heardAtMs))
+                .min(Comparator.comparingDouble(Report::lastHeartbeatAtMs))
                 .ifPresent(oldest -> reportsByNode.remove(oldest.member().node));
     }
 }
--- a/controlplane/src/main/java/dewplank/controlplane/DataPlaneSessions.java
+++ b/controlplane/src/main/java/dewplank/controlplane/DataPlaneSessions.java
@@ -100,7 +100,7 @@
             lastHeartbeatAt = loop.now();
             table.renew(lastHeartbeatAt, member);
             versions.onHeartbeat(heartbeat);
-            reports.heard(lastHeartbeatAt, member, heartbeat.configurationVersion);
+            reports.onHeartbeat(lastHeartbeatAt, member, heartbeat.configurationVersion);
             connection.send(new HeartbeatAck(heartbeat.sequence, source.isCurrent(), source.controlAddresses()));
             sendUpdate();
         }
--- a/controlplane/src/main/java/dewplank/controlplane/EndpointPoller.java
+++ b/controlplane/src/main/java/dewplank/controlplane/EndpointPoller.java
@@ -104,7 +104,7 @@
 
     /** Publishes at once what {@link #overrideStage} changed, if the lease is held under that fencing token. */
     void publishStageOverrides(long fencingToken) {
-        if (newest.version.fencingToken == fencingToken && role.isHeld(fencingToken)) {
+        if (newest.version.fencingToken == fencingToken && role.isLeaseHolder(fencingToken)) {
             List<Endpoint> endpoints = withStageOverrides(newest.endpoints);
             if (differsFromNewest(endpoints)) {
                 publish(endpoints, fencingToken);
@@ -145,7 +145,7 @@
     }
 
     private void check() {
-        if (role.isHeld() && !pollPending && loop.now() >= nextPollAt) {
+        if (role.isLeaseHolder() && !pollPending && loop.now() >= nextPollAt) {
             poll();
         }
         loop.after(CHECK_INTERVAL_MS, this::check);
@@ -186,7 +186,7 @@
             dropConfirmedOverrides(listed);
             List<Endpoint> endpoints = withStageOverrides(listed);
             boolean firstUnderToken = newest.version.fencingToken != fencingToken;
-            if ((firstUnderToken || differsFromNewest(endpoints)) && role.isHeld(fencingToken)) {
+            if ((firstUnderToken || differsFromNewest(endpoints)) && role.isLeaseHolder(fencingToken)) {
                 publish(endpoints, fencingToken);
             }
         }
@@ -199,7 +199,8 @@
                 LOG.warn("platform poll failed reason={}", reason);
             }
             double failingMs = loop.now() - failingSince;
-            if (role.isHeld(fencingToken) && failingMs >= backoffFactor * MAX_FAILING_FRACTION_OF_DRAIN * drainMs) {
+            if (role.isLeaseHolder(fencingToken)
+                    && failingMs >= backoffFactor * MAX_FAILING_FRACTION_OF_DRAIN * drainMs) {
                 LOG.warn(
                         "lease released duty=list token={} reason=platform-unreachable failingMs={}",
                         fencingToken,
--- a/controlplane/src/main/java/dewplank/controlplane/OperatorViews.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorViews.java
@@ -51,7 +51,7 @@
                         JsonText.plain(
                                 "list",
                                 JsonText.object(
-                                        JsonText.plain("held_here", list.isHeld()),
+                                        JsonText.plain("held_here", list.isLeaseHolder()),
                                         JsonText.plain("fencing_number", list.fencingToken()))))
                 + "\n";
     }
@@ -104,7 +104,7 @@
                                 "quorum_age_ms", components.configuration().quorumAgeMs()),
                         JsonText.plain(
                                 "holds_list_duty",
-                                components.roles().endpointList().isHeld()),
+                                components.roles().endpointList().isLeaseHolder()),
                         JsonText.plain(
                                 "acceptors_generation",
                                 components.configuration().acceptors().generation()),
@@ -137,7 +137,7 @@
                 JsonText.field("zone", member.zone),
                 JsonText.plain("config_version", report.configurationVersion()),
                 JsonText.plain("since_ms", Math.round(nowMs - report.sinceMs())),
-                JsonText.plain("heard_ms_ago", Math.round(nowMs - report.heardAtMs())),
+                JsonText.plain("heard_ms_ago", Math.round(nowMs - report.lastHeartbeatAtMs())),
                 JsonText.plain("session", report.hasSession()));
     }
 
--- a/controlplane/src/main/java/dewplank/controlplane/SingletonRole.java
+++ b/controlplane/src/main/java/dewplank/controlplane/SingletonRole.java
@@ -8,14 +8,14 @@
  */
 interface SingletonRole {
     /** Whether this process holds the lease now. */
-    boolean isHeld();
+    boolean isLeaseHolder();
 
     /** The token of the lease that was acquired here last; tokens grow from lease to lease over the whole fleet. */
     long fencingToken();
 
     /** Whether the lease was held without a break since it was acquired under this token. Checked before each act. */
-    default boolean isHeld(long fencingToken) {
-        return isHeld() && fencingToken() == fencingToken;
+    default boolean isLeaseHolder(long fencingToken) {
+        return isLeaseHolder() && fencingToken() == fencingToken;
     }
 
     /**
--- a/controlplane/src/main/java/dewplank/controlplane/SingletonRoles.java
+++ b/controlplane/src/main/java/dewplank/controlplane/SingletonRoles.java
@@ -108,7 +108,7 @@
     SingletonRole endpointList() {
         return new SingletonRole() {
             @Override
-            public boolean isHeld() {
+            public boolean isLeaseHolder() {
                 return candidate.isLeaseHolder(loop.now());
             }
 
--- a/controlplane/src/main/java/dewplank/controlplane/StageController.java
+++ b/controlplane/src/main/java/dewplank/controlplane/StageController.java
@@ -57,7 +57,7 @@
     private final Map<String, ModelServerReport> reports = new HashMap<>();
     private final PendingStageOrders pendingOrders = new PendingStageOrders();
     private final Map<String, Double> lastOrderAt = new HashMap<>();
-    private double leaseHeldSince = Double.POSITIVE_INFINITY;
+    private double leaseAcquiredAt = Double.POSITIVE_INFINITY;
     private long leaseToken;
     private double nextPollAt;
     private int pollOffset;
@@ -95,10 +95,10 @@
 
     private void check() {
         double now = loop.now();
-        if (role.isHeld()) {
+        if (role.isLeaseHolder()) {
             checkAsLeaseHolder(now);
         } else {
-            leaseHeldSince = Double.POSITIVE_INFINITY;
+            leaseAcquiredAt = Double.POSITIVE_INFINITY;
             forgetReportsAndOrders();
         }
         loop.after(CHECK_INTERVAL_MS, this::check);
@@ -107,15 +107,15 @@
     private void checkAsLeaseHolder(double now) {
         if (role.fencingToken() != leaseToken) { // another process may have held the lease between two checks
             leaseToken = role.fencingToken();
-            leaseHeldSince = now;
+            leaseAcquiredAt = now;
             forgetReportsAndOrders();
         }
-        leaseHeldSince = Math.min(leaseHeldSince, now);
+        leaseAcquiredAt = Math.min(leaseAcquiredAt, now);
         if (now >= nextPollAt) {
             nextPollAt = now + POLL_INTERVAL_MS;
             pollReports();
         }
-        if (now - leaseHeldSince >= leaseMs + LEASE_MARGIN_MS && policy.isEnabled(Mechanism.STAGE_ORDERS)) {
+        if (now - leaseAcquiredAt >= leaseMs + LEASE_MARGIN_MS && policy.isEnabled(Mechanism.STAGE_ORDERS)) {
             stagedServersByService().forEach(this::controlService);
         }
     }
@@ -151,7 +151,7 @@
     }
 
     private void requestReport(Endpoint server) {
-        client.requestReport(server, role::isHeld, (status, body) -> {
+        client.requestReport(server, role::isLeaseHolder, (status, body) -> {
             if (status == STATUS_OK) {
                 storeReport(server, body);
             }
@@ -225,7 +225,7 @@
         }
         poller.publishStageOverrides(fencingToken);
         loop.after(idle ? 0 : ANNOUNCEMENT_LEAD_MS, () -> {
-            if (role.isHeld(fencingToken)) {
+            if (role.isLeaseHolder(fencingToken)) {
                 changes.forEach(c -> sendOrder(serverOf(servers, c), c, fencingToken));
             }
         });
@@ -242,14 +242,15 @@
         String stage = stageName(change.toPrefill());
         ordersSent++;
         LOG.info("stage order sent server={} stage={} token={}", server.instanceId, stage, fencingToken);
-        client.sendOrder(server, orderBody(stage, fencingToken), () -> role.isHeld(fencingToken), (status, answer) -> {
-            if (status != STATUS_OK && status != STATUS_ACCEPTED) {
-                LOG.info("stage order rejected server={} status={}", server.instanceId, status);
-                pendingOrders.remove(server.instanceId);
-                poller.clearStageOverride(server.instanceId);
-                reports.remove(server.instanceId);
-            }
-        });
+        client.sendOrder(
+                server, orderBody(stage, fencingToken), () -> role.isLeaseHolder(fencingToken), (status, answer) -> {
+                    if (status != STATUS_OK && status != STATUS_ACCEPTED) {
+                        LOG.info("stage order rejected server={} status={}", server.instanceId, status);
+                        pendingOrders.remove(server.instanceId);
+                        poller.clearStageOverride(server.instanceId);
+                        reports.remove(server.instanceId);
+                    }
+                });
     }
 
     private byte[] orderBody(String stage, long fencingToken) {
--- a/controlplane/src/test/java/dewplank/controlplane/DataPlaneReportsTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/DataPlaneReportsTest.java
@@ -26,29 +26,29 @@
 
     @Test
     void sinceIsTheFirstHeartbeatWithTheVersion() {
-        reports.heard(100, member("edge", 1), 0);
-        reports.heard(400, member("edge", 1), 7);
-        reports.heard(700, member("edge", 1), 7);
+        reports.onHeartbeat(100, member("edge", 1), 0);
+        reports.onHeartbeat(400, member("edge", 1), 7);
+        reports.onHeartbeat(700, member("edge", 1), 7);
         DataPlaneReports.Report report = only(800);
         assertEquals(7, report.configurationVersion());
         assertEquals(400, report.sinceMs());
-        assertEquals(700, report.heardAtMs());
+        assertEquals(700, report.lastHeartbeatAtMs());
         assertTrue(report.hasSession());
     }
 
     @Test
     void aSessionThatIsOpenedAgainContinuesTheReport() {
-        reports.heard(100, member("edge", 1), 7);
+        reports.onHeartbeat(100, member("edge", 1), 7);
         reports.sessionEnded(member("edge", 1));
         assertFalse(only(150).hasSession());
-        reports.heard(900, member("edge", 1), 7);
+        reports.onHeartbeat(900, member("edge", 1), 7);
         assertEquals(100, only(1_000).sinceMs());
     }
 
     @Test
     void aNewIncarnationBeginsAnewAndOutlastsTheEndOfTheEarlierSession() {
-        reports.heard(100, member("edge", 1), 7);
-        reports.heard(900, member("edge", 2), 7);
+        reports.onHeartbeat(100, member("edge", 1), 7);
+        reports.onHeartbeat(900, member("edge", 2), 7);
         reports.sessionEnded(member("edge", 1));
         assertEquals(900, only(1_000).sinceMs());
         assertTrue(only(1_000).hasSession());
@@ -56,7 +56,7 @@
 
     @Test
     void aDataPlaneWithoutASessionIsForgottenAfterADay() {
-        reports.heard(100, member("edge", 1), 7);
+        reports.onHeartbeat(100, member("edge", 1), 7);
         assertEquals(1, reports.reports(100 + 2 * DAY_MS).size());
         reports.sessionEnded(member("edge", 1));
         assertEquals(1, reports.reports(100 + DAY_MS).size());
@@ -66,7 +66,7 @@
     @Test
     void beyondTheBoundTheOneHeardLongestAgoIsForgotten() {
         for (int index = 0; index <= DataPlaneReports.MAX_REPORTS; index++) {
-            reports.heard(index, member("edge-" + index, 1), 7);
+            reports.onHeartbeat(index, member("edge-" + index, 1), 7);
         }
         List<DataPlaneReports.Report> all = reports.reports(DataPlaneReports.MAX_REPORTS);
         assertEquals(DataPlaneReports.MAX_REPORTS, all.size());
--- a/controlplane/src/test/java/dewplank/controlplane/EndpointPollerTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/EndpointPollerTest.java
@@ -65,7 +65,7 @@
         private final List<Double> pauses = new ArrayList<>();
 
         @Override
-        public boolean isHeld() {
+        public boolean isLeaseHolder() {
             return leaseHeld;
         }
 
--- a/controlplane/src/test/java/dewplank/controlplane/StageControllerTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/StageControllerTest.java
@@ -41,7 +41,7 @@
         private double firstRequestedAt = Double.POSITIVE_INFINITY;
 
         @Override
-        public synchronized boolean isHeld() {
+        public synchronized boolean isLeaseHolder() {
             firstRequestedAt = Math.min(firstRequestedAt, loop.now());
             return true;
         }
--- a/simulation/src/test/java/dewplank/controlplane/ControlProcess.java
+++ b/simulation/src/test/java/dewplank/controlplane/ControlProcess.java
@@ -95,7 +95,7 @@
     }
 
     public boolean holdsList() {
-        return plane.components().roles().endpointList().isHeld();
+        return plane.components().roles().endpointList().isLeaseHolder();
     }
 
     public long fencingToken() {
