Begin a rewrite of the store anew whatever a failed one left

Cause: a mutant without the removal of the half-written file survived; the tests ended the process where a rewrite failed. Change: a case in which the same process saves again after a rewrite that left an unreadable file.

--- a/store/src/test/java/dewplank/store/AcceptorStoreTest.java
+++ b/store/src/test/java/dewplank/store/AcceptorStoreTest.java
@@ -17,6 +17,7 @@
 class AcceptorStoreTest {
     private static final Path DIRECTORY = Path.of("data");
     private static final Path FILE = DIRECTORY.resolve("acceptor.mv");
+    private static final Path NEXT_FILE = DIRECTORY.resolve("acceptor.mv.next");
     private static final long DISK_QUOTA_BYTES = 64L << 20;
     private static final int LARGE_VALUE_BYTES = 120_000;
     private static final int LARGEST_VALUE_BYTES = 200_000;
@@ -245,6 +246,22 @@
         }
     }
 
+    /** What a rewrite that failed has left may not even be readable. */
+    @Test
+    void aRewriteIsBegunAnewWhateverTheFailedOneLeft() throws StoreException {
+        AcceptorStore store = open();
+        String identity = store.recovered().identity();
+        store.save(state(identity, 1, 100));
+        store.close();
+        files.failAfterWrites(2);
+        Assertions.assertThrows(StoreException.class, () -> store.save(state(identity, 2, 100)));
+        files.recoverWrites();
+        files.truncate(NEXT_FILE, 100);
+        store.save(state(identity, 3, 100));
+        assertSame(state(identity, 3, 100), open().recovered());
+        Assertions.assertEquals(1, files.count());
+    }
+
     @Test
     void filesStayWithinTheirQuota() throws StoreException {
         long quotaBytes = 8L << 20;
