--- a/lab/src/test/java/dewplank/lab/load/ManualClock.java
+++ b/lab/src/test/java/dewplank/lab/load/ManualClock.java
@@ -12,6 +12,8 @@
  * time by this clock, however slow the machine. Any thread may call it.
  */
 final class ManualClock {
+    private static final long POLL_INTERVAL_MS = 10;
+
     private record Task(double atMs, long order, EventLoop loop, Runnable action) {}
 
     private final PriorityQueue<Task> tasks =
@@ -52,13 +54,19 @@
     }
 
     /**
-     * Moves to the next task and runs it on its loop; returns when it has run.
+     * Moves to the next task and runs it on its loop; returns when it has run, or when the run has ended without one.
      *
      * @param loops the thread that stops the loops: once it has ended a task may not run any more
      */
     void runNext(Thread loops) throws InterruptedException {
         Task next;
         synchronized (this) {
+            while (tasks.isEmpty() && loops.isAlive()) {
+                wait(POLL_INTERVAL_MS); // the last task has run, and the run is about to end
+            }
+            if (tasks.isEmpty()) {
+                return;
+            }
             next = tasks.remove();
             nowMs = next.atMs();
         }
@@ -74,7 +82,7 @@
         } catch (RejectedExecutionException e) {
             return; // its loop has stopped: the run is over
         }
-        while (!hasRun.await(10, TimeUnit.MILLISECONDS) && loops.isAlive()) {
+        while (!hasRun.await(POLL_INTERVAL_MS, TimeUnit.MILLISECONDS) && loops.isAlive()) {
             Thread.onSpinWait();
         }
     }
