Charge a prefill that no server took up to the retry budget

Only the first prefill that a server takes up is free of charge; one that broke off or was given up, and whose prompt then went straight to a decode server, was not counted. Change: it is counted when the request goes on without a handle; a later prefill that is paid for makes up for it. GenerationTest 50 to 51 cases; the new one fails without the change.

--- a/dataplane/src/main/java/dewplank/dataplane/AttemptAllowance.java
+++ b/dataplane/src/main/java/dewplank/dataplane/AttemptAllowance.java
@@ -66,6 +66,11 @@
         return acquired;
     }
 
+    /** An attempt that was begun free of charge turned out to count for the budget, though not for the limit. */
+    void recordRetryChargedLate() {
+        budgets.recordRetry(service);
+    }
+
     /** An attempt that was begun free of charge turned out to count, for the limit and for the budget. */
     void recordAttemptChargedLate() {
         attempts++;
--- a/dataplane/src/main/java/dewplank/dataplane/PrefillPhase.java
+++ b/dataplane/src/main/java/dewplank/dataplane/PrefillPhase.java
@@ -28,6 +28,8 @@
     private TimerWheel.Timer overdueTimer;
     /** Attempts that may have reached a server. */
     private int prefills;
+    /** Whether the attempt that was free of charge may have reached a server, and is not known to be taken up there. */
+    private boolean isFreeAttemptUnanswered;
 
     PrefillPhase(GenerationRequest request) {
         this.request = request;
@@ -38,15 +40,29 @@
         Server server = pickServer();
         boolean freeOfCharge = prefills == 0;
         if (server == null || !freeOfCharge && !tryAcquireRetry()) {
-            request.startDecode();
+            startDecodeWithoutHandle();
             return;
         }
         sendTo(server, freeOfCharge);
     }
 
+    /**
+     * Only an attempt that a server takes up is free. Where one was given up or broke off, the next attempt that is
+     * paid for and taken up makes up for it; where none is, it counts itself, as its server may not have begun it.
+     */
+    private void startDecodeWithoutHandle() {
+        if (isFreeAttemptUnanswered) {
+            isFreeAttemptUnanswered = false;
+            request.allowance.recordRetryChargedLate();
+        }
+        request.startDecode();
+    }
+
     private void sendTo(Server server, boolean freeOfCharge) {
         prefills++;
-        if (!freeOfCharge) {
+        if (freeOfCharge) {
+            isFreeAttemptUnanswered = true;
+        } else {
             request.allowance.recordAttempt();
         }
         request.forwarder.counters().add(Count.PREFILLS);
@@ -96,7 +112,7 @@
             overdueTimer = request.loop.after(leftMs, this::onOverdue);
         } else {
             giveUpAttempt();
-            request.startDecode();
+            startDecodeWithoutHandle();
         }
     }
 
@@ -148,6 +164,7 @@
         @Override
         public void complete() {
             overdueTimer.cancel();
+            isFreeAttemptUnanswered &= !freeOfCharge;
             if (AnswerKind.of(status, headers) == AnswerKind.NOT_EXECUTED) {
                 onRejected();
                 return;
@@ -186,6 +203,7 @@
                     request.forwarder.serverFeedback().recordFailure(server, request.route.name(), failure);
             if (execution == Execution.IMPOSSIBLE) {
                 prefills--;
+                isFreeAttemptUnanswered &= !freeOfCharge;
                 if (!freeOfCharge) {
                     request.allowance.revokeAttempt();
                 }
--- a/dataplane/src/test/java/dewplank/dataplane/GenerationTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/GenerationTest.java
@@ -585,6 +585,19 @@
         net.assertQuiet();
     }
 
+    /** Only an attempt that a server takes up is free of charge. */
+    @Test
+    void aPrefillThatBreaksOffIsChargedWhereNoOtherServerTakesThePromptUp() throws Exception {
+        limitRetries(ONE_RETRY);
+        net.servers.prefill();
+        net.servers.decodeServers(2);
+        Wire client = net.sendRequest("/gen/", PROMPT);
+        net.nextCall().wire().reset();
+        reject(net.nextCall());
+        assertEquals(503, client.read().status());
+        net.assertQuiet();
+    }
+
     @Test
     void withoutARetryBudgetThePromptIsStillPrefilled() throws Exception {
         limitRetries(ForwarderFixture.NO_RETRIES);
