--- a/cli/src/main/java/dewplank/rehearsal/FleetRehearsal.java
+++ b/cli/src/main/java/dewplank/rehearsal/FleetRehearsal.java
@@ -6,7 +6,6 @@
 import dewplank.http.Headers;
 import dewplank.net.EventLoop;
 import dewplank.net.Listener;
-import dewplank.routing.Policy;
 import dewplank.settings.NodeSettings;
 import dewplank.store.StoreException;
 import java.io.IOException;
@@ -51,8 +50,7 @@
         Listener servers = new Listener(
                 loop, new InetSocketAddress(HOST, ports[4]), 64, () -> new InboundConnection(loop, new StandIn()));
         loop.execute(servers::accept);
-        ControlPlaneRunner control =
-                new ControlPlaneRunner(NodeSettings.parse(settings("core", ports[0], true)), Policy.ALL_ENABLED);
+        ControlPlaneRunner control = new ControlPlaneRunner(NodeSettings.parse(settings("core", ports[0], true)));
         control.start();
         DataPlane data = new DataPlane(NodeSettings.parse(settings("edge", ports[0], false)));
         data.start();
--- a/controlplane/src/main/java/dewplank/controlplane/ControlPlaneRunner.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlPlaneRunner.java
@@ -25,6 +25,16 @@
     /**
      * Opens the disk and the sockets of this machine.
      *
+     * @throws IOException where an address can't be listened on
+     * @throws StoreException where the data directory is none that this process may use
+     */
+    public ControlPlaneRunner(NodeSettings settings) throws IOException, StoreException {
+        this(settings, Policy.ALL_ENABLED);
+    }
+
+    /**
+     * The same for a trial.
+     *
      * @param policy the mechanisms that are enabled
      * @throws IOException where an address can't be listened on
      * @throws StoreException where the data directory is none that this process may use
