--- a/cli/src/main/java/dewplank/FleetViewCommands.java
+++ b/cli/src/main/java/dewplank/FleetViewCommands.java
@@ -4,6 +4,7 @@
 import dewplank.client.ControlClient;
 import dewplank.client.ControlResponse;
 import dewplank.client.FleetText;
+import dewplank.client.NoResponseException;
 import java.io.IOException;
 import java.util.Map;
 import org.kohsuke.args4j.Argument;
@@ -59,10 +60,19 @@
         public void run() throws IOException, InterruptedException {
             ControlClient client = client();
             Map<String, ControlResponse> answers = client.callEach(ControlCall.get("/status"));
-            Map<String, ControlResponse> dataPlanes = client.callEach(ControlCall.get("/data-planes"));
+            Map<String, ControlResponse> dataPlanes = dataPlanes(client);
             print(
                     FleetText.statusJson(client.addresses(), answers, dataPlanes),
                     FleetText.status(client.addresses(), answers) + "\n" + FleetText.dataPlanes(dataPlanes));
         }
+
+        /** What could be learned of the control planes is shown also where none answers any more. */
+        private static Map<String, ControlResponse> dataPlanes(ControlClient client) throws InterruptedException {
+            try {
+                return client.callEach(ControlCall.get("/data-planes"));
+            } catch (NoResponseException nobody) {
+                return Map.of();
+            }
+        }
     }
 }
--- a/client/src/main/java/dewplank/client/FleetText.java
+++ b/client/src/main/java/dewplank/client/FleetText.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /** Formats responses of control planes as text for operators. Column headings and phrases are part of the commands. */
@@ -16,13 +17,10 @@
 
     private FleetText() {}
 
-    private interface Formatter {
-        String format(Fields fields);
-    }
-
-    private static String format(ControlResponse answer, Formatter formatter) {
+    /** What an answer says; an answer that can't be read is reported with its address. */
+    private static <T> T format(ControlResponse answer, Function<Fields, T> reader) {
         try {
-            return formatter.format(new Fields(answer.fields(), ""));
+            return reader.apply(new Fields(answer.fields(), ""));
         } catch (InvalidInputException e) {
             throw InvalidInputException.of(
                     ResultCode.ANSWER_UNREADABLE, "the answer of " + answer.address() + ": " + e.getMessage());
@@ -121,19 +119,17 @@
      *     are left out
      */
     public static String dataPlanes(Map<String, ControlResponse> answers) {
-        List<Fields> readable = new ArrayList<>();
+        List<DataPlaneStatus> reports = new ArrayList<>();
+        long newest = 0;
         for (ControlResponse answer : answers.values()) {
             if (answer.isSuccess()) {
-                readable.add(new Fields(answer.fields(), ""));
+                reports.addAll(format(answer, DataPlaneStatus::reportedBy));
+                newest = Math.max(newest, format(answer, fields -> fields.integer("config_version")));
             }
         }
-        long newest = readable.stream()
-                .mapToLong(fields -> fields.integer("config_version"))
-                .max()
-                .orElse(0);
         TextTable table =
                 new TextTable("DATA PLANE", "ADDRESS", "ZONE", "CONFIGURATION", "SINCE S", "HEARD S", "STATE");
-        for (DataPlaneStatus status : DataPlaneStatus.of(readable)) {
+        for (DataPlaneStatus status : DataPlaneStatus.combined(reports)) {
             table.row(
                     status.node(),
                     status.address(),
--- a/client/src/test/java/dewplank/client/FleetTextTest.java
+++ b/client/src/test/java/dewplank/client/FleetTextTest.java
@@ -1,7 +1,10 @@
 package dewplank.client;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dewplank.settings.InvalidInputException;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -22,10 +25,16 @@
     }
 
     private static String report(String node, long version, long sinceMs, long heartbeatAgeMs, boolean session) {
+        return report(node, 1, version, sinceMs, heartbeatAgeMs, session);
+    }
+
+    private static String report(
+            String node, long incarnation, long version, long sinceMs, long heartbeatAgeMs, boolean session) {
         return """
-            {"node":"%s","address":"10.1.0.1:2","zone":"z","config_version":%d,"since_ms":%d,"heard_ms_ago":%d,\
+            {"node":"%s","address":"10.1.0.1:2","zone":"z","incarnation":%d,\
+            "config_version":%d,"since_ms":%d,"heard_ms_ago":%d,\
             "session":%s}"""
-                .formatted(node, version, sinceMs, heartbeatAgeMs, session);
+                .formatted(node, incarnation, version, sinceMs, heartbeatAgeMs, session);
     }
 
     private void reported(String address, long newest, String... reports) {
@@ -57,6 +66,23 @@
         assertEquals("edge-2|10.1.0.1:2|z|7|70.0|0.2|current", state(2));
     }
 
+    /** Its earlier process acted on the version for longer, and lost its power: that session is still open. */
+    @Test
+    void aRestartedDataPlaneHasTheVersionOnlySinceItsRestart() {
+        reported(ONE, 7, report("edge-1", 1, 7, 70_000, 900, true));
+        reported(OTHER, 7, report("edge-1", 2, 7, 400, 100, true));
+        assertEquals("edge-1|10.1.0.1:2|z|7|0.4|0.1|current", state(1));
+    }
+
+    @Test
+    void anAnswerThatCannotBeReadIsNamed() {
+        dataPlanes.put(ONE, response(200, "{\"config_version\":7,\"data_planes\":[{\"node\":1}]}"));
+        InvalidInputException failure =
+                assertThrows(InvalidInputException.class, () -> FleetText.dataPlanes(dataPlanes));
+        assertTrue(
+                failure.getMessage().startsWith("802 ANSWER_UNREADABLE: the answer of " + ONE), failure.getMessage());
+    }
+
     @Test
     void aControlPlaneOfAnEarlierVersionSaysNothingOfDataPlanes() {
         dataPlanes.put(EARLIER_VERSION, response(404, "{\"code\":201,\"result\":\"NO_SUCH_PATH\"}"));
--- a/consensus/src/test/java/dewplank/singleton/LeaseClockDriftTest.java
+++ b/consensus/src/test/java/dewplank/singleton/LeaseClockDriftTest.java
@@ -1,7 +1,5 @@
 package dewplank.singleton;
 
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import dewplank.singleton.LeaseSimulation.SimulatedNode;
 import dewplank.singleton.LeaseSimulation.Times;
 import java.util.Random;
@@ -14,14 +12,13 @@
  */
 class LeaseClockDriftTest {
     private static final double LEASE_MS = LeaseSimulation.LEASE_MS;
-    /** A tenth of what two clocks differ by over a lease. */
+    /** Under a tenth of the 30 ms that two clocks may differ by over a lease. */
     private static final Times FAST = new Times(LEASE_MS, 2, 0.5);
 
     private static final int HISTORIES = 3_000;
 
     @Test
     void aHolderThatIsCutOffEndsItsLeaseBeforeAnotherIsElected() {
-        int succeeded = 0;
         for (long seed = 0; seed < HISTORIES; seed++) {
             Random random = new Random(seed);
             LeaseSimulation simulation = new LeaseSimulation(random, 3, FAST);
@@ -33,8 +30,6 @@
                 simulation.cut(other.name(), holder.name());
             }
             simulation.runUntilAcquired(holder, 2 * LEASE_MS);
-            succeeded++;
         }
-        assertTrue(succeeded == HISTORIES);
     }
 }
--- a/controlplane/src/main/java/dewplank/controlplane/OperatorViews.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorViews.java
@@ -135,6 +135,7 @@
                 JsonText.field("node", member.node),
                 JsonText.field("address", member.address),
                 JsonText.field("zone", member.zone),
+                JsonText.plain("incarnation", member.incarnation),
                 JsonText.plain("config_version", report.configurationVersion()),
                 JsonText.plain("since_ms", Math.round(nowMs - report.sinceMs())),
                 JsonText.plain("heard_ms_ago", Math.round(nowMs - report.lastHeartbeatAtMs())),
--- a/simulation/src/test/java/dewplank/simulation/MachineScheduleTest.java
+++ b/simulation/src/test/java/dewplank/simulation/MachineScheduleTest.java
@@ -18,6 +18,8 @@
     private static final double QUOTA_MS = 20_000;
     /** A session's lease (2 s), a heartbeat between control planes and a data plane's next attempt to connect. */
     private static final double SESSION_MS = 3_500;
+    /** A quarter of {@code disk_mb}, beyond which the store is rewritten. */
+    private static final long STORE_BOUND_BYTES = (2L << 20) / 4;
     /** More than any lease, session or agreement lasts. */
     private static final double CLOCK_STEP_MS = 60_000;
 
@@ -188,6 +190,7 @@
         Schedule schedule = new Schedule(seed, 3);
         ControlMachine full = schedule.core((int) (seed % 3));
         schedule.changes(40);
+        assertTrue(full.disk().maxTotalBytes() > STORE_BOUND_BYTES, full.disk().maxTotalBytes() + " bytes");
         schedule.fleet.contact().disturbed(full);
         full.disk().fill(true);
         schedule.changes(40);
--- a/simulation/src/test/java/dewplank/simulation/PartitionScheduleTest.java
+++ b/simulation/src/test/java/dewplank/simulation/PartitionScheduleTest.java
@@ -71,8 +71,8 @@
     }
 
     /**
-     * A successor and a data plane start with seeds that name one control plane, which is cut off from the others. They
-     * get nothing from it that may be old, and belong to the fleet once the partition has healed.
+     * A successor and a data plane start with seeds that name one control plane, which is cut off from the others. The
+     * successor confirms nothing, and both belong to the fleet once the partition has healed.
      */
     @ParameterizedTest
     @MethodSource("seeds")
--- a/store/src/test/java/dewplank/store/AcceptorStoreStepsTest.java
+++ b/store/src/test/java/dewplank/store/AcceptorStoreStepsTest.java
@@ -44,20 +44,20 @@
     @ParameterizedTest
     @EnumSource(End.class)
     void whatIsSavedLastsWhereverTheProcessEnds(End end) throws StoreException {
-        int steps = 0;
-        while (!new AcceptorStoreStepsTest().lastsAfter(steps, end)) {
-            steps++;
+        for (int draw = 0; draw < (end == End.POWER_LOST_UNSYNCED_DRAWN ? DRAWS : 1); draw++) {
+            int steps = 0;
+            while (!new AcceptorStoreStepsTest().lastsAfter(steps, end, draw)) {
+                steps++;
+            }
+            assertTrue(steps > 10 * SAVES, steps + " steps");
         }
-        assertTrue(steps > 10 * SAVES, steps + " steps");
     }
 
     /** Whether all was saved before the process ended. */
-    private boolean lastsAfter(int steps, End end) throws StoreException {
+    private boolean lastsAfter(int steps, End end, int draw) throws StoreException {
         disk.endAfterSteps(steps);
         boolean isComplete = isSavedCompletely();
-        for (int draw = 0; draw < (end == End.POWER_LOST_UNSYNCED_DRAWN ? DRAWS : 1); draw++) {
-            restart(end, new SplittableRandom(steps * DRAWS + draw));
-        }
+        restart(end, new SplittableRandom(steps * DRAWS + draw));
         return isComplete;
     }
 
