Show that servers get clients' keys, and tenants' names from clients alone

No code reads tenants: AttemptFactory passes on what a client sent, its key and its own tenant name among it, and adds no name.

Change: tests alone. Routes of tests may be public.

--- a/dataplane/src/test/java/dewplank/dataplane/CallFields.java
+++ b/dataplane/src/test/java/dewplank/dataplane/CallFields.java
@@ -4,6 +4,11 @@
 
 /** Header fields of the calls that servers get, by the protocol's names; null where a call has none. */
 final class CallFields {
+    /** The tenant that holds the client's key, by the data plane's word. */
+    static final String TENANT_NAME = "X-Dewplank-Tenant-Name";
+    /** The client's key, which servers must not get. */
+    static final String AUTHORIZATION = "Authorization";
+
     private CallFields() {}
 
     static String attemptId(Call call) {
@@ -30,4 +35,8 @@
     static String lastEventId(Call call) {
         return call.message().header("Last-Event-Id");
     }
+
+    static String tenantName(Call call) {
+        return call.message().header(TENANT_NAME);
+    }
 }
--- a/dataplane/src/test/java/dewplank/dataplane/TestRoute.java
+++ b/dataplane/src/test/java/dewplank/dataplane/TestRoute.java
@@ -9,14 +9,16 @@
         int timeoutMs,
         int targetLatencyMs,
         int gapTargetMs,
-        boolean resumable) {
+        boolean resumable,
+        boolean isPublic) {
     /** Longer than a test waits for anything, shorter than the remaining time that {@link ClientRequests} state. */
     static final int DEFAULT_TIMEOUT_MS = 8_000;
 
     private static final int DEFAULT_TARGET_LATENCY_MS = 4_000;
 
     private static TestRoute of(String name, String type, String service, int maxAttempts) {
-        return new TestRoute(name, type, service, maxAttempts, DEFAULT_TIMEOUT_MS, DEFAULT_TARGET_LATENCY_MS, 0, false);
+        return new TestRoute(
+                name, type, service, maxAttempts, DEFAULT_TIMEOUT_MS, DEFAULT_TARGET_LATENCY_MS, 0, false, false);
     }
 
     /** A route to {@link TestConfiguration#PLAIN} whose requests may run more than once. */
@@ -35,32 +37,40 @@
     }
 
     TestRoute toService(String other) {
-        return new TestRoute(name, type, other, maxAttempts, timeoutMs, targetLatencyMs, gapTargetMs, resumable);
+        return new TestRoute(
+                name, type, other, maxAttempts, timeoutMs, targetLatencyMs, gapTargetMs, resumable, isPublic);
     }
 
     TestRoute withTimeout(int ms) {
-        return new TestRoute(name, type, service, maxAttempts, ms, targetLatencyMs, gapTargetMs, resumable);
+        return new TestRoute(name, type, service, maxAttempts, ms, targetLatencyMs, gapTargetMs, resumable, isPublic);
     }
 
     /** An answer is waited for two and a half times as long before a retry. */
     TestRoute withTargetLatency(int ms) {
-        return new TestRoute(name, type, service, maxAttempts, timeoutMs, ms, gapTargetMs, resumable);
+        return new TestRoute(name, type, service, maxAttempts, timeoutMs, ms, gapTargetMs, resumable, isPublic);
     }
 
     /** The longest pause between two events that is aimed at. */
     TestRoute withGapTarget(int ms) {
-        return new TestRoute(name, type, service, maxAttempts, timeoutMs, targetLatencyMs, ms, resumable);
+        return new TestRoute(name, type, service, maxAttempts, timeoutMs, targetLatencyMs, ms, resumable, isPublic);
     }
 
     /** A stream that breaks may be resumed behind its last event. */
     TestRoute asResumable() {
-        return new TestRoute(name, type, service, maxAttempts, timeoutMs, targetLatencyMs, gapTargetMs, true);
+        return new TestRoute(name, type, service, maxAttempts, timeoutMs, targetLatencyMs, gapTargetMs, true, isPublic);
+    }
+
+    /** Its requests need no key, whichever tenants there are. */
+    TestRoute asPublic() {
+        return new TestRoute(
+                name, type, service, maxAttempts, timeoutMs, targetLatencyMs, gapTargetMs, resumable, true);
     }
 
     String json() {
         return "{\"name\":\"" + name + "\",\"host_name\":\"" + ClientRequests.HOST + "\",\"path_prefix\":\"/" + name
                 + "/\",\"route_type\":\"" + type + "\",\"timeout_ms\":" + timeoutMs + ",\"target_latency_ms\":"
                 + targetLatencyMs + ",\"priority\":2,\"service\":\"" + service + "\",\"max_attempts\":" + maxAttempts
-                + ",\"sticky\":false,\"resumable\":" + resumable + ",\"gap_aim_ms\":" + gapTargetMs + "}";
+                + ",\"sticky\":false,\"resumable\":" + resumable + ",\"public\":" + isPublic + ",\"gap_aim_ms\":"
+                + gapTargetMs + "}";
     }
 }
