Read tenants and their access keys, and which routes are public

The field `tenants` was passed through unread. A configuration that has the field requires keys even where the list is empty, so that the removal of the last tenant opens nothing.

--- a/configuration/src/main/java/dewplank/configuration/Configuration.java
+++ b/configuration/src/main/java/dewplank/configuration/Configuration.java
@@ -4,6 +4,7 @@
 import dewplank.configuration.JsonValue.JsonObject;
 import dewplank.configuration.NamedItem.RouteItem;
 import dewplank.configuration.NamedItem.ServiceItem;
+import dewplank.configuration.NamedItem.TenantItem;
 import dewplank.configuration.Section.ItemList;
 import dewplank.configuration.Section.PlainValue;
 import java.io.ByteArrayOutputStream;
@@ -32,6 +33,8 @@
     private final List<Route> routes;
     private final Map<String, Service> services;
     private final RequestLimits limits;
+    private final List<Tenant> tenants;
+    private final TenantDirectory tenantDirectory;
 
     /** A configuration of these top-level fields; throws unless they are valid together. */
     Configuration(Map<String, Section> sections) throws InvalidConfigurationException {
@@ -40,6 +43,8 @@
         this.routes = Collections.unmodifiableList(readRoutes(requireItemList(NamedItem.ROUTES)));
         this.services = Collections.unmodifiableMap(readServices(requireItemList(NamedItem.SERVICES)));
         this.limits = readLimits(sections);
+        this.tenants = Collections.unmodifiableList(readTenants(sections));
+        this.tenantDirectory = new TenantDirectory(tenants);
         RouteValidator.validate(routes, services);
     }
 
@@ -131,6 +136,24 @@
         return limits;
     }
 
+    /**
+     * Whether requests need an access key, but for those on public routes: it has a list of tenants, be it empty, so
+     * that the removal of the last tenant opens nothing.
+     */
+    public boolean requiresAccessKeys() {
+        return sections.containsKey(NamedItem.TENANTS);
+    }
+
+    /** Its tenants in the order of the text; unmodifiable, empty where it has no list of them. */
+    public List<Tenant> tenants() {
+        return tenants;
+    }
+
+    /** The look-up of its tenants. */
+    public TenantDirectory tenantDirectory() {
+        return tenantDirectory;
+    }
+
     /** Its top-level fields by name, in the order of the text. */
     Map<String, Section> sections() {
         return sections;
@@ -189,6 +212,18 @@
         return routes;
     }
 
+    private static List<Tenant> readTenants(Map<String, Section> sections) throws InvalidConfigurationException {
+        Section section = sections.getOrDefault(NamedItem.TENANTS, ItemList.EMPTY);
+        if (!(section instanceof ItemList list)) {
+            throw new InvalidConfigurationException(Reason.WRONG_TYPE, NamedItem.TENANTS, "is not a list");
+        }
+        List<Tenant> tenants = new ArrayList<>(list.items().size());
+        for (NamedItem item : list.items()) {
+            tenants.add(((TenantItem) item).tenant());
+        }
+        return tenants;
+    }
+
     private static Map<String, Service> readServices(ItemList list) {
         Map<String, Service> services = new LinkedHashMap<>();
         for (NamedItem item : list.items()) {
--- a/configuration/src/main/java/dewplank/configuration/InvalidConfigurationException.java
+++ b/configuration/src/main/java/dewplank/configuration/InvalidConfigurationException.java
@@ -38,6 +38,12 @@
         BAD_TIMEOUT,
         /** A path prefix does not begin and end with a slash. */
         BAD_PREFIX,
+        /** Two tenants hold the same access key. */
+        SHARED_KEY,
+        /** An access key is empty. */
+        EMPTY_KEY,
+        /** A tenant's name can't be sent in a header field. */
+        BAD_TENANT_NAME,
         /** A route's type is none of {@link RouteType}. */
         UNKNOWN_ROUTE_TYPE,
         /** A number lies outside the range in which its field makes sense. */
--- a/configuration/src/main/java/dewplank/configuration/NamedItem.java
+++ b/configuration/src/main/java/dewplank/configuration/NamedItem.java
@@ -10,6 +10,8 @@
     String ROUTES = "routes";
     /** The list of services. */
     String SERVICES = "services";
+    /** The list of tenants. */
+    String TENANTS = "tenants";
 
     /** A route. */
     record RouteItem(String name, byte[] json, Route route) implements NamedItem {}
@@ -17,6 +19,9 @@
     /** A service. */
     record ServiceItem(String name, byte[] json, Service service) implements NamedItem {}
 
+    /** A tenant. Its text holds its access keys. */
+    record TenantItem(String name, byte[] json, Tenant tenant) implements NamedItem {}
+
     /** An item of a list that this program passes through unread. */
     record OtherItem(String name, byte[] json) implements NamedItem {}
 
@@ -41,6 +46,7 @@
         return switch (list) {
             case ROUTES -> new RouteItem(name, json, RouteReader.read(name, object));
             case SERVICES -> new ServiceItem(name, json, ServiceReader.read(name, object));
+            case TENANTS -> new TenantItem(name, json, TenantReader.read(name, object));
             default -> new OtherItem(name, json);
         };
     }
--- a/configuration/src/main/java/dewplank/configuration/Route.java
+++ b/configuration/src/main/java/dewplank/configuration/Route.java
@@ -16,6 +16,7 @@
  * @param maxAttempts servers to which one request may be sent
  * @param sticky whether requests name the parts of their prompts, which servers cache
  * @param resumable whether a stream may be continued at another server
+ * @param isPublic whether its requests need no access key
  * @param maxEventGapMs the longest gap between events with which a stream is still in time; 0 where none is stated
  */
 public record Route(
@@ -30,6 +31,7 @@
         int maxAttempts,
         boolean sticky,
         boolean resumable,
+        boolean isPublic,
         double maxEventGapMs) {
     /** Takes a copy of the split. */
     public Route {
--- a/configuration/src/main/java/dewplank/configuration/RouteReader.java
+++ b/configuration/src/main/java/dewplank/configuration/RouteReader.java
@@ -38,6 +38,7 @@
                 fields.intValue("max_attempts", 1, 1),
                 fields.booleanValue("sticky", false),
                 fields.booleanValue("resumable", false),
+                fields.booleanValue("public", false),
                 fields.doubleValue("gap_aim_ms", 0, 0));
     }
 
--- a/configuration/src/main/java/dewplank/configuration/Section.java
+++ b/configuration/src/main/java/dewplank/configuration/Section.java
@@ -62,7 +62,7 @@
 
     /** Whether the field is a list whose items this program reads. */
     static boolean isTypedList(String field) {
-        return field.equals(NamedItem.ROUTES) || field.equals(NamedItem.SERVICES);
+        return field.equals(NamedItem.ROUTES) || field.equals(NamedItem.SERVICES) || field.equals(NamedItem.TENANTS);
     }
 
     private static boolean isNamedList(JsonValue value) {
--- a/configuration/src/test/java/dewplank/configuration/ConfigurationTest.java
+++ b/configuration/src/test/java/dewplank/configuration/ConfigurationTest.java
@@ -40,6 +40,7 @@
                                 2,
                                 true,
                                 true,
+                                false,
                                 150),
                         new Route(
                                 "r-2",
@@ -53,6 +54,7 @@
                                 1,
                                 false,
                                 false,
+                                false,
                                 0)),
                 configuration.routes());
         assertEquals(
@@ -86,6 +88,7 @@
                         1,
                         false,
                         false,
+                        false,
                         0)),
                 configuration.routes());
         assertEquals(RequestLimits.DEFAULTS, configuration.limits());
--- a/configuration/src/test/java/dewplank/configuration/GoldenConfigurationTest.java
+++ b/configuration/src/test/java/dewplank/configuration/GoldenConfigurationTest.java
@@ -141,7 +141,20 @@
     private static void assertIsPlainRoute(Route route) {
         List<WeightedService> split = List.of(new WeightedService("wuno", 1));
         assertEquals(
-                new Route("p-1", "ficu.example", "/pufi/", RouteType.SAFE, 2_500, 400, 0, split, 1, false, false, 0),
+                new Route(
+                        "p-1",
+                        "ficu.example",
+                        "/pufi/",
+                        RouteType.SAFE,
+                        2_500,
+                        400,
+                        0,
+                        split,
+                        1,
+                        false,
+                        false,
+                        false,
+                        0),
                 route);
     }
 
@@ -160,6 +173,7 @@
                         2,
                         true,
                         true,
+                        false,
                         150),
                 route);
     }
