Serve requests by the access key of their tenant, and close revocation

A request needs a key where the configuration has tenants and its route is not public: 401 where no tenant holds it. The server gets the name of the key's tenant and never the key, whatever the client sent. The decision is made on arrival, before each attempt, and once more when the connection stands, immediately before the first byte. A tenant's priority goes before its route's.

Where revocation is closed, a key is served only while the configuration in force is known to be recent: each acknowledgement of a heartbeat names the version and since when a quorum is known to have nothing newer (docs/design-quotas.md has the bound). Without that a data plane answers 503 and is not ready. The field of the acknowledgement is optional, so frames of earlier releases are the same bytes.

--- a/consensus/src/main/java/dewplank/register/Register.java
+++ b/consensus/src/main/java/dewplank/register/Register.java
@@ -216,8 +216,15 @@
      * quorum that has not caught up is not current: invariant 8 in {@code docs/register.md}.
      */
     public boolean isCurrent(double nowMs, double withinMs) {
-        double sinceMs = nowMs - withinMs;
-        return proposer.lastChosenAtMs() >= sinceMs || antiEntropy.lastCurrentAtMs() >= sinceMs;
+        return lastCurrentAtMs() >= nowMs - withinMs;
+    }
+
+    /**
+     * The latest time at which the value chosen here is known to have been the newest; negative infinity where that is
+     * known of none. Invariant 8 in {@code docs/register.md}.
+     */
+    public double lastCurrentAtMs() {
+        return Math.max(proposer.lastChosenAtMs(), antiEntropy.lastCurrentAtMs());
     }
 
     /** Whether this process is one of the acceptors. */
--- a/controlplane/src/main/java/dewplank/controlplane/ConfigurationStore.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ConfigurationStore.java
@@ -243,6 +243,11 @@
         return register.isCurrent(loop.now(), withinMs);
     }
 
+    /** A time by when nothing newer than the value here had been chosen; negative infinity where none is known. */
+    double lastCurrentAtMs() {
+        return register.lastCurrentAtMs();
+    }
+
     /** Whether a quorum has answered within so many milliseconds. */
     boolean hasQuorum(double withinMs) {
         return register.lastQuorumAtMs() >= loop.now() - withinMs;
--- a/controlplane/src/main/java/dewplank/controlplane/DataPlaneSessions.java
+++ b/controlplane/src/main/java/dewplank/controlplane/DataPlaneSessions.java
@@ -2,6 +2,7 @@
 
 import dewplank.membership.Member;
 import dewplank.membership.SessionTable;
+import dewplank.message.ConfirmedConfiguration;
 import dewplank.message.FleetUpdate;
 import dewplank.message.HeartbeatAck;
 import dewplank.message.MessageLink;
@@ -33,6 +34,9 @@
         /** Whether a quorum has recently confirmed to this process that its state is the newest. */
         boolean isCurrent();
 
+        /** The newest configuration here, if a quorum has ever confirmed that none was newer at some time. */
+        Optional<ConfirmedConfiguration> confirmedConfiguration();
+
         /** Control planes that a data plane may open a session with. */
         List<String> controlAddresses();
     }
@@ -101,7 +105,11 @@
             table.renew(lastHeartbeatAt, member);
             versions.onHeartbeat(heartbeat);
             reports.onHeartbeat(lastHeartbeatAt, member, heartbeat.configurationVersion);
-            connection.send(new HeartbeatAck(heartbeat.sequence, source.isCurrent(), source.controlAddresses()));
+            connection.send(new HeartbeatAck(
+                    heartbeat.sequence,
+                    source.isCurrent(),
+                    source.controlAddresses(),
+                    source.confirmedConfiguration().orElse(null)));
             sendUpdate();
         }
 
--- a/controlplane/src/main/java/dewplank/controlplane/FleetUpdateSource.java
+++ b/controlplane/src/main/java/dewplank/controlplane/FleetUpdateSource.java
@@ -2,6 +2,7 @@
 
 import dewplank.membership.Member;
 import dewplank.membership.SessionTable;
+import dewplank.message.ConfirmedConfiguration;
 import dewplank.message.EndpointList;
 import dewplank.message.FleetUpdate;
 import dewplank.net.Scheduler;
@@ -65,6 +66,15 @@
         return durable && configuration.isCurrent(QuorumConfirmation.QUORUM_VALIDITY_MS);
     }
 
+    @Override
+    public Optional<ConfirmedConfiguration> confirmedConfiguration() {
+        double confirmedAtMs = configuration.lastCurrentAtMs();
+        if (!durable || history.version() == 0 || confirmedAtMs == Double.NEGATIVE_INFINITY) {
+            return Optional.empty();
+        }
+        return Optional.of(new ConfirmedConfiguration(history.version(), loop.now() - confirmedAtMs));
+    }
+
     @Override
     public List<String> controlAddresses() {
         return isCurrent() ? mesh.liveAddresses() : mesh.addressesLiveFirst();
--- a/controlplane/src/test/java/dewplank/controlplane/DataPlaneSessionsTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/DataPlaneSessionsTest.java
@@ -8,6 +8,7 @@
 import dewplank.exchange.OnLoop;
 import dewplank.membership.Member;
 import dewplank.membership.SessionTable;
+import dewplank.message.ConfirmedConfiguration;
 import dewplank.message.EndpointList;
 import dewplank.message.EndpointListVersion;
 import dewplank.message.FleetMessages;
@@ -66,6 +67,11 @@
                 return true;
             }
 
+            @Override
+            public Optional<ConfirmedConfiguration> confirmedConfiguration() {
+                return Optional.empty();
+            }
+
             @Override
             public List<String> controlAddresses() {
                 return List.of("10.0.0.1:1", "10.0.0.2:1");
--- a/controlplane/src/test/java/dewplank/controlplane/InboundLinkTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/InboundLinkTest.java
@@ -6,6 +6,7 @@
 
 import dewplank.membership.Member;
 import dewplank.membership.SessionTable;
+import dewplank.message.ConfirmedConfiguration;
 import dewplank.message.ControlHeartbeat;
 import dewplank.message.ControlHello;
 import dewplank.message.EndpointListVersion;
@@ -75,6 +76,11 @@
             return true;
         }
 
+        @Override
+        public Optional<ConfirmedConfiguration> confirmedConfiguration() {
+            return Optional.empty();
+        }
+
         @Override
         public List<String> controlAddresses() {
             return List.of();
--- a/dataplane/src/main/java/dewplank/dataplane/AttemptAllowance.java
+++ b/dataplane/src/main/java/dewplank/dataplane/AttemptAllowance.java
@@ -3,8 +3,8 @@
 import dewplank.dataplane.Counters.Count;
 
 /**
- * How many more servers one request may be sent to: by its route's {@code max_attempts}, and by the service's budget of
- * retries for each attempt beyond the first. On the event loop's thread only.
+ * How many more servers one request may be sent to: by its client's access key, by its route's {@code max_attempts}, and
+ * by the service's budget of retries for each attempt beyond the first. On the event loop's thread only.
  */
 final class AttemptAllowance {
     private final RetryBudgets budgets;
@@ -12,18 +12,25 @@
     private final String service;
     private final int maxAttempts;
     private final RequestDeadline deadline;
+    private final Credentials credentials;
     /** Attempts, as the route's limit and the budget count them. */
     private int attempts;
     /** Attempts that were taken out of the budget. */
     private int charged;
 
     AttemptAllowance(
-            RetryBudgets budgets, Counters counters, String service, int maxAttempts, RequestDeadline deadline) {
+            RetryBudgets budgets,
+            Counters counters,
+            String service,
+            int maxAttempts,
+            RequestDeadline deadline,
+            Credentials credentials) {
         this.budgets = budgets;
         this.counters = counters;
         this.service = service;
         this.maxAttempts = maxAttempts;
         this.deadline = deadline;
+        this.credentials = credentials;
     }
 
     /** An attempt that counts has begun. */
@@ -36,6 +43,11 @@
         attempts--;
     }
 
+    /** Whether the client's access key still allows the request to be sent. */
+    boolean isAccessAllowed() {
+        return credentials.isAllowed();
+    }
+
     boolean isUnused() {
         return attempts == 0;
     }
@@ -52,6 +64,9 @@
 
     /** Takes the next attempt out of the budget, where it is not the first. False: none may be made now. */
     boolean tryAcquireAttempt() {
+        if (!isAccessAllowed()) {
+            return false;
+        }
         if (!allowsAttempt()) {
             counters.add(Count.ATTEMPTS_SPENT);
             return false;
@@ -59,9 +74,9 @@
         return deadline.remainingMs() > 0 && (attempts <= charged || tryAcquireRetry());
     }
 
-    /** Takes one retry out of the budget. False: the budget is used up. */
+    /** Takes one retry out of the budget. False: the budget is used up, or the key no longer allows it. */
     boolean tryAcquireRetry() {
-        boolean acquired = budgets.tryAcquire(service);
+        boolean acquired = isAccessAllowed() && budgets.tryAcquire(service);
         charged += acquired ? 1 : 0;
         return acquired;
     }
--- a/dataplane/src/main/java/dewplank/dataplane/AttemptFactory.java
+++ b/dataplane/src/main/java/dewplank/dataplane/AttemptFactory.java
@@ -1,5 +1,6 @@
 package dewplank.dataplane;
 
+import dewplank.configuration.Tenant;
 import dewplank.exchange.HttpCall;
 import dewplank.exchange.InboundConnection;
 import dewplank.http.Headers;
@@ -10,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -21,16 +23,23 @@
     private final Counters counters;
     private final InboundConnection.Request request;
     private final RequestDeadline deadline;
+    private final Credentials credentials;
     /** Null where the client sent none. */
     private final String attemptId;
 
     private final Set<String> attemptedInstances = new HashSet<>();
 
-    AttemptFactory(EventLoop loop, Counters counters, InboundConnection.Request request, RequestDeadline deadline) {
+    AttemptFactory(
+            EventLoop loop,
+            Counters counters,
+            InboundConnection.Request request,
+            RequestDeadline deadline,
+            Credentials credentials) {
         this.loop = loop;
         this.counters = counters;
         this.request = request;
         this.deadline = deadline;
+        this.credentials = credentials;
         this.attemptId = request.headers().get(HeaderNames.ATTEMPT_ID);
     }
 
@@ -45,8 +54,10 @@
     ServerAttempt newAttempt(
             Server server, long prefillTokens, List<Headers.Field> extraFields, HttpCall.Listener listener) {
         boolean repeated = !attemptedInstances.add(server.state.instanceId());
-        ServerAttempt attempt =
-                new ServerAttempt(loop, server, prefillTokens, encode(server, extraFields), counters, listener);
+        Optional<Tenant> tenant = credentials.tenant();
+        ByteBuffer message = encode(server, extraFields, tenant);
+        ServerAttempt attempt = new ServerAttempt(loop, server, prefillTokens, message, counters, listener);
+        attempt.sendOnlyIf(() -> credentials.isAllowedFor(tenant));
         if (repeated || attemptId == null) {
             attempt.useDedicatedConnection();
         }
@@ -73,14 +84,15 @@
         return attemptId == null || attemptId.equals(headers.get(HeaderNames.ATTEMPT_ID));
     }
 
-    private ByteBuffer encode(Server server, List<Headers.Field> extraFields) {
+    private ByteBuffer encode(Server server, List<Headers.Field> extraFields, Optional<Tenant> tenant) {
         List<Headers.Field> fields = new ArrayList<>();
         for (Headers.Field field : request.headers().endToEnd()) {
-            if (!HeaderNames.isSetByDataPlane(field.name()) && !names(extraFields, field.name())) {
+            if (!isWithheld(field.name()) && !names(extraFields, field.name())) {
                 fields.add(field);
             }
         }
         fields.addAll(extraFields);
+        tenant.ifPresent(holder -> fields.add(new Headers.Field(HeaderNames.TENANT, holder.name())));
         String host = request.headers().get("Host");
         return MessageWriter.request(request.method(), request.target(), host == null ? server.addressText : host)
                 .headers(fields)
@@ -89,6 +101,12 @@
                 .body(request.body());
     }
 
+    /** A client's own field that servers do not get; among them its key, where that is for this program. */
+    private boolean isWithheld(String name) {
+        return HeaderNames.isSetByDataPlane(name)
+                || name.equalsIgnoreCase(HeaderNames.AUTHORIZATION) && credentials.isKeyRequired();
+    }
+
     private static boolean names(List<Headers.Field> fields, String name) {
         for (Headers.Field field : fields) {
             if (field.name().equalsIgnoreCase(name)) {
--- a/dataplane/src/main/java/dewplank/dataplane/ControlSession.java
+++ b/dataplane/src/main/java/dewplank/dataplane/ControlSession.java
@@ -11,6 +11,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.OptionalDouble;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -49,6 +50,9 @@
         void sessionEnded(ControlSession session);
     }
 
+    /** That no configuration newer than the version had been chosen by that time of the loop's clock. */
+    private record PendingConfirmation(long version, double atMs) {}
+
     private final Scheduler loop;
     private final Owner owner;
     private final FleetMetadata fleet;
@@ -65,6 +69,8 @@
     private double lastQuorumAt;
     private boolean acknowledged;
     private boolean quorate;
+    /** Confirmed by this control plane of a version that is not in force here yet; null where there is none. */
+    private PendingConfirmation pendingConfirmation;
     /** The membership as this control plane last reported it; null before. */
     private List<Member> members;
 
@@ -170,6 +176,7 @@
     private void onAcknowledged(HeartbeatAck ack) {
         acknowledged = true;
         quorate = ack.quorate;
+        recordConfirmation(ack);
         if (ack.quorate) {
             lastQuorumAt = Math.max(lastQuorumAt, pendingHeartbeats.acknowledge(ack.sequence, lastQuorumAt));
         }
@@ -178,6 +185,23 @@
         applyMembership();
     }
 
+    /** The acknowledgement was made after its heartbeat was sent, so what it confirms held at that time less its age. */
+    private void recordConfirmation(HeartbeatAck ack) {
+        OptionalDouble sentAt = pendingHeartbeats.sentAt(ack.sequence);
+        if (ack.confirmed != null && sentAt.isPresent()) {
+            double atMs = sentAt.getAsDouble() - ack.confirmed.ageMs;
+            pendingConfirmation = new PendingConfirmation(ack.confirmed.version, atMs);
+            applyConfirmation();
+        }
+    }
+
+    private void applyConfirmation() {
+        if (pendingConfirmation != null
+                && fleet.confirmConfiguration(pendingConfirmation.version(), pendingConfirmation.atMs())) {
+            pendingConfirmation = null;
+        }
+    }
+
     @Override
     public void closed(MessageLink ended) {
         owner.sessionEnded(this);
@@ -199,6 +223,7 @@
             link.close(); // the next session begins with the version that is in force here
             return;
         }
+        applyConfirmation();
         if (update.endpointList != null) {
             fleet.updateServers(update.endpointList);
         }
--- a/dataplane/src/main/java/dewplank/dataplane/Counters.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Counters.java
@@ -21,6 +21,10 @@
         FAILED,
         LEFT,
         NO_ROUTE,
+        /** No tenant holds the request's access key. */
+        UNKNOWN_KEY,
+        /** The configuration was not known to be recent enough to serve keys by. */
+        ACCESS_UNCONFIRMED,
         NOT_READY,
         RETRIES,
         RETRIES_OVER_BUDGET,
--- a/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
@@ -69,7 +69,7 @@
         ServerPicker picker = new ServerPicker(settings.zone(), votes, fleet::dataPlanes, random, policy);
         NodeSettings.Bounds bounds = settings.bounds();
         clientTimeouts = new ClientTimeouts(bounds.configApplyMs());
-        forwarder = new Forwarder(loop, fleet, picker, random, counters, retryLimits(bounds));
+        forwarder = new Forwarder(loop, fleet, picker, random, counters, retryLimits(bounds), revocation(bounds));
         Member self = self(settings);
         healthGossip = new HealthGossip(loop, fleet, votes, self, new Random(seed));
         sessions = new SessionClient(
@@ -93,6 +93,11 @@
         return new RetryBudgets.Limits(bounds.retryRatio(), bounds.retryWindowMs(), bounds.retrySlack());
     }
 
+    private static AccessControl.Revocation revocation(NodeSettings.Bounds bounds) {
+        return new AccessControl.Revocation(
+                bounds.revocation().closed(), bounds.revocation().withinMs());
+    }
+
     /** Data planes listen for each other's datagrams on the second internal port. */
     private static Member self(NodeSettings settings) {
         String address = settings.address() + ":" + settings.internalPorts()[1];
@@ -126,7 +131,7 @@
     }
 
     private boolean isReady() {
-        return !shutdown.isStarted() && fleet.isComplete();
+        return !shutdown.isStarted() && forwarder.isServing();
     }
 
     private void logCounters() {
--- a/dataplane/src/main/java/dewplank/dataplane/DecodePhase.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DecodePhase.java
@@ -58,7 +58,7 @@
     private void sendTo(Server server) {
         request.allowance.recordAttempt();
         List<Headers.Field> extraFields = new ArrayList<>();
-        extraFields.add(request.priority(request.route.priority()));
+        extraFields.add(request.priority(request.rank()));
         KvHandle offered = request.kvTransfer.offer();
         if (offered != null) {
             extraFields.add(new Headers.Field(HeaderNames.KV_FROM, offered.location()));
--- a/dataplane/src/main/java/dewplank/dataplane/FleetMetadata.java
+++ b/dataplane/src/main/java/dewplank/dataplane/FleetMetadata.java
@@ -32,6 +32,7 @@
     private Configuration configuration;
 
     private RouteTable routes;
+    private double confirmedAtMs = Double.NEGATIVE_INFINITY;
     private EndpointListVersion listVersion = EndpointListVersion.NONE;
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final Map<String, List<TrackedServer>> byService = new HashMap<>();
@@ -75,6 +76,27 @@
         }
     }
 
+    /**
+     * A quorum has confirmed that no configuration newer than that version had been chosen by that time.
+     *
+     * @return whether that version, or a newer one, is in force here; else nothing is recorded
+     */
+    boolean confirmConfiguration(long version, double atMs) {
+        if (version > configurationVersion()) {
+            return false;
+        }
+        confirmedAtMs = Math.max(confirmedAtMs, atMs);
+        return true;
+    }
+
+    /**
+     * Every configuration that was acknowledged before this time, by the loop's clock in milliseconds, is in force here
+     * or replaced by a newer one; negative infinity where that is known of none.
+     */
+    double confirmedAtMs() {
+        return confirmedAtMs;
+    }
+
     /** The version of the endpoint list in force. */
     EndpointListVersion listVersion() {
         return listVersion;
--- a/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
@@ -42,6 +42,7 @@
     private final RetryBudgets retryBudgets;
     private final ServerFeedback serverFeedback;
     private final double connectTimeoutMs;
+    private final AccessControl accessControl;
     private final Map<InboundConnection, ProxiedRequest> open = new HashMap<>();
     private final ParkedRequests parked;
     private final Set<InboundConnection> connections = new HashSet<>();
@@ -53,8 +54,9 @@
             ServerPicker picker,
             RandomGenerator random,
             Counters counters,
-            RetryBudgets.Limits limits) {
-        this(loop, fleet, picker, random, counters, limits, CONNECT_TIMEOUT_MS);
+            RetryBudgets.Limits limits,
+            AccessControl.Revocation revocation) {
+        this(loop, fleet, picker, random, counters, limits, revocation, CONNECT_TIMEOUT_MS);
     }
 
     /**
@@ -67,6 +69,7 @@
             RandomGenerator random,
             Counters counters,
             RetryBudgets.Limits limits,
+            AccessControl.Revocation revocation,
             double connectTimeoutMs) {
         this.loop = loop;
         this.fleet = fleet;
@@ -78,6 +81,7 @@
         this.serverFeedback = new ServerFeedback(loop, picker, counters);
         this.parked = new ParkedRequests(loop);
         this.connectTimeoutMs = connectTimeoutMs;
+        this.accessControl = new AccessControl(loop, fleet, revocation);
     }
 
     /** The handler of a client's new connection. */
@@ -133,15 +137,35 @@
             reject(connection);
             return;
         }
-        start(request, connection, route, arrivedAt);
+        authorize(request, connection, route, arrivedAt);
     }
 
-    private void start(InboundConnection.Request request, InboundConnection connection, Route route, double arrivedAt) {
+    private void authorize(
+            InboundConnection.Request request, InboundConnection connection, Route route, double arrivedAt) {
+        Credentials credentials = new Credentials(accessControl, route, request.headers());
+        AccessControl.Decision decision = credentials.decide();
+        if (decision instanceof AccessControl.Decision.UnknownKey) {
+            counters.add(Counters.Count.UNKNOWN_KEY);
+            connection.answer(401, List.of(new Headers.Field("WWW-Authenticate", "Bearer")), new byte[0]);
+        } else if (decision instanceof AccessControl.Decision.Unconfirmed) {
+            counters.add(Counters.Count.ACCESS_UNCONFIRMED);
+            reject(connection);
+        } else {
+            start(request, connection, route, credentials, arrivedAt);
+        }
+    }
+
+    private void start(
+            InboundConnection.Request request,
+            InboundConnection connection,
+            Route route,
+            Credentials credentials,
+            double arrivedAt) {
         String serviceName = TrafficSplit.drawService(route.split(), random);
         Service service = fleet.configuration().services().get(serviceName);
         ProxiedRequest proxied = service.engine() == null
-                ? new UnaryRequest(this, request, connection, route, service, arrivedAt)
-                : new GenerationRequest(this, request, connection, route, service, arrivedAt);
+                ? new UnaryRequest(this, request, connection, route, service, credentials, arrivedAt)
+                : new GenerationRequest(this, request, connection, route, service, credentials, arrivedAt);
         open.put(connection, proxied);
         retryBudgets.recordRequest(serviceName);
         proxied.start();
@@ -231,6 +255,11 @@
         return picker;
     }
 
+    /** Whether requests can be served: the fleet's state is here, and recent enough where keys need that. */
+    boolean isServing() {
+        return fleet.isComplete() && accessControl.isServing();
+    }
+
     /** Which mechanisms decide. */
     Policy policy() {
         return picker.policy();
--- a/dataplane/src/main/java/dewplank/dataplane/GenerationRequest.java
+++ b/dataplane/src/main/java/dewplank/dataplane/GenerationRequest.java
@@ -2,12 +2,14 @@
 
 import dewplank.configuration.Route;
 import dewplank.configuration.Service;
+import dewplank.configuration.Tenant;
 import dewplank.exchange.InboundConnection;
 import dewplank.http.Headers;
 import dewplank.routing.Mechanism;
 import dewplank.routing.PrefillDecodePicker;
 import dewplank.routing.PromptPrefix;
 import dewplank.routing.RoutingParameters;
+import java.util.OptionalInt;
 
 /**
  * A generation: the prompt is prefilled at one server, its KV cache transferred to another, and the tokens streamed
@@ -35,8 +37,9 @@
             InboundConnection client,
             Route route,
             Service service,
+            Credentials credentials,
             double arrivedAt) {
-        super(forwarder, request, client, route, service, arrivedAt);
+        super(forwarder, request, client, route, service, credentials, arrivedAt);
         this.prefix = PromptPrefix.parse(request.headers().get(HeaderNames.PROMPT_PREFIX));
         if (prefix.tokens() > 0) {
             forwarder.prefillDecodePicker().recordPrompt(prefix);
@@ -99,6 +102,15 @@
         return prefix.tokens() - prefix.sharedTokens();
     }
 
+    /** The request's rank, 0 being the highest: its tenant's, or else its route's. */
+    int rank() {
+        return credentials
+                .tenant()
+                .map(Tenant::priority)
+                .orElse(OptionalInt.empty())
+                .orElse(route.priority());
+    }
+
     /** The header field with the request's rank for a server; 0 is the most urgent. */
     Headers.Field priority(int rank) {
         if (!forwarder.policy().isEnabled(Mechanism.PRIORITY)) {
--- a/dataplane/src/main/java/dewplank/dataplane/HeaderNames.java
+++ b/dataplane/src/main/java/dewplank/dataplane/HeaderNames.java
@@ -11,6 +11,8 @@
     static final String STAGE = "X-Dewplank-Processing-Stage";
     static final String KV_FROM = "Kv-From";
     static final String LAST_EVENT_ID = "Last-Event-Id";
+    static final String AUTHORIZATION = "Authorization";
+    static final String TENANT = "X-Dewplank-Tenant-Name";
     static final String PRIORITY = "Priority";
 
     /** Whether servers get the field from the data plane alone: a client's own is dropped. */
@@ -18,7 +20,8 @@
         return name.equalsIgnoreCase(STAGE)
                 || name.equalsIgnoreCase(KV_FROM)
                 || name.equalsIgnoreCase(REMAINING_TIME)
-                || name.equalsIgnoreCase(TARGET_INSTANCE);
+                || name.equalsIgnoreCase(TARGET_INSTANCE)
+                || name.equalsIgnoreCase(TENANT);
     }
 
     private HeaderNames() {}
--- a/dataplane/src/main/java/dewplank/dataplane/PendingHeartbeats.java
+++ b/dataplane/src/main/java/dewplank/dataplane/PendingHeartbeats.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalDouble;
 
 /**
  * The heartbeats of one session that were sent and not acknowledged yet, oldest first. An acknowledgement tells of the
@@ -27,6 +28,14 @@
         }
     }
 
+    /** When exactly that heartbeat was sent; empty where that is not remembered. */
+    OptionalDouble sentAt(long sequence) {
+        return pending.stream()
+                .filter(heartbeat -> heartbeat.sequence() == sequence)
+                .mapToDouble(Pending::sentAt)
+                .findFirst();
+    }
+
     /**
      * Forgets the heartbeats before the acknowledged one, and says when that one was sent, or the next one that is
      * remembered.
--- a/dataplane/src/main/java/dewplank/dataplane/PrefillPhase.java
+++ b/dataplane/src/main/java/dewplank/dataplane/PrefillPhase.java
@@ -39,7 +39,8 @@
     void start() {
         Server server = pickServer();
         boolean freeOfCharge = prefills == 0;
-        if (server == null || !freeOfCharge && !tryAcquireRetry()) {
+        boolean allowed = freeOfCharge ? request.allowance.isAccessAllowed() : tryAcquireRetry();
+        if (server == null || !allowed) {
             startDecodeWithoutHandle();
             return;
         }
--- a/dataplane/src/main/java/dewplank/dataplane/ProxiedRequest.java
+++ b/dataplane/src/main/java/dewplank/dataplane/ProxiedRequest.java
@@ -28,6 +28,7 @@
     final InboundConnection client;
     final Route route;
     final Service service;
+    final Credentials credentials;
     final double arrivedAt;
     final RequestDeadline deadline;
     final AttemptAllowance allowance;
@@ -42,18 +43,25 @@
             InboundConnection client,
             Route route,
             Service service,
+            Credentials credentials,
             double arrivedAt) {
         this.forwarder = forwarder;
         this.loop = forwarder.loop();
         this.client = client;
         this.route = route;
         this.service = service;
+        this.credentials = credentials;
         this.arrivedAt = arrivedAt;
         this.deadline = new RequestDeadline(
                 loop, arrivedAt, request.headers().get(HeaderNames.REMAINING_TIME), route.timeoutMs());
         this.allowance = new AttemptAllowance(
-                forwarder.retryBudgets(), forwarder.counters(), service.name(), route.maxAttempts(), deadline);
-        this.attempts = new AttemptFactory(loop, forwarder.counters(), request, deadline);
+                forwarder.retryBudgets(),
+                forwarder.counters(),
+                service.name(),
+                route.maxAttempts(),
+                deadline,
+                credentials);
+        this.attempts = new AttemptFactory(loop, forwarder.counters(), request, deadline, credentials);
     }
 
     final void start() {
--- a/dataplane/src/main/java/dewplank/dataplane/ServerAttempt.java
+++ b/dataplane/src/main/java/dewplank/dataplane/ServerAttempt.java
@@ -5,6 +5,7 @@
 import dewplank.net.EventLoop;
 import dewplank.routing.TrackedServer;
 import java.nio.ByteBuffer;
+import java.util.function.BooleanSupplier;
 
 /**
  * One attempt of a request at a server, which counts as load there from its start to its end, however it ends. Made by
@@ -40,6 +41,11 @@
         call.exclusive();
     }
 
+    /** Sets a condition that is checked once connected, immediately before the request is written. */
+    void sendOnlyIf(BooleanSupplier condition) {
+        call.sendOnlyIf(condition);
+    }
+
     /** The request is a HEAD. */
     void expectNoBody() {
         call.expectHead();
--- a/dataplane/src/main/java/dewplank/dataplane/UnaryRequest.java
+++ b/dataplane/src/main/java/dewplank/dataplane/UnaryRequest.java
@@ -34,8 +34,9 @@
             InboundConnection client,
             Route route,
             Service service,
+            Credentials credentials,
             double arrivedAt) {
-        super(forwarder, request, client, route, service, arrivedAt);
+        super(forwarder, request, client, route, service, credentials, arrivedAt);
     }
 
     @Override
--- a/dataplane/src/test/java/dewplank/dataplane/ForwarderFixture.java
+++ b/dataplane/src/test/java/dewplank/dataplane/ForwarderFixture.java
@@ -62,6 +62,7 @@
                 random,
                 new Counters(),
                 retryLimits,
+                AccessControl.Revocation.OPEN,
                 CONNECT_TIMEOUT_MS);
         listener = new Listener(
                 loop,
--- a/messages/src/main/java/dewplank/message/HeartbeatAck.java
+++ b/messages/src/main/java/dewplank/message/HeartbeatAck.java
@@ -16,17 +16,28 @@
     public final boolean quorate;
     /** Addresses of all control planes that this one knows, for a session when this one fails. */
     public final List<String> controlAddresses;
+    /** Null where no quorum has confirmed any, and from processes of releases before this field. */
+    public final ConfirmedConfiguration confirmed;
 
     /** For Protostuff, which sets the fields and does not send an empty list. */
     private HeartbeatAck() {
         this.sequence = 0;
         this.quorate = false;
         this.controlAddresses = new ArrayList<>();
+        this.confirmed = null;
     }
 
+    /** A reply that confirms no configuration. */
     public HeartbeatAck(long sequence, boolean quorate, List<String> controlAddresses) {
+        this(sequence, quorate, controlAddresses, null);
+    }
+
+    /** @param confirmed null where no quorum has confirmed any */
+    public HeartbeatAck(
+            long sequence, boolean quorate, List<String> controlAddresses, ConfirmedConfiguration confirmed) {
         this.sequence = sequence;
         this.quorate = quorate;
         this.controlAddresses = controlAddresses;
+        this.confirmed = confirmed;
     }
 }
--- a/settings/src/main/java/dewplank/settings/NodeSettings.java
+++ b/settings/src/main/java/dewplank/settings/NodeSettings.java
@@ -63,7 +63,16 @@
             double leaseMs,
             double contactMs,
             double ackMs,
-            double catchUpMs) {}
+            double catchUpMs,
+            Revocation revocation) {}
+
+    /**
+     * Bounds on the use of access keys that were taken away.
+     *
+     * @param closed whether a key is refused where it is not known that it still holds
+     * @param withinMs by when it is refused after the acknowledgement of its revocation
+     */
+    public record Revocation(boolean closed, double withinMs) {}
 
     /** The platform's list of servers. */
     public record Platform(InetSocketAddress address, double callsPerSecond, double lagMs) {}
@@ -228,7 +237,13 @@
                 fields.atLeast("lease_ms", 0, DEFAULT_LEASE_MS),
                 fields.positive("contact_ms"),
                 fields.atLeast("ack_ms", 0, DEFAULT_ACK_MS),
-                fields.atLeast("catch_up_s", 0, DEFAULT_CATCH_UP_S) * MS_PER_S);
+                fields.atLeast("catch_up_s", 0, DEFAULT_CATCH_UP_S) * MS_PER_S,
+                revocation(fields));
+    }
+
+    private static Revocation revocation(Fields fields) {
+        boolean closed = fields.flag("revocation_closed", false);
+        return new Revocation(closed, closed ? fields.positive("revoke_ms") : 0);
     }
 
     private static Platform platform(Fields fields) {
