Test for how long keys are served without contact

Cause: no test showed from when an acknowledgement counts, and until when a data plane that hears nothing serves keys. Change: RevocationLeaseTest plays sessions by the test's clock: heartbeats that are forgotten, unknown or another session's, versions that are not in force yet, delayed and reordered acknowledgements, standstills, and public routes.

--- a/dataplane/src/test/java/dewplank/dataplane/ManualScheduler.java
+++ b/dataplane/src/test/java/dewplank/dataplane/ManualScheduler.java
@@ -42,6 +42,12 @@
         loop.execute(task);
     }
 
+    /** Moves the clock on by so much while no task runs, as for a process that is frozen; they run late. */
+    void standStill(double ms) {
+        double until = now + ms;
+        now = until;
+    }
+
     /** Moves the clock to the next task's time, if that is not past {@code until}, and runs it; else to that time. */
     void advance(double until) {
         ScheduledTask next = tasks.peek();
--- /dev/null
+++ b/dataplane/src/test/java/dewplank/dataplane/RevocationLeaseTest.java
@@ -0,0 +1,420 @@
+package dewplank.dataplane;
+
+import static dewplank.dataplane.FleetUpdates.complete;
+import static dewplank.dataplane.TestRoute.safeRoute;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dewplank.configuration.AccessKeyDigest;
+import dewplank.configuration.Configuration;
+import dewplank.configuration.Route;
+import dewplank.configuration.Tenant;
+import dewplank.dataplane.AccessControl.Decision;
+import dewplank.dataplane.AccessControl.Revocation;
+import dewplank.dataplane.FakeControlPlane.Session;
+import dewplank.exchange.OnLoop;
+import dewplank.message.ConfirmedConfiguration;
+import dewplank.message.HeartbeatAck;
+import dewplank.message.SessionHeartbeat;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * For how long a data plane serves keys after it was last told that its configuration is the newest: over TCP with
+ * stand-ins for control planes, and by the test's clock.
+ */
+class RevocationLeaseTest {
+    /** No update is deferred until there is a quorum. */
+    private static final double CONTACT_MS = 0;
+
+    private static final double REVOKE_MS = 5_000;
+    /** What is left of {@link #REVOKE_MS} after 2 % for the clocks and 150 ms for a stall (docs/design-quotas.md). */
+    private static final double VALIDITY_MS = 4_750;
+
+    private static final double HEARTBEAT_INTERVAL_MS = SessionParameters.DEFAULTS.heartbeatIntervalMs();
+    private static final double NEVER = Double.NEGATIVE_INFINITY;
+    private static final int MAX_BODY_BYTES = 1_000;
+    private static final TestRoute[] ROUTES = {
+        safeRoute("safe", 1), safeRoute("open", 1).asPublic()
+    };
+    private static final String TENANTS = "[{\"name\":\"acme\",\"access_keys\":[\"k-1\"]}]";
+    private static final String WITHOUT_TENANTS = "";
+    private static final Optional<AccessKeyDigest> KEY = Optional.of(AccessKeyDigest.of("k-1"));
+    private static final Optional<AccessKeyDigest> UNKNOWN_KEY = Optional.of(AccessKeyDigest.of("k-2"));
+
+    private SessionFixture net;
+    private AccessControl accessControl;
+
+    @BeforeEach
+    void begin() throws IOException {
+        net = new SessionFixture(CONTACT_MS);
+        accessControl = net.accessControl(new Revocation(true, REVOKE_MS));
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        net.close();
+    }
+
+    // ---- steps ----------------------------------------------------------------------------------------
+
+    private static Configuration configuration(long version, String tenants) throws Exception {
+        return TestConfiguration.of(version, MAX_BODY_BYTES, tenants, ROUTES);
+    }
+
+    private void bring(Session session, long version) throws Exception {
+        session.send(complete(configuration(version, TENANTS)));
+        net.awaitVersion(version);
+    }
+
+    /** A heartbeat that a control plane has got, and when it was sent. */
+    private record SentHeartbeat(long sequence, double atMs) {}
+
+    /** The next heartbeat; exact where the test has taken all that came before. */
+    private SentHeartbeat nextHeartbeat(Session session) throws Exception {
+        SessionHeartbeat heartbeat = session.heartbeat();
+        return new SentHeartbeat(heartbeat.sequence, net.now());
+    }
+
+    /** The control plane answers that heartbeat, and the answer is handled; the clock does not move. */
+    private void confirm(Session session, SentHeartbeat heartbeat, long version, double ageMs) throws Exception {
+        ConfirmedConfiguration confirmed = new ConfirmedConfiguration(version, ageMs);
+        session.send(new HeartbeatAck(heartbeat.sequence(), true, List.of(), confirmed));
+        net.pass(0);
+    }
+
+    /** The control plane answers that heartbeat, and no quorum has confirmed anything to it. */
+    private void acknowledge(Session session, SentHeartbeat heartbeat) throws Exception {
+        session.send(new HeartbeatAck(heartbeat.sequence(), true, List.of()));
+        net.pass(0);
+    }
+
+    /** Acknowledged heartbeats keep the session open, and confirm nothing. */
+    private void passWithoutConfirmation(Session session, double ms) throws Exception {
+        double until = net.now() + ms;
+        while (net.now() + HEARTBEAT_INTERVAL_MS <= until) {
+            acknowledge(session, nextHeartbeat(session));
+        }
+        net.pass(until - net.now());
+    }
+
+    private double confirmedAt() throws Exception {
+        return OnLoop.get(net.loop, net.metadata::confirmedAtMs);
+    }
+
+    private Decision decide(String route, Optional<AccessKeyDigest> key) throws Exception {
+        Route matched = net.metadata.routes().find(ClientRequests.HOST, "/" + route + "/");
+        return OnLoop.get(net.loop, () -> accessControl.decide(matched, key));
+    }
+
+    private boolean isServing() throws Exception {
+        return OnLoop.get(net.loop, accessControl::isServing);
+    }
+
+    private void assertServed() throws Exception {
+        Decision decision = decide("safe", KEY);
+        assertEquals(
+                Optional.of("acme"),
+                assertInstanceOf(Decision.Allowed.class, decision).tenant().map(Tenant::name));
+        assertInstanceOf(Decision.UnknownKey.class, decide("safe", UNKNOWN_KEY));
+        assertInstanceOf(Decision.UnknownKey.class, decide("safe", Optional.empty()));
+        assertTrue(isServing());
+    }
+
+    /** A key that is unknown here is no reason for 401: a newer configuration may have given it. */
+    private void assertUnconfirmed() throws Exception {
+        assertInstanceOf(Decision.Unconfirmed.class, decide("safe", KEY));
+        assertInstanceOf(Decision.Unconfirmed.class, decide("safe", UNKNOWN_KEY));
+        assertInstanceOf(Decision.Unconfirmed.class, decide("safe", Optional.empty()));
+        assertFalse(isServing());
+    }
+
+    private void assertPublicRouteIsServed() throws Exception {
+        assertInstanceOf(Decision.Allowed.class, decide("open", KEY));
+        assertInstanceOf(Decision.Allowed.class, decide("open", UNKNOWN_KEY));
+        assertInstanceOf(Decision.Allowed.class, decide("open", Optional.empty()));
+    }
+
+    // ---- from when an acknowledgement counts -----------------------------------------------------------
+
+    @Test
+    void beforeTheFirstConfirmationNoKeyIsServed() throws Exception {
+        Session session = net.startSession();
+        assertFalse(isServing(), "there is no configuration");
+        bring(session, 7);
+        assertUnconfirmed();
+        assertPublicRouteIsServed();
+        passWithoutConfirmation(session, 2 * HEARTBEAT_INTERVAL_MS);
+        assertUnconfirmed();
+        assertPublicRouteIsServed();
+    }
+
+    @Test
+    void anAcknowledgementCountsFromWhenItsHeartbeatWasSent() throws Exception {
+        Session session = net.startSessionWithoutAcks();
+        SentHeartbeat first = nextHeartbeat(session);
+        bring(session, 7);
+        nextHeartbeat(session);
+        nextHeartbeat(session);
+        net.pass(HEARTBEAT_INTERVAL_MS / 2);
+        confirm(session, first, 7, 0);
+        assertEquals(first.atMs(), confirmedAt());
+        assertServed();
+        net.pass(first.atMs() + VALIDITY_MS - net.now());
+        assertServed();
+        net.pass(1);
+        assertUnconfirmed();
+    }
+
+    @Test
+    void theAgeOfWhatIsConfirmedIsSubtracted() throws Exception {
+        Session session = net.startSessionWithoutAcks();
+        bring(session, 7);
+        SentHeartbeat heartbeat = nextHeartbeat(session);
+        confirm(session, heartbeat, 7, 1_234.5);
+        assertEquals(heartbeat.atMs() - 1_234.5, confirmedAt());
+        assertServed();
+    }
+
+    /** A control plane that has lost its quorum answers with what was confirmed before. */
+    @Test
+    void whatWasConfirmedTooLongAgoServesNothing() throws Exception {
+        Session session = net.startSessionWithoutAcks();
+        bring(session, 7);
+        SentHeartbeat heartbeat = nextHeartbeat(session);
+        confirm(session, heartbeat, 7, VALIDITY_MS + 1);
+        assertUnconfirmed();
+        confirm(session, heartbeat, 7, VALIDITY_MS);
+        assertServed();
+    }
+
+    @Test
+    void anAcknowledgementOfAForgottenHeartbeatConfirmsNothing() throws Exception {
+        Session session = net.startSessionWithoutAcks();
+        bring(session, 7);
+        SentHeartbeat first = nextHeartbeat(session);
+        SentHeartbeat second = nextHeartbeat(session);
+        acknowledge(session, second); // those before it are forgotten
+        confirm(session, first, 7, 0);
+        assertEquals(NEVER, confirmedAt());
+        assertUnconfirmed();
+        confirm(session, second, 7, 0);
+        assertEquals(second.atMs(), confirmedAt());
+    }
+
+    @Test
+    void anAcknowledgementOfAHeartbeatThatWasNeverSentConfirmsNothing() throws Exception {
+        Session session = net.startSessionWithoutAcks();
+        bring(session, 7);
+        SentHeartbeat heartbeat = nextHeartbeat(session);
+        confirm(session, new SentHeartbeat(heartbeat.sequence() + 1_000, net.now()), 7, 0);
+        assertEquals(NEVER, confirmedAt());
+    }
+
+    @Test
+    void anAcknowledgementOfAnotherSessionsHeartbeatConfirmsNothing() throws Exception {
+        FakeControlPlane one = net.controlPlane().withoutAcks();
+        FakeControlPlane two = net.controlPlane().withoutAcks();
+        net.start(one, two);
+        Session first = one.session();
+        Session second = two.session();
+        bring(first, 7);
+        confirm(second, nextHeartbeat(first), 7, 0);
+        assertEquals(NEVER, confirmedAt());
+    }
+
+    @Test
+    void onlyTheLatestHeartbeatsAreRemembered() {
+        PendingHeartbeats pending = new PendingHeartbeats(2);
+        pending.add(1, 100);
+        pending.add(2, 200);
+        pending.add(3, 300);
+        assertEquals(OptionalDouble.empty(), pending.sentAt(1));
+        assertEquals(OptionalDouble.of(200), pending.sentAt(2));
+        assertEquals(OptionalDouble.of(300), pending.sentAt(3));
+        assertEquals(OptionalDouble.empty(), pending.sentAt(4));
+    }
+
+    // ---- which version is confirmed -------------------------------------------------------------------
+
+    @Test
+    void aConfirmationOfANewerVersionCountsOnceThatIsInForce() throws Exception {
+        Session session = net.startSessionWithoutAcks();
+        bring(session, 7);
+        SentHeartbeat heartbeat = nextHeartbeat(session);
+        confirm(session, heartbeat, 9, 0);
+        assertEquals(NEVER, confirmedAt());
+        assertUnconfirmed();
+        bring(session, 8);
+        assertEquals(NEVER, confirmedAt());
+        assertUnconfirmed();
+        bring(session, 9);
+        assertEquals(heartbeat.atMs(), confirmedAt());
+        assertServed();
+    }
+
+    @Test
+    void aConfirmationOfAnOlderVersionThanIsInForceCounts() throws Exception {
+        Session session = net.startSessionWithoutAcks();
+        bring(session, 7);
+        SentHeartbeat heartbeat = nextHeartbeat(session);
+        confirm(session, heartbeat, 6, 0);
+        assertEquals(heartbeat.atMs(), confirmedAt());
+        assertServed();
+    }
+
+    /** The newer version came by the other session: the next acknowledgement confirms it at the latest. */
+    @Test
+    void aVersionThatAnotherSessionBroughtIsConfirmed() throws Exception {
+        FakeControlPlane one = net.controlPlane().withoutAcks();
+        FakeControlPlane two = net.controlPlane().withoutAcks();
+        net.start(one, two);
+        Session first = one.session();
+        Session second = two.session();
+        bring(first, 7);
+        confirm(first, nextHeartbeat(first), 9, 0);
+        bring(second, 9);
+        SentHeartbeat next = nextHeartbeat(first);
+        confirm(first, next, 9, 0);
+        assertEquals(next.atMs(), confirmedAt());
+        assertServed();
+    }
+
+    // ---- delayed and reordered acknowledgements ----------------------------------------------------------
+
+    @Test
+    void anAcknowledgementThatIsOvertakenByAnotherSessionsChangesNothing() throws Exception {
+        FakeControlPlane one = net.controlPlane().withoutAcks();
+        FakeControlPlane two = net.controlPlane().withoutAcks();
+        net.start(one, two);
+        Session first = one.session();
+        Session second = two.session();
+        bring(first, 7);
+        SentHeartbeat early = nextHeartbeat(first);
+        nextHeartbeat(second);
+        nextHeartbeat(first);
+        SentHeartbeat late = nextHeartbeat(second);
+        confirm(second, late, 7, 0);
+        assertEquals(late.atMs(), confirmedAt());
+        confirm(first, early, 7, 0);
+        assertEquals(late.atMs(), confirmedAt());
+        confirm(first, early, 6, 500);
+        assertEquals(late.atMs(), confirmedAt());
+    }
+
+    @Test
+    void acknowledgementsOfOneHeartbeatOverAndOverDoNotProlongTheLease() throws Exception {
+        Session session = net.startSessionWithoutAcks();
+        bring(session, 7);
+        SentHeartbeat first = nextHeartbeat(session);
+        while (net.now() <= first.atMs() + VALIDITY_MS) {
+            confirm(session, first, 7, 0);
+            assertEquals(first.atMs(), confirmedAt());
+            nextHeartbeat(session);
+        }
+        assertUnconfirmed();
+    }
+
+    @Test
+    void aNewSessionsAcknowledgementsDoNotCountForTheLastOnesHeartbeats() throws Exception {
+        FakeControlPlane control = net.controlPlane().withoutAcks();
+        net.start(control);
+        Session broken = control.session();
+        bring(broken, 7);
+        SentHeartbeat old = nextHeartbeat(broken);
+        broken.reset();
+        Session next = control.session();
+        confirm(next, old, 7, 0);
+        assertEquals(NEVER, confirmedAt());
+    }
+
+    // ---- loss of contact ------------------------------------------------------------------------------
+
+    @Test
+    void afterTheBoundOnlyPublicRoutesAreServed() throws Exception {
+        Session session = net.startSessionWithoutAcks();
+        bring(session, 7);
+        confirm(session, nextHeartbeat(session), 7, 0);
+        double expiresAt = confirmedAt() + VALIDITY_MS;
+        passWithoutConfirmation(session, expiresAt - net.now());
+        assertServed();
+        passWithoutConfirmation(session, 1);
+        assertUnconfirmed();
+        assertPublicRouteIsServed();
+        assertEquals(
+                Optional.empty(),
+                assertInstanceOf(Decision.Allowed.class, decide("open", KEY)).tenant(),
+                "whose key it is may have changed");
+    }
+
+    @Test
+    void theNextConfirmationEndsTheRefusal() throws Exception {
+        Session session = net.startSessionWithoutAcks();
+        bring(session, 7);
+        confirm(session, nextHeartbeat(session), 7, 0);
+        passWithoutConfirmation(session, VALIDITY_MS + 1);
+        assertUnconfirmed();
+        confirm(session, nextHeartbeat(session), 7, 0);
+        assertServed();
+    }
+
+    /** No timer has run and nothing was received since: the clock alone decides. */
+    @Test
+    void aProcessThatStoodStillDecidesByItsClockAfterIt() throws Exception {
+        Session session = net.startSessionWithoutAcks();
+        bring(session, 7);
+        SentHeartbeat heartbeat = nextHeartbeat(session);
+        confirm(session, heartbeat, 7, 0);
+        net.standStill(VALIDITY_MS);
+        assertServed();
+        net.standStill(1);
+        assertUnconfirmed();
+        confirm(session, heartbeat, 7, 0);
+        assertUnconfirmed();
+    }
+
+    /** Time-outs leave out the time for which a process stood still; the lease does not. */
+    @Test
+    void aStandstillThatTimeOutsExcludeCountsForTheLease() throws Exception {
+        Session session = net.startSessionWithoutAcks();
+        bring(session, 7);
+        SentHeartbeat before = nextHeartbeat(session);
+        confirm(session, before, 7, 0);
+        net.standStill(VALIDITY_MS + 1);
+        SentHeartbeat after = nextHeartbeat(session);
+        assertFalse(session.isEnded());
+        assertEquals(before.atMs(), confirmedAt());
+        assertUnconfirmed();
+        confirm(session, after, 7, 0);
+        assertServed();
+    }
+
+    // ---- where no confirmation is needed -----------------------------------------------------------------
+
+    @Test
+    void withOpenRevocationKeysAreServedByTheLastConfiguration() throws Exception {
+        accessControl = net.accessControl(Revocation.OPEN);
+        Session session = net.startSessionWithoutAcks();
+        bring(session, 7);
+        assertServed();
+        net.standStill(10 * REVOKE_MS);
+        assertServed();
+    }
+
+    @Test
+    void withoutTenantsNothingNeedsAConfirmation() throws Exception {
+        Session session = net.startSessionWithoutAcks();
+        session.send(complete(configuration(7, WITHOUT_TENANTS)));
+        net.awaitVersion(7);
+        assertInstanceOf(Decision.Allowed.class, decide("safe", Optional.empty()));
+        assertInstanceOf(Decision.Allowed.class, decide("safe", UNKNOWN_KEY));
+        assertTrue(isServing());
+    }
+}
--- a/dataplane/src/test/java/dewplank/dataplane/SessionFixture.java
+++ b/dataplane/src/test/java/dewplank/dataplane/SessionFixture.java
@@ -75,6 +75,13 @@
         return seed.session();
     }
 
+    /** The same, with a control plane that acknowledges nothing by itself. */
+    FakeControlPlane.Session startSessionWithoutAcks() throws Exception {
+        FakeControlPlane seed = controlPlane().withoutAcks();
+        start(seed);
+        return seed.session();
+    }
+
     private void setSeeds(FakeControlPlane... seeds) {
         for (FakeControlPlane seed : seeds) {
             client.setSeeds(List.of(seed.address()));
@@ -86,6 +93,16 @@
         return scheduler.now();
     }
 
+    /** Decides by what this client learns, and by the test's clock; its methods are for the loop's thread. */
+    AccessControl accessControl(AccessControl.Revocation revocation) {
+        return new AccessControl(scheduler, metadata, revocation);
+    }
+
+    /** Lets so much time pass without anything being done or handled. */
+    void standStill(double ms) throws Exception {
+        OnLoop.run(loop, () -> scheduler.standStill(ms));
+    }
+
     /** Moves the clock on by so much: all timers within that time run, and what they send is handled. */
     void pass(double ms) throws Exception {
         double until = now() + ms;
