Test the bound on revoked keys over random histories, and what clients get

Cause: cases by hand show single steps of the lease, not their combinations. Change: RevocationPropertyTest plays the program's sessions and access control in virtual time against models of the register and of three control planes: configurations chosen, acknowledgements delayed, lost and reordered, a frozen data plane, control planes in a minority or cut off, clocks up to 2 % apart. No key is served later than revoke_ms, less the 150 ms for a stall, after the acknowledgement of its revocation; healed, the newest configuration decides. RevocationLeaseTest has the answers to clients: 503, not ready, public routes.

--- a/dataplane/src/test/java/dewplank/dataplane/ForwarderFixture.java
+++ b/dataplane/src/test/java/dewplank/dataplane/ForwarderFixture.java
@@ -53,7 +53,8 @@
     private long configurationVersion;
     private String tenants = "";
 
-    private ForwarderFixture(RetryBudgets.Limits retryLimits, Policy policy) throws IOException {
+    private ForwarderFixture(RetryBudgets.Limits retryLimits, Policy policy, AccessControl.Revocation revocation)
+            throws IOException {
         SplittableRandom random = new SplittableRandom(RANDOM_SEED);
         forwarder = new Forwarder(
                 loop,
@@ -62,7 +63,7 @@
                 random,
                 new Counters(),
                 retryLimits,
-                AccessControl.Revocation.OPEN,
+                revocation,
                 CONNECT_TIMEOUT_MS);
         listener = new Listener(
                 loop,
@@ -85,6 +86,7 @@
         private TestRoute[] routes = {};
 
         private String tenants = "";
+        private AccessControl.Revocation revocation = AccessControl.Revocation.OPEN;
 
         Builder retryLimits(RetryBudgets.Limits limits) {
             retryLimits = limits;
@@ -116,8 +118,14 @@
             return this;
         }
 
+        /** Keys are served for less than so long after the last {@link ForwarderFixture#confirm}. */
+        Builder closedRevocation(double withinMs) {
+            revocation = new AccessControl.Revocation(true, withinMs);
+            return this;
+        }
+
         ForwarderFixture start() throws Exception {
-            ForwarderFixture fixture = new ForwarderFixture(retryLimits, policy);
+            ForwarderFixture fixture = new ForwarderFixture(retryLimits, policy, revocation);
             OnLoop.run(fixture.loop, fixture.listener::accept);
             fixture.tenants = tenants;
             if (routes.length > 0) {
@@ -127,6 +135,11 @@
         }
     }
 
+    /** The configuration in force is confirmed to have been the newest so long ago. */
+    void confirm(double ageMs) throws Exception {
+        OnLoop.run(loop, () -> metadata.confirmConfiguration(configurationVersion, loop.now() - ageMs));
+    }
+
     /** Puts the next configuration in force, with these tenants, a list in JSON, from now on. */
     void tenants(String json, TestRoute... routes) throws Exception {
         tenants = json;
--- a/dataplane/src/test/java/dewplank/dataplane/RevocationLeaseTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/RevocationLeaseTest.java
@@ -1,6 +1,8 @@
 package dewplank.dataplane;
 
+import static dewplank.dataplane.Expectations.assertRejected;
 import static dewplank.dataplane.FleetUpdates.complete;
+import static dewplank.dataplane.ServerAnswers.reject;
 import static dewplank.dataplane.TestRoute.safeRoute;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -15,6 +17,8 @@
 import dewplank.dataplane.AccessControl.Revocation;
 import dewplank.dataplane.FakeControlPlane.Session;
 import dewplank.exchange.OnLoop;
+import dewplank.exchange.ScriptedServer.Call;
+import dewplank.exchange.Wire;
 import dewplank.message.ConfirmedConfiguration;
 import dewplank.message.HeartbeatAck;
 import dewplank.message.SessionHeartbeat;
@@ -38,14 +42,20 @@
     /** What is left of {@link #REVOKE_MS} after 2 % for the clocks and 150 ms for a stall (docs/design-quotas.md). */
     private static final double VALIDITY_MS = 4_750;
 
+    /** Longer than any test lasts. */
+    private static final double LONG_REVOKE_MS = 60_000;
+    /** A busy machine takes less from a confirmation to a server. */
+    private static final double SHORT_REVOKE_MS = 2_000;
+
     private static final double HEARTBEAT_INTERVAL_MS = SessionParameters.DEFAULTS.heartbeatIntervalMs();
     private static final double NEVER = Double.NEGATIVE_INFINITY;
     private static final int MAX_BODY_BYTES = 1_000;
     private static final TestRoute[] ROUTES = {
-        safeRoute("safe", 1), safeRoute("open", 1).asPublic()
+        safeRoute("safe", 1), safeRoute("again", 3), safeRoute("open", 1).asPublic()
     };
     private static final String TENANTS = "[{\"name\":\"acme\",\"access_keys\":[\"k-1\"]}]";
     private static final String WITHOUT_TENANTS = "";
+    private static final String BEARER = "Authorization: Bearer k-1\r\n";
     private static final Optional<AccessKeyDigest> KEY = Optional.of(AccessKeyDigest.of("k-1"));
     private static final Optional<AccessKeyDigest> UNKNOWN_KEY = Optional.of(AccessKeyDigest.of("k-2"));
 
@@ -417,4 +427,52 @@
         assertInstanceOf(Decision.Allowed.class, decide("safe", UNKNOWN_KEY));
         assertTrue(isServing());
     }
+
+    // ---- what clients are answered ----------------------------------------------------------------------
+
+    private static ForwarderFixture.Builder forwarder(double revokeMs) {
+        return ForwarderFixture.builder().tenants(TENANTS).routes(ROUTES).closedRevocation(revokeMs);
+    }
+
+    private static void assertServed(ForwarderFixture forwarder, String target) throws Exception {
+        Wire client = forwarder.sendRequest(target, BEARER);
+        Expectations.assertServed(forwarder.nextCall(), client, "served");
+    }
+
+    private static boolean isReady(ForwarderFixture forwarder) throws Exception {
+        return OnLoop.get(forwarder.loop, forwarder.forwarder::isServing);
+    }
+
+    @Test
+    void withoutARecentConfirmationRequestsAreRejectedAndTheDataPlaneIsNotReady() throws Exception {
+        try (ForwarderFixture forwarder = forwarder(LONG_REVOKE_MS).start()) {
+            forwarder.servers.plain();
+            for (double ageMs : new double[] {Double.POSITIVE_INFINITY, LONG_REVOKE_MS}) {
+                forwarder.confirm(ageMs);
+                assertRejected(forwarder.sendRequest("/safe/", BEARER).read());
+                assertRejected(forwarder.sendRequest("/safe/").read());
+                assertFalse(isReady(forwarder));
+                assertServed(forwarder, "/open/");
+            }
+            forwarder.confirm(0);
+            assertTrue(isReady(forwarder));
+            assertServed(forwarder, "/safe/");
+            assertEquals(401, forwarder.sendRequest("/safe/").read().status());
+            forwarder.assertQuiet();
+        }
+    }
+
+    @Test
+    void aRequestThatWaitsBeyondTheBoundIsNotSentOnceMore() throws Exception {
+        try (ForwarderFixture forwarder = forwarder(SHORT_REVOKE_MS).start()) {
+            forwarder.servers.plainServers(2);
+            forwarder.confirm(0);
+            Wire client = forwarder.sendRequest("/again/", BEARER);
+            Call call = forwarder.nextCall();
+            forwarder.pass(SHORT_REVOKE_MS);
+            reject(call);
+            assertRejected(client.read());
+            forwarder.assertQuiet();
+        }
+    }
 }
--- /dev/null
+++ b/dataplane/src/test/java/dewplank/dataplane/RevocationPropertyTest.java
@@ -0,0 +1,89 @@
+package dewplank.dataplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+/**
+ * Over random histories, no request is sent by a key later than its bound after the acknowledgement of its revocation,
+ * and the newest configuration decides once all is healed; a failure prints its seed.
+ */
+class RevocationPropertyTest {
+    private static final int CONTROL_PLANES = 3;
+    private static final int STEPS = 600;
+    private static final double MAX_STEP_MS = 60;
+    /** Each fault lasts less, so that some are shorter than the bound and some longer. */
+    private static final double MAX_FAULT_MS = 2 * RevocationModel.REVOKE_MS;
+
+    private static final double MAX_MESSAGE_DELAY_MS = 4_000;
+    private static final double MAX_LOSS_PROBABILITY = 0.4;
+    /** In which sessions end by their time-outs, backoffs pass and others are opened. */
+    private static final double HEALING_MS = 10_000;
+
+    private static void injectFault(RevocationModel model, Random random) {
+        double forMs = random.nextDouble() * MAX_FAULT_MS;
+        switch (random.nextInt(10)) {
+            case 0, 1, 2 -> model.choose(random.nextInt(3) == 0);
+            case 3 -> model.freezeDataPlane(forMs);
+            case 4, 5 -> model.isolate(random.nextInt(CONTROL_PLANES), forMs);
+            case 6, 7 -> model.cut(random.nextInt(CONTROL_PLANES), forMs);
+            case 8 -> model.disturbMessages(
+                    random.nextDouble() * MAX_MESSAGE_DELAY_MS, random.nextDouble() * MAX_LOSS_PROBABILITY);
+            default -> model.heal();
+        }
+    }
+
+    private static void step(RevocationModel model, Random random) {
+        model.runFor(random.nextDouble() * MAX_STEP_MS);
+        model.sendRequest();
+    }
+
+    @Property(tries = 300, shrinking = ShrinkingMode.OFF)
+    void noKeyIsServedLaterThanItsBoundAfterItsRevocation(@ForAll long seed) {
+        Random random = new Random(seed);
+        RevocationModel model = new RevocationModel(random);
+        for (int step = 0; step < STEPS; step++) {
+            if (random.nextInt(15) == 0) {
+                injectFault(model, random);
+            }
+            step(model, random);
+        }
+        model.heal();
+        model.runFor(MAX_FAULT_MS + HEALING_MS);
+        assertEquals(model.newestHasKey(), model.isKeyServed(), "by the newest configuration, once healed");
+    }
+
+    /** Else the histories would show nothing. */
+    @Example
+    void inCalmTimesKeysAreServedAllTheTime() {
+        Random random = new Random(1);
+        RevocationModel model = new RevocationModel(random);
+        model.runFor(HEALING_MS);
+        for (int step = 0; step < STEPS; step++) {
+            step(model, random);
+        }
+        model.runFor(0); // the last one is decided
+        assertEquals(STEPS, model.allowed());
+    }
+
+    /** All control planes are in minorities: what was confirmed before serves for a while, and then no more. */
+    @Example
+    void withoutAQuorumKeysAreServedForAWhile() {
+        Random random = new Random(1);
+        RevocationModel model = new RevocationModel(random);
+        model.runFor(HEALING_MS);
+        for (int control = 0; control < CONTROL_PLANES; control++) {
+            model.isolate(control, MAX_FAULT_MS);
+        }
+        model.runFor(RevocationModel.REVOKE_MS / 2);
+        assertTrue(model.isKeyServed());
+        model.runFor(RevocationModel.REVOKE_MS / 2);
+        assertFalse(model.isKeyServed());
+    }
+}
