--- a/dataplane/src/main/java/dewplank/dataplane/AttemptAllowance.java
+++ b/dataplane/src/main/java/dewplank/dataplane/AttemptAllowance.java
@@ -3,8 +3,8 @@
 import dewplank.dataplane.Counters.Count;
 
 /**
- * How many more servers one request may be sent to: by its client's access key, by its route's {@code max_attempts}, and
- * by the service's budget of retries for each attempt beyond the first. On the event loop's thread only.
+ * How many more servers one request may be sent to: by its client's access key, by its route's {@code max_attempts},
+ * and by the service's budget of retries for each attempt beyond the first. On the event loop's thread only.
  */
 final class AttemptAllowance {
     private final RetryBudgets budgets;
--- a/dataplane/src/main/java/dewplank/dataplane/ControlSession.java
+++ b/dataplane/src/main/java/dewplank/dataplane/ControlSession.java
@@ -185,7 +185,7 @@
         applyMembership();
     }
 
-    /** The acknowledgement was made after its heartbeat was sent, so what it confirms held at that time less its age. */
+    /** The acknowledgement was made after its heartbeat was sent: what it confirms held at that time less its age. */
     private void recordConfirmation(HeartbeatAck ack) {
         OptionalDouble sentAt = pendingHeartbeats.sentAt(ack.sequence);
         if (ack.confirmed != null && sentAt.isPresent()) {
