Take a prefill's retry out of the budget only where there is a server

Cause: since keys are checked, the budget was asked before it was known that a server can take the prompt. A prefill that broke off with no other server there cost a retry that was not made, and left the request a retry free of charge. Change: the budget is asked last, as before.

--- a/dataplane/src/main/java/dewplank/dataplane/PrefillPhase.java
+++ b/dataplane/src/main/java/dewplank/dataplane/PrefillPhase.java
@@ -39,14 +39,18 @@
     void start() {
         Server server = pickServer();
         boolean freeOfCharge = prefills == 0;
-        boolean allowed = freeOfCharge ? request.allowance.isAccessAllowed() : tryAcquireRetry();
-        if (server == null || !allowed) {
+        if (server == null || !tryAcquireAttempt(freeOfCharge)) {
             startDecodeWithoutHandle();
             return;
         }
         sendTo(server, freeOfCharge);
     }
 
+    /** Takes what the attempt costs, so it is asked only where there is a server. */
+    private boolean tryAcquireAttempt(boolean freeOfCharge) {
+        return freeOfCharge ? request.allowance.isAccessAllowed() : tryAcquireRetry();
+    }
+
     /**
      * Only an attempt that a server takes up is free. Where one was given up or broke off, the next attempt that is
      * paid for and taken up makes up for it; where none is, it counts itself, as its server may not have begun it.
