Soak real processes by a seeded plan, and check that no request that was read is lost

Cause: the process suite stages one fault at a time, with a new connection for each request; nothing showed what happens to requests on open connections when planned work and faults of several processes overlap. Change: SoakRun draws a plan from a seed (SIGTERM and restart, restarts in series, SIGHUP with other and with unreadable settings files, kills, freezes; changes of the configuration and races of two) and prints it, under clients that keep their connections and send nothing again by themselves. The auditor checks LOST, for every process test too: requests that were passed on or sat for over loss_slack_ms on a connection in use, around SIGTERM and SIGHUP, and in calm times; and bytes that no request waits for (MIXED). Stalls of the stand-ins' own loop are recorded and not counted as time of a data plane. A SIGHUP isn't a fault that excuses an old configuration. Evidence: FleetAuditorTest has each new rule kept and broken; it, DataPlaneRestartTest and ArchitectureTest pass.

--- a/cli/src/test/java/dewplank/fleet/FleetHarness.java
+++ b/cli/src/test/java/dewplank/fleet/FleetHarness.java
@@ -12,6 +12,7 @@
 import dewplank.emulator.fleet.FleetEvent;
 import dewplank.emulator.fleet.FleetEvent.AttemptSent;
 import dewplank.emulator.fleet.FleetEvent.EndpointListRequested;
+import dewplank.emulator.fleet.FleetEvent.ProcessFaulted;
 import dewplank.emulator.fleet.FleetMachine;
 import dewplank.emulator.fleet.FleetProcess;
 import dewplank.emulator.fleet.Futures;
@@ -30,6 +31,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -42,18 +44,18 @@
  * A fleet of real processes on loopback between stand-ins for servers, platform, operator and clients, with an initial
  * configuration. Its methods are called by the test's thread.
  */
-final class FleetHarness implements AutoCloseable {
-    static final RouteSpec READ = RouteSpec.to("plain", "read", RouteSpec.Kind.SAFE);
-    static final RouteSpec WRITE = RouteSpec.to("plain", "write", RouteSpec.Kind.UNSAFE);
+public final class FleetHarness implements AutoCloseable {
+    public static final RouteSpec READ = RouteSpec.to("plain", "read", RouteSpec.Kind.SAFE);
+    public static final RouteSpec WRITE = RouteSpec.to("plain", "write", RouteSpec.Kind.UNSAFE);
     static final RouteSpec CHAT = RouteSpec.to("model", "chat", RouteSpec.Kind.STREAM);
     static final RouteSpec TALK = RouteSpec.to("model", "talk", RouteSpec.Kind.RESUMABLE);
     static final int EVENT_COUNT = 12;
-    static final FleetConfiguration INITIAL = new FleetConfiguration(
+    public static final FleetConfiguration INITIAL = new FleetConfiguration(
             3,
             List.of(READ, WRITE, CHAT, TALK),
             List.of(ServiceSpec.plain("plain"), ServiceSpec.plain("other"), ServiceSpec.model("model")));
     /** One request of every kind, as clients send them in turn. */
-    static final List<ClientRequest> ONE_OF_EACH_KIND = List.of(
+    public static final List<ClientRequest> ONE_OF_EACH_KIND = List.of(
             ClientRequest.plain(READ, "mix"),
             ClientRequest.plain(WRITE, "mix"),
             ClientRequest.split(CHAT, "mix", EVENT_COUNT),
@@ -64,7 +66,7 @@
     private static final String DUTIES_PATH = "/duties";
 
     private final Path folder;
-    final StandInFleet fleet;
+    public final StandInFleet fleet;
     final List<PlainServer> plainServers = new ArrayList<>();
     final List<ModelServer> prefillServers = new ArrayList<>();
     final List<ModelServer> decodeServers = new ArrayList<>();
@@ -75,7 +77,7 @@
     }
 
     /** What a test does with a fleet that serves. */
-    interface Scenario {
+    public interface Scenario {
         void run(FleetHarness harness) throws Exception;
     }
 
@@ -83,7 +85,7 @@
      * Starts the servers and processes, puts the initial configuration, waits until the data planes are ready and runs
      * the scenario. Afterwards the history must keep every rule. Where anything fails, the processes' logs are printed.
      */
-    static void run(int control, int data, Scenario scenario) throws Exception {
+    public static void run(int control, int data, Scenario scenario) throws Exception {
         try (FleetHarness harness = new FleetHarness(control, data)) {
             try {
                 harness.start();
@@ -132,7 +134,7 @@
         return fleet.now();
     }
 
-    StandInOperator operator() {
+    public StandInOperator operator() {
         return fleet.operator();
     }
 
@@ -140,7 +142,7 @@
         return fleet.platform();
     }
 
-    List<FleetProcess> control() {
+    public List<FleetProcess> control() {
         return fleet.control();
     }
 
@@ -182,7 +184,7 @@
     }
 
     /** Starts clients at every data plane, which send {@link #ONE_OF_EACH_KIND} in turn. */
-    SteadyLoad startLoad() {
+    public SteadyLoad startLoad() {
         return fleet.load(ONE_OF_EACH_KIND);
     }
 
@@ -198,11 +200,11 @@
     }
 
     /** As {@link History#awaitState}. */
-    void awaitState(String what, BooleanSupplier state) throws InterruptedException, TimeoutException {
+    public void awaitState(String what, BooleanSupplier state) throws InterruptedException, TimeoutException {
         fleet.history().awaitState(what, state);
     }
 
-    void awaitReady() throws InterruptedException, TimeoutException {
+    public void awaitReady() throws InterruptedException, TimeoutException {
         for (FleetProcess process : fleet.data()) {
             awaitReadiness(process.machine(), 200);
         }
@@ -272,7 +274,7 @@
     }
 
     /** Waits until the load has been served more than two further rounds of {@link #ONE_OF_EACH_KIND}. */
-    void awaitServed(String what, SteadyLoad load) throws InterruptedException, TimeoutException {
+    public void awaitServed(String what, SteadyLoad load) throws InterruptedException, TimeoutException {
         int before = load.served();
         fleet.history().await(what, AttemptSent.class, attempt -> load.served() > before + 2 * ONE_OF_EACH_KIND.size());
     }
@@ -287,7 +289,7 @@
         return Futures.await(send(edge, request).ended());
     }
 
-    void assertServed(int edge, ClientRequest request) {
+    public void assertServed(int edge, ClientRequest request) {
         ClientAttempt.Outcome outcome = awaitOutcome(edge, request);
         assertTrue(outcome.served(), request.route().name() + " at edge " + edge + ": " + outcome);
     }
@@ -301,7 +303,12 @@
         List<FleetProcess> all = new ArrayList<>(fleet.control());
         all.addAll(fleet.data());
         for (FleetProcess process : all) {
-            System.err.println("---- " + process.machine().node());
+            String node = process.machine().node();
+            System.err.println("---- " + node);
+            events(ProcessFaulted.class).stream()
+                    .filter(fault -> fault.node().equals(node))
+                    .forEach(fault -> System.err.println(
+                            Instant.ofEpochMilli((long) fault.atMs()) + " was done to it: " + fault.fault()));
             if (Files.exists(process.log())) {
                 System.err.println(Files.readString(process.log()));
             }
--- /dev/null
+++ b/cli/src/test/java/dewplank/fleet/soak/ConfigurationChanges.java
@@ -0,0 +1,79 @@
+package dewplank.fleet.soak;
+
+import dewplank.emulator.fleet.FleetConfiguration;
+import dewplank.emulator.fleet.Futures;
+import dewplank.emulator.fleet.RouteSpec;
+import dewplank.emulator.fleet.StandInOperator;
+import dewplank.fleet.FleetHarness;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** Does the operator's steps, each on the newest configuration that is known to be in force. On one thread. */
+final class ConfigurationChanges {
+    private static final int OK = 200;
+
+    private final StandInOperator operator;
+    private final Map<Long, FleetConfiguration> sent = new HashMap<>();
+    private FleetConfiguration current = FleetHarness.INITIAL;
+    private long lastVersion = current.version();
+
+    ConfigurationChanges(StandInOperator operator) {
+        this.operator = operator;
+        remember(current);
+    }
+
+    void run(ChangeStep step) {
+        switch (step.kind()) {
+            case TOGGLE_ROUTE -> {
+                FleetConfiguration next = remember(toggled(step.route()));
+                settle(next, operator.patch(next, current, step.firstControl()), step);
+            }
+            case MOVE_ROUTE -> {
+                FleetConfiguration next = remember(moved());
+                settle(next, operator.put(next, current.version(), step.firstControl()), step);
+            }
+            case RACE -> race(step);
+        }
+    }
+
+    private void race(ChangeStep step) {
+        FleetConfiguration one = remember(toggled(step.route()));
+        FleetConfiguration two = remember(moved());
+        CompletableFuture<Integer> first = operator.put(one, current.version(), step.firstControl());
+        CompletableFuture<Integer> second = operator.patch(two, current, step.firstControl() + 1);
+        if (Futures.await(first) == OK) {
+            Futures.await(second);
+            current = one;
+        } else {
+            settle(two, second, step);
+        }
+    }
+
+    private FleetConfiguration remember(FleetConfiguration configuration) {
+        sent.put(configuration.version(), configuration);
+        return configuration;
+    }
+
+    private FleetConfiguration toggled(int number) {
+        RouteSpec route = RouteSpec.to("plain", "soak" + number, RouteSpec.Kind.SAFE);
+        long version = ++lastVersion;
+        return current.routes().contains(route) ? current.without(version, route.name()) : current.with(version, route);
+    }
+
+    private FleetConfiguration moved() {
+        RouteSpec route = current.route(FleetHarness.READ.name());
+        boolean isMoved = !route.equals(FleetHarness.READ);
+        return current.with(++lastVersion, isMoved ? FleetHarness.READ : route.movedTo("other"));
+    }
+
+    /** Without a clear answer the change may be in force or not: the configuration is read back. */
+    private void settle(FleetConfiguration next, CompletableFuture<Integer> status, ChangeStep step) {
+        if (Futures.await(status) == OK) {
+            current = next;
+            return;
+        }
+        long version = Futures.await(operator.read(step.firstControl()));
+        current = sent.getOrDefault(version, current);
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/dewplank/fleet/soak/ProcessSeries.java
@@ -0,0 +1,80 @@
+package dewplank.fleet.soak;
+
+import dewplank.emulator.fleet.FleetBounds;
+import dewplank.emulator.fleet.FleetProcess;
+import dewplank.emulator.fleet.MachineClass;
+import dewplank.fleet.FleetHarness;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/** Does the steps of one process. On one thread. */
+final class ProcessSeries {
+    private final FleetHarness harness;
+    private final FleetProcess process;
+    private final Random random;
+
+    /** {@code seed}: for the seeds that changed settings files name. */
+    ProcessSeries(FleetHarness harness, FleetProcess process, long seed) {
+        this.harness = harness;
+        this.process = process;
+        this.random = new Random(seed);
+    }
+
+    void run(ProcessStep step) throws Exception {
+        switch (step.kind()) {
+            case TERMINATE -> terminate();
+            case KILL -> process.kill();
+            case START -> process.restart();
+            case FREEZE -> process.freeze();
+            case THAW -> process.thaw();
+            case RELOAD -> {
+                awaitListening();
+                process.reload(drawSeeds());
+            }
+            case RELOAD_UNREADABLE -> {
+                awaitListening();
+                process.reloadUnreadable();
+            }
+        }
+    }
+
+    private void terminate() throws Exception {
+        process.terminate();
+        if (!process.awaitEnd(FleetBounds.GRACE_S)) {
+            process.kill();
+            throw new AssertionError(node() + " did not end within the grace after SIGTERM");
+        }
+    }
+
+    /** Some of the fleet's seeds, one at least, in any order. */
+    private List<Integer> drawSeeds() {
+        List<Integer> indexes = IntStream.range(0, process.seedCount()).boxed().collect(Collectors.toList());
+        Collections.shuffle(indexes, random);
+        return indexes.subList(0, 1 + random.nextInt(indexes.size()));
+    }
+
+    /** A JVM ends on SIGHUP until the program listens for it. */
+    private void awaitListening() throws Exception {
+        harness.awaitState(node() + " is up", this::isListening);
+    }
+
+    private boolean isListening() {
+        return process.machine().machineClass() == MachineClass.EDGE
+                ? harness.fleet.readiness(process.machine()) != 0
+                : !harness.operator().view(process.machine(), "/status").isEmpty();
+    }
+
+    private String node() {
+        return process.machine().node();
+    }
+
+    /** Whether the process ended though no step ended it; to be asked after the last step. */
+    void assertAlive() {
+        if (!process.isAlive()) {
+            throw new AssertionError(node() + " has ended by itself");
+        }
+    }
+}
--- a/emulator/src/main/java/dewplank/emulator/fleet/ConfigurationRules.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/ConfigurationRules.java
@@ -4,6 +4,7 @@
 import dewplank.emulator.fleet.FleetEvent.AttemptSent;
 import dewplank.emulator.fleet.FleetEvent.ChangeAnswered;
 import dewplank.emulator.fleet.FleetEvent.ChangeSent;
+import dewplank.emulator.fleet.FleetEvent.ProcessFault;
 import dewplank.emulator.fleet.FleetEvent.ProcessFaulted;
 import dewplank.emulator.fleet.FleetEvent.ReadBack;
 import dewplank.emulator.fleet.FleetEvent.RunStarted;
@@ -37,7 +38,9 @@
                 .toList();
         this.acknowledged =
                 answers.stream().filter(answer -> answer.status() == OK).toList();
-        this.faults = FleetEvent.only(events, ProcessFaulted.class);
+        this.faults = FleetEvent.only(events, ProcessFaulted.class).stream()
+                .filter(fault -> fault.fault() != ProcessFault.RELOADED) // it ends no contact
+                .toList();
     }
 
     private static boolean wasRefused(ChangeAnswered answer, ChangeSent change) {
--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetAuditor.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetAuditor.java
@@ -12,6 +12,7 @@
         List<Violation> found = new ArrayList<>();
         AttemptLog attempts = new AttemptLog(events);
         found.addAll(new RequestRules(events, attempts).check());
+        found.addAll(new LostRequestRules(events, attempts).check());
         found.addAll(new StreamRules(events, attempts).check());
         found.addAll(new HandleRules(events).check());
         found.addAll(new ConfigurationRules(events, attempts).check());
--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetBounds.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetBounds.java
@@ -10,6 +10,8 @@
     public static final int CONTACT_MS = 3_000;
     /** An acknowledged configuration is in force everywhere after so long. */
     public static final int CONFIG_APPLY_MS = 2_000;
+    /** A request that was read has its response, or is passed on, within so long. */
+    public static final int LOSS_SLACK_MS = 200;
     /** As {@code ack_ms} of the settings. */
     public static final int ACK_MS = 4_000;
     /** Length of the lease of a singleton role. */
--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetClient.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetClient.java
@@ -23,12 +23,18 @@
 
     /** Sends an attempt to a data plane; from any thread. */
     public ClientAttempt send(FleetMachine to, ClientRequest request) {
-        Exchange exchange = new Exchange(String.format("%016x", attemptCount.incrementAndGet()), request);
+        Exchange exchange = new Exchange(nextAttemptId(), request);
         loop.execute(() -> exchange.start(to));
         return exchange.attempt;
     }
 
-    private static ByteBuffer message(String id, ClientRequest request) {
+    /** An id that no other attempt has; from any thread. */
+    String nextAttemptId() {
+        return String.format("%016x", attemptCount.incrementAndGet());
+    }
+
+    /** The bytes of an attempt. */
+    static ByteBuffer message(String id, ClientRequest request) {
         MessageWriter message = MessageWriter.request(
                         request.method(), request.target(), request.route().host())
                 .header(WireFields.ATTEMPT_ID, id)
--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetEvent.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetEvent.java
@@ -21,7 +21,9 @@
         TERMINATED,
         FROZEN,
         THAWED,
-        WIPED
+        WIPED,
+        /** SIGHUP, with another settings file than before. */
+        RELOADED
     }
 
     // ---- clients --------------------------------------------------------------------------------------
@@ -29,6 +31,12 @@
     /** A client sent an attempt. */
     record AttemptSent(double atMs, String node, String attemptId, ClientRequest request) implements FleetEvent {}
 
+    /** The attempt was sent on a connection on which a response had come before. */
+    record ConnectionReused(double atMs, String attemptId) implements FleetEvent {}
+
+    /** Bytes came on a connection on which no request waited. */
+    record UnexpectedBytes(double atMs, String node, String text) implements FleetEvent {}
+
     /** Bytes of a stream reached the client. {@code seal}: empty where the response has none. */
     record StreamBytes(double atMs, String attemptId, int status, Optional<String> seal, String text)
             implements FleetEvent {}
@@ -124,6 +132,16 @@
     record ProcessFaulted(double atMs, String node, MachineClass machineClass, ProcessFault fault)
             implements FleetEvent {}
 
+    // ---- stand-ins ------------------------------------------------------------------------------------
+
+    /** The stand-ins' loop did nothing from {@code fromMs} until now. */
+    record StandInsStalled(double atMs, double fromMs) implements FleetEvent {
+        /** For how much of a span, in milliseconds. */
+        double overlapMs(double spanFromMs, double spanToMs) {
+            return Math.max(0, Math.min(atMs, spanToMs) - Math.max(fromMs, spanFromMs));
+        }
+    }
+
     /** The events of one kind. */
     static <T extends FleetEvent> List<T> only(List<FleetEvent> events, Class<T> kind) {
         return events.stream().filter(kind::isInstance).map(kind::cast).toList();
--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetProcess.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetProcess.java
@@ -67,6 +67,29 @@
         process.start(SettingsFile.of(machine, seeds, initialStart, disk), List.of());
     }
 
+    /** Writes a settings file with these of the fleet's seeds, by their index, and sends SIGHUP. */
+    public void reload(List<Integer> seedIndexes) throws IOException, InterruptedException {
+        List<InetSocketAddress> chosen = seedIndexes.stream().map(seeds::get).toList();
+        reload(SettingsFile.of(machine, chosen, false, disk));
+    }
+
+    /** Writes a settings file that can't be read and sends SIGHUP. */
+    public void reloadUnreadable() throws IOException, InterruptedException {
+        String text = SettingsFile.of(machine, seeds, false, disk);
+        reload(text.substring(0, text.length() / 2));
+    }
+
+    private void reload(String settings) throws IOException, InterruptedException {
+        record(ProcessFault.RELOADED);
+        process.writeSettings(settings);
+        process.signal("HUP");
+    }
+
+    /** How many seeds the settings files name. */
+    public int seedCount() {
+        return seeds.size();
+    }
+
     /** Whether the process runs, frozen or not. */
     public boolean isAlive() {
         return process.isAlive();
--- a/emulator/src/main/java/dewplank/emulator/fleet/RequestRules.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/RequestRules.java
@@ -7,6 +7,7 @@
 import dewplank.emulator.fleet.FleetEvent.ListedDraining;
 import dewplank.emulator.fleet.FleetEvent.RunRejected;
 import dewplank.emulator.fleet.FleetEvent.RunStarted;
+import dewplank.emulator.fleet.FleetEvent.UnexpectedBytes;
 import dewplank.emulator.fleet.Violation.Rule;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -41,6 +42,9 @@
                         .ifPresent(ended -> checkSuccess(sent, ended));
             }
         }
+        FleetEvent.only(events, UnexpectedBytes.class)
+                .forEach(bytes ->
+                        report(Rule.MIXED, "no request waited for what " + bytes.node() + " sent: " + bytes.text()));
         FleetEvent.only(events, Arrived.class).forEach(this::checkArrival);
         FleetEvent.only(events, ListedDraining.class).forEach(this::checkDrained);
         return found;
--- a/emulator/src/main/java/dewplank/emulator/fleet/StandInFleet.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/StandInFleet.java
@@ -46,6 +46,7 @@
             data.add(new FleetProcess(loop, history, machine, seeds, commands.data(), folder));
         }
         operator = new StandInOperator(loop, history, core);
+        new StallRecorder(loop, history).start();
         Runtime.getRuntime().addShutdownHook(shutdownHook); // no process may outlive an aborted test
     }
 
@@ -131,8 +132,16 @@
 
     /** Starts clients at every data plane, which send these requests in turn. */
     public SteadyLoad load(List<ClientRequest> requests) {
-        return new SteadyLoad(
-                loop, client, data.stream().map(FleetProcess::machine).toList(), requests);
+        return new SteadyLoad(loop, client, dataMachines(), requests);
+    }
+
+    /** Starts clients at every data plane that keep their connections, one for each of these requests. */
+    public KeepAliveLoad keepAliveLoad(List<ClientRequest> requests) {
+        return new KeepAliveLoad(loop, history, client, dataMachines(), requests);
+    }
+
+    private List<FleetMachine> dataMachines() {
+        return data.stream().map(FleetProcess::machine).toList();
     }
 
     /** Starts a plain server and adds it to the endpoint list. */
--- a/emulator/src/main/java/dewplank/emulator/fleet/Violation.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/Violation.java
@@ -16,6 +16,8 @@
         ORDER,
         /** A handle was fetched twice, or for another request. */
         HANDLE,
+        /** A connection ended without the response to a request that had been read. */
+        LOST,
         /** A request ran at a service that no configuration allowed. */
         ROUTE,
         /** A request arrived at a draining server too late. */
--- a/emulator/src/main/java/dewplank/emulator/loopback/ProgramProcess.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/ProgramProcess.java
@@ -32,8 +32,7 @@
 
     /** Writes the settings file and starts the process, without the environment variables named. */
     public void start(String settings, List<String> removedVariables) throws IOException {
-        Path file = folder.resolve(name + ".json");
-        Files.writeString(file, settings);
+        Path file = writeSettings(settings);
         ProcessBuilder builder = new ProcessBuilder(command)
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
@@ -42,6 +41,11 @@
         process = Optional.of(builder.start());
     }
 
+    /** Writes the settings file, which the process reads at its next start or SIGHUP. */
+    public Path writeSettings(String settings) throws IOException {
+        return Files.writeString(folder.resolve(name + ".json"), settings);
+    }
+
     /** Whether the process was started and has not ended. */
     public boolean isAlive() {
         return process.filter(Process::isAlive).isPresent();
--- a/emulator/src/test/java/dewplank/emulator/fleet/FleetAuditorTest.java
+++ b/emulator/src/test/java/dewplank/emulator/fleet/FleetAuditorTest.java
@@ -8,6 +8,7 @@
 import dewplank.emulator.fleet.FleetEvent.AttemptSent;
 import dewplank.emulator.fleet.FleetEvent.ChangeAnswered;
 import dewplank.emulator.fleet.FleetEvent.ChangeSent;
+import dewplank.emulator.fleet.FleetEvent.ConnectionReused;
 import dewplank.emulator.fleet.FleetEvent.EndpointListRequested;
 import dewplank.emulator.fleet.FleetEvent.HandleCreated;
 import dewplank.emulator.fleet.FleetEvent.HandleFetched;
@@ -15,16 +16,22 @@
 import dewplank.emulator.fleet.FleetEvent.ProcessFault;
 import dewplank.emulator.fleet.FleetEvent.ProcessFaulted;
 import dewplank.emulator.fleet.FleetEvent.ReadBack;
+import dewplank.emulator.fleet.FleetEvent.RunEnd;
+import dewplank.emulator.fleet.FleetEvent.RunEnded;
 import dewplank.emulator.fleet.FleetEvent.RunRejected;
 import dewplank.emulator.fleet.FleetEvent.RunStarted;
+import dewplank.emulator.fleet.FleetEvent.StandInsStalled;
 import dewplank.emulator.fleet.FleetEvent.StreamBegun;
 import dewplank.emulator.fleet.FleetEvent.StreamBytes;
 import dewplank.emulator.fleet.FleetEvent.StreamEventSent;
+import dewplank.emulator.fleet.FleetEvent.UnexpectedBytes;
 import dewplank.emulator.fleet.Violation.Rule;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Histories written by hand: some that keep the rules, and each rule broken. */
 class FleetAuditorTest {
@@ -309,4 +316,99 @@
         events.add(new EndpointListRequested(2_500, "core-1", 200));
         assertKept();
     }
+
+    private void faulted(double atMs, ProcessFault fault) {
+        events.add(new ProcessFaulted(atMs, "edge", MachineClass.EDGE, fault));
+    }
+
+    /** The client got no response to an attempt that was passed on. */
+    private void cutOff(double sentAtMs, double endedAtMs, String id) {
+        ClientRequest request = ClientRequest.plain(READ, "x");
+        sent(sentAtMs, id, request);
+        ran(sentAtMs, SERVER, id, request);
+        endedWithoutResponse(endedAtMs, id);
+    }
+
+    private void endedWithoutResponse(double atMs, String id) {
+        events.add(new AttemptEnded(atMs, id, 0, Optional.empty(), "", false, false));
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = ProcessFault.class,
+            names = {"TERMINATED", "RELOADED"})
+    void aRequestThatIsPassedOnAndCutOffAroundPlannedWorkIsFound(ProcessFault work) {
+        faulted(LATE_MS, work);
+        cutOff(START_MS, LATE_MS - 1, "before");
+        assertKept();
+        cutOff(LATE_MS - 1, LATE_MS + 1, "around");
+        assertBroken(Rule.LOST);
+    }
+
+    @Test
+    void aRequestThatIsCutOffBesideAKillOrAfterAFreezeIsNotLost() {
+        faulted(LATE_MS, ProcessFault.TERMINATED);
+        faulted(LATE_MS + 1, ProcessFault.KILLED);
+        cutOff(LATE_MS, LATE_MS + 2, "killed");
+        assertKept();
+    }
+
+    @Test
+    void aRequestThatEndsUnservedOnAReusedConnectionLaterThanTheSlackIsLost() {
+        faulted(LATE_MS, ProcessFault.TERMINATED);
+        sent(LATE_MS, "a", ClientRequest.plain(WRITE, "x"));
+        events.add(new ConnectionReused(LATE_MS, "a"));
+        endedWithoutResponse(LATE_MS + FleetBounds.LOSS_SLACK_MS, "a");
+        assertKept();
+        sent(LATE_MS, "b", ClientRequest.plain(WRITE, "x"));
+        events.add(new ConnectionReused(LATE_MS, "b"));
+        endedWithoutResponse(LATE_MS + FleetBounds.LOSS_SLACK_MS + 1, "b");
+        assertBroken(Rule.LOST);
+    }
+
+    @Test
+    void aStallOfTheStandInsIsNotCountedAsTimeOfTheDataPlane() {
+        faulted(LATE_MS, ProcessFault.TERMINATED);
+        sent(LATE_MS, "a", ClientRequest.plain(WRITE, "x"));
+        events.add(new ConnectionReused(LATE_MS, "a"));
+        endedWithoutResponse(LATE_MS + FleetBounds.LOSS_SLACK_MS + 1, "a");
+        assertBroken(Rule.LOST);
+        events.add(new StandInsStalled(LATE_MS + 1, LATE_MS));
+        assertKept();
+    }
+
+    @Test
+    void aRequestThatItsServerStillRunsLateInTheGraceIsNotLost() {
+        double lateInGraceMs = FleetBounds.GRACE_S * 900;
+        faulted(START_MS, ProcessFault.TERMINATED);
+        cutOff(START_MS, START_MS + lateInGraceMs, "a");
+        events.add(new RunEnded(START_MS + lateInGraceMs, SERVER, "a", RunEnd.CALLER_LEFT));
+        assertKept();
+        cutOff(START_MS, START_MS + lateInGraceMs, "b");
+        assertBroken(Rule.LOST);
+    }
+
+    @Test
+    void aRequestWhoseServerCrashesIsNotLost() {
+        faulted(START_MS, ProcessFault.TERMINATED);
+        cutOff(START_MS, 2, "a");
+        events.add(new RunEnded(2, SERVER, "a", RunEnd.CRASHED));
+        assertKept();
+    }
+
+    @Test
+    void moreThanThreeRequestsThatAreCutOffInCalmTimesAreFound() {
+        for (String id : List.of("a", "b", "c")) {
+            cutOff(START_MS, 2, id);
+        }
+        assertKept();
+        cutOff(START_MS, 2, "d");
+        assertBroken(Rule.LOST);
+    }
+
+    @Test
+    void bytesThatNoRequestWaitsForAreFound() {
+        events.add(new UnexpectedBytes(START_MS, "edge", "HTTP/1.1 200 OK"));
+        assertBroken(Rule.MIXED);
+    }
 }
