--- a/dataplane/src/main/java/dewplank/dataplane/FleetMetadata.java
+++ b/dataplane/src/main/java/dewplank/dataplane/FleetMetadata.java
@@ -70,9 +70,10 @@
             configuration = newer;
             routes = new RouteTable(newer);
             LOG.info(
-                    "configuration applied version={} routes={}",
+                    "configuration applied version={} routes={} tenants={}",
                     newer.version(),
-                    newer.routes().size());
+                    newer.routes().size(),
+                    newer.tenants().size());
         }
     }
 
