--- a/cli/src/test/java/dewplank/ArchitectureTest.java
+++ b/cli/src/test/java/dewplank/ArchitectureTest.java
@@ -40,6 +40,7 @@
             new Module("messages", List.of("dewplank.message.."), "controlplane", "dataplane"),
             new Module("store", List.of("dewplank.store.."), "controlplane", "cli", "rehearsal"),
             new Module("routing", List.of("dewplank.routing.."), "controlplane", "dataplane", "cli"),
+            new Module("quota", List.of("dewplank.quota.."), "controlplane", "dataplane"),
             new Module(
                     "configuration", List.of("dewplank.configuration.."), "client", "controlplane", "dataplane", "cli"),
             new Module(
@@ -124,7 +125,8 @@
                         "dewplank.configuration..",
                         "dewplank.membership..",
                         "dewplank.singleton..",
-                        "dewplank.routing..")
+                        "dewplank.routing..",
+                        "dewplank.quota..")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
