--- a/routing/src/main/java/dewplank/quota/QuotaBuckets.java
+++ b/routing/src/main/java/dewplank/quota/QuotaBuckets.java
@@ -102,7 +102,7 @@
     private void configureBuckets(double nowMs) {
         for (Map.Entry<String, TokenBucket> entry : buckets.entrySet()) {
             TenantLimit limit = limits.get(entry.getKey());
-            double tokensPerMs = fraction * limit.ratePerMs();
+            double tokensPerMs = fraction * limit.ratePerMs() * terms.rateFraction();
             double capacity = fraction * (limit.burst() + terms.extraCapacity());
             entry.getValue().configure(nowMs, tokensPerMs, capacity);
         }
