Limit tenants' requests over the whole fleet by token buckets with shares

Cause: nothing read the limits.

Each control plane with a disk keeps a token bucket for each limited tenant, with its share of every limit. Shares are leases that the holder of the role `list` grants in the acknowledgements of the heartbeats between control planes, so a lost control plane costs its part of the limits and nothing else, and the sum never exceeds the whole. A data plane asks one of its two control planes for a token when a request arrives; one that has none left asks the others. 429 with Retry-After beyond the limit, 503 where no control plane can tell. The new fields of heartbeats are optional, so frames of earlier releases are the same bytes; control planes are to be upgraded first.

--- a/controlplane/src/main/java/dewplank/controlplane/ControlComponents.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlComponents.java
@@ -9,7 +9,9 @@
 import dewplank.message.EndpointListVersion;
 import dewplank.message.MessageCodec;
 import dewplank.message.MessageLink;
+import dewplank.message.QuotaRequest;
 import dewplank.net.Scheduler;
+import dewplank.quota.QuotaTerms;
 import dewplank.register.AcceptorId;
 import dewplank.register.RegisterMessage;
 import dewplank.routing.Policy;
@@ -17,6 +19,7 @@
 import dewplank.singleton.LeaseTiming;
 import dewplank.store.StoreException;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -58,6 +61,8 @@
     private final StageController stageController;
     private final OperatorApi operatorApi;
     private final PeerMessageDispatcher dispatcher;
+    private final QuotaShares quotaShares;
+    private final QuotaTokens quotaTokens;
     private Set<String> seeds = Set.of();
 
     /**
@@ -122,8 +127,25 @@
                         confirmation::canConfirm,
                         founderTracker::areFoundersLost),
                 new OperatorViews(this));
+        quotaTokens = new QuotaTokens(loop, quotaTerms(bounds), new QuotaPeers(), random);
+        quotaShares = new QuotaShares(loop, address, role, quotaTokens::shareHeld);
         dispatcher = new PeerMessageDispatcher(
-                loop, configuration, sessionTable, sessions, mesh, poller, storage, roles, founderTracker);
+                loop,
+                configuration,
+                sessionTable,
+                sessions,
+                mesh,
+                poller,
+                storage,
+                roles,
+                founderTracker,
+                quotaShares,
+                quotaTokens);
+    }
+
+    private static QuotaTerms quotaTerms(NodeSettings.Bounds bounds) {
+        NodeSettings.Quota quota = bounds.quota();
+        return new QuotaTerms(quota.windowMs(), quota.overshoot(), quota.slack());
     }
 
     /** Sets the seeds that the settings name and connects to new ones. */
@@ -134,7 +156,7 @@
 
     /** Serves a connection that another process opens. */
     MessageLink.Handler inboundLink() {
-        return new InboundLink(durable, mesh, sessions, confirmation, dispatcher);
+        return new InboundLink(durable, mesh, sessions, confirmation, dispatcher, quotaShares, quotaTokens);
     }
 
     private void stalled(double stalledMs) {
@@ -154,7 +176,11 @@
         public ControlHeartbeat heartbeat(long sequence) {
             stallDetector.check();
             return new ControlHeartbeat(
-                    sequence, sessionTable.localSessions(loop.now()), mesh.liveAddresses(), founderTracker.report());
+                    sequence,
+                    sessionTable.localSessions(loop.now()),
+                    mesh.liveAddresses(),
+                    founderTracker.report(),
+                    durable ? quotaShares.beginHeartbeat(sequence) : null);
         }
 
         @Override
@@ -191,11 +217,27 @@
             if (history.add(newer)) {
                 stallDetector.check();
                 LOG.info("configuration chosen version={}", newer.version());
+                quotaTokens.configurationChosen(newer);
                 sessions.pushUpdates();
             }
         }
     }
 
+    /** The other control planes with a disk whose links are up. */
+    private final class QuotaPeers implements QuotaTokens.Peers {
+        @Override
+        public List<String> addresses() {
+            return mesh.liveAddresses().stream()
+                    .filter(other -> !other.equals(address))
+                    .toList();
+        }
+
+        @Override
+        public void send(String to, QuotaRequest request) {
+            mesh.send(to, request);
+        }
+    }
+
     // ---- the parts ------------------------------------------------------------------------------------
 
     Scheduler loop() {
--- a/controlplane/src/main/java/dewplank/controlplane/ControlMesh.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlMesh.java
@@ -51,7 +51,7 @@
         /** The heartbeat that goes to all peers now. */
         ControlHeartbeat heartbeat(long sequence);
 
-        /** A message from this process to itself. */
+        /** A message from this process to itself, or a peer's reply on the link to it. */
         void received(String address, Object message);
 
         /** A link to the peer is up: what the peer may lack is sent. */
@@ -257,6 +257,11 @@
             handler.linkUp(address);
         }
 
+        @Override
+        public void received(String address, Object message) {
+            handler.received(address, message);
+        }
+
         @Override
         public void addressesReported(List<String> addresses) {
             addAddresses(addresses);
--- a/controlplane/src/main/java/dewplank/controlplane/InboundLink.java
+++ b/controlplane/src/main/java/dewplank/controlplane/InboundLink.java
@@ -4,6 +4,7 @@
 import dewplank.message.ControlHello;
 import dewplank.message.HeartbeatAck;
 import dewplank.message.MessageLink;
+import dewplank.message.QuotaRequest;
 import dewplank.message.SessionHeartbeat;
 import dewplank.message.SessionOpen;
 import java.util.List;
@@ -18,6 +19,8 @@
     private final DataPlaneSessions sessions;
     private final QuorumConfirmation confirmation;
     private final PeerMessageDispatcher dispatcher;
+    private final QuotaShares quotaShares;
+    private final QuotaTokens quotaTokens;
     private ControlHello peer;
     private DataPlaneSessions.Session session;
 
@@ -27,12 +30,16 @@
             ControlMesh mesh,
             DataPlaneSessions sessions,
             QuorumConfirmation confirmation,
-            PeerMessageDispatcher dispatcher) {
+            PeerMessageDispatcher dispatcher,
+            QuotaShares quotaShares,
+            QuotaTokens quotaTokens) {
         this.durable = durable;
         this.mesh = mesh;
         this.sessions = sessions;
         this.confirmation = confirmation;
         this.dispatcher = dispatcher;
+        this.quotaShares = quotaShares;
+        this.quotaTokens = quotaTokens;
     }
 
     @Override
@@ -46,6 +53,8 @@
             session = sessions.open(connection, opening).orElse(null);
         } else if (message instanceof SessionHeartbeat heartbeat && session != null) {
             session.heartbeat(heartbeat);
+        } else if (message instanceof QuotaRequest request && session != null) {
+            quotaTokens.requested(request, connection::send);
         } else {
             connection.close();
         }
@@ -54,7 +63,13 @@
     private void receivedFromPeer(MessageLink connection, Object message) {
         mesh.recordReceived(peer);
         if (message instanceof ControlHeartbeat heartbeat) {
-            connection.send(new HeartbeatAck(heartbeat.sequence, confirmation.canConfirm(), addressesFor(peer)));
+            connection.send(new HeartbeatAck(
+                    heartbeat.sequence,
+                    confirmation.canConfirm(),
+                    addressesFor(peer),
+                    quotaShares.grantFor(peer.member.address, heartbeat)));
+        } else if (message instanceof QuotaRequest request) {
+            quotaTokens.requested(request, connection::send);
         }
         dispatcher.dispatch(peer.member.address, message);
     }
--- a/controlplane/src/main/java/dewplank/controlplane/PeerLink.java
+++ b/controlplane/src/main/java/dewplank/controlplane/PeerLink.java
@@ -5,6 +5,7 @@
 import dewplank.message.HeartbeatAck;
 import dewplank.message.MessageLink;
 import dewplank.message.MessageTransport;
+import dewplank.message.QuotaReply;
 import dewplank.net.Scheduler;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -32,6 +33,9 @@
         /** A connection is up and has said hello. */
         void linkUp(String address);
 
+        /** The peer replied to a request, or acknowledged a heartbeat. */
+        void received(String address, Object message);
+
         /** The peer named control planes that it knows. */
         void addressesReported(List<String> addresses);
     }
@@ -145,6 +149,9 @@
             lastUpAt = lastAckAt;
             quorumReportedAt = ack.quorate ? lastAckAt : Double.NEGATIVE_INFINITY;
             listener.addressesReported(ack.controlAddresses);
+            listener.received(address, ack);
+        } else if (message instanceof QuotaReply && from == connection) {
+            listener.received(address, message);
         }
     }
 
--- a/controlplane/src/main/java/dewplank/controlplane/PeerMessageDispatcher.java
+++ b/controlplane/src/main/java/dewplank/controlplane/PeerMessageDispatcher.java
@@ -3,13 +3,16 @@
 import dewplank.membership.SessionTable;
 import dewplank.message.ControlHeartbeat;
 import dewplank.message.EndpointList;
+import dewplank.message.HeartbeatAck;
+import dewplank.message.QuotaReply;
 import dewplank.net.Scheduler;
 import dewplank.register.RegisterMessage;
 import dewplank.singleton.VoteReply;
 import dewplank.singleton.VoteRequest;
 
 /**
- * Hands each message of a control plane to the part that it is meant for: register, sessions, endpoint list, election.
+ * Hands each message of a control plane to the part that it is meant for: register, sessions, endpoint list, election,
+ * quotas.
  *
  * <p>Called for messages of peers and for those that this process sends to itself, on the loop's thread only. A message
  * of any other type is ignored.
@@ -24,6 +27,8 @@
     private final Storage storage;
     private final SingletonRoles roles;
     private final FounderTracker founderTracker;
+    private final QuotaShares quotaShares;
+    private final QuotaTokens quotaTokens;
 
     PeerMessageDispatcher(
             Scheduler loop,
@@ -34,7 +39,9 @@
             EndpointPoller poller,
             Storage storage,
             SingletonRoles roles,
-            FounderTracker founderTracker) {
+            FounderTracker founderTracker,
+            QuotaShares quotaShares,
+            QuotaTokens quotaTokens) {
         this.loop = loop;
         this.configuration = configuration;
         this.sessionTable = sessionTable;
@@ -44,6 +51,8 @@
         this.storage = storage;
         this.roles = roles;
         this.founderTracker = founderTracker;
+        this.quotaShares = quotaShares;
+        this.quotaTokens = quotaTokens;
     }
 
     /** @param from the sender's address on the links, as IP:PORT */
@@ -60,6 +69,10 @@
             roles.voteRequested(from, request);
         } else if (message instanceof VoteReply reply) {
             roles.voteReplied(reply);
+        } else if (message instanceof HeartbeatAck ack) {
+            quotaShares.onAcknowledged(ack);
+        } else if (message instanceof QuotaReply reply) {
+            quotaTokens.replied(reply);
         }
     }
 
--- a/controlplane/src/test/java/dewplank/controlplane/InboundLinkTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/InboundLinkTest.java
@@ -111,7 +111,7 @@
     private final DataPlaneSessions sessions = new DataPlaneSessions(clock, table, new NoUpdates());
     private final MessageTransport transport = new UnreachableTransport();
     private final ControlMesh mesh = new ControlMesh(clock, transport, HELLO, new NoPeers());
-    private final InboundLink link = new InboundLink(true, mesh, sessions, null, null);
+    private final InboundLink link = new InboundLink(true, mesh, sessions, null, null, null, null);
 
     @Test
     void aSessionThatSaysAControlPlanesHelloIsClosedAndBecomesNoPeer() {
--- a/dataplane/src/main/java/dewplank/dataplane/ControlSession.java
+++ b/dataplane/src/main/java/dewplank/dataplane/ControlSession.java
@@ -5,6 +5,8 @@
 import dewplank.message.HeartbeatAck;
 import dewplank.message.MessageLink;
 import dewplank.message.MessageTransport;
+import dewplank.message.QuotaReply;
+import dewplank.message.QuotaRequest;
 import dewplank.message.SessionHeartbeat;
 import dewplank.message.SessionOpen;
 import dewplank.net.Scheduler;
@@ -43,6 +45,9 @@
         /** The control plane vouches for these addresses of control planes. */
         void addressesReported(List<String> addresses);
 
+        /** The control plane replied to a request for a tenant's tokens. */
+        void quotaReplied(QuotaReply reply);
+
         /** An update was applied. */
         void updateApplied();
 
@@ -167,12 +172,19 @@
         lastMessageAt = loop.now();
         if (message instanceof HeartbeatAck ack) {
             onAcknowledged(ack);
+        } else if (message instanceof QuotaReply reply) {
+            owner.quotaReplied(reply);
         } else if (message instanceof FleetUpdate update) {
             deferredUpdates.add(update);
             applyDeferredUpdates();
         }
     }
 
+    /** Sends a request for a tenant's tokens; its reply goes to the owner, or is lost with the session. */
+    void send(QuotaRequest request) {
+        link.send(request);
+    }
+
     private void onAcknowledged(HeartbeatAck ack) {
         acknowledged = true;
         quorate = ack.quorate;
--- a/dataplane/src/main/java/dewplank/dataplane/Counters.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Counters.java
@@ -25,6 +25,10 @@
         UNKNOWN_KEY,
         /** The configuration was not known to be recent enough to serve keys by. */
         ACCESS_UNCONFIRMED,
+        /** The tenant had used up its quota. */
+        QUOTA_EXHAUSTED,
+        /** No control plane could tell whether the tenant had. */
+        QUOTA_UNAVAILABLE,
         NOT_READY,
         RETRIES,
         RETRIES_OVER_BUDGET,
--- a/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
@@ -6,6 +6,7 @@
 import dewplank.message.TcpTransport;
 import dewplank.net.EventLoop;
 import dewplank.net.Listener;
+import dewplank.quota.QuotaTerms;
 import dewplank.routing.HealthVotes;
 import dewplank.routing.Policy;
 import dewplank.routing.ServerPicker;
@@ -69,7 +70,9 @@
         ServerPicker picker = new ServerPicker(settings.zone(), votes, fleet::dataPlanes, random, policy);
         NodeSettings.Bounds bounds = settings.bounds();
         clientTimeouts = new ClientTimeouts(bounds.configApplyMs());
-        forwarder = new Forwarder(loop, fleet, picker, random, counters, retryLimits(bounds), revocation(bounds));
+        QuotaClient quotas = new QuotaClient(loop, quotaTerms(bounds));
+        forwarder =
+                new Forwarder(loop, fleet, picker, random, counters, retryLimits(bounds), revocation(bounds), quotas);
         Member self = self(settings);
         healthGossip = new HealthGossip(loop, fleet, votes, self, new Random(seed));
         sessions = new SessionClient(
@@ -80,6 +83,7 @@
                 random,
                 bounds.contactMs(),
                 forwarder::onFleetChanged);
+        sessions.serve(quotas);
         sessions.setSeeds(controlAddresses(settings));
         frontListener = new Listener(loop, settings.front(), maxClientConnections(settings), forwarder::newConnection);
         readinessEndpoint = new ReadinessEndpoint(loop, this::isReady);
@@ -98,6 +102,11 @@
                 bounds.revocation().closed(), bounds.revocation().withinMs());
     }
 
+    private static QuotaTerms quotaTerms(NodeSettings.Bounds bounds) {
+        NodeSettings.Quota quota = bounds.quota();
+        return new QuotaTerms(quota.windowMs(), quota.overshoot(), quota.slack());
+    }
+
     /** Data planes listen for each other's datagrams on the second internal port. */
     private static Member self(NodeSettings settings) {
         String address = settings.address() + ":" + settings.internalPorts()[1];
--- a/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
@@ -4,7 +4,6 @@
 import dewplank.configuration.Route;
 import dewplank.configuration.Service;
 import dewplank.exchange.InboundConnection;
-import dewplank.http.Headers;
 import dewplank.net.EventLoop;
 import dewplank.routing.Policy;
 import dewplank.routing.PrefillDecodePicker;
@@ -25,8 +24,8 @@
     private static final double CONNECT_TIMEOUT_MS = 250;
     /** Requests open at once, beyond which further ones are rejected. */
     private static final int MAX_OPEN_REQUESTS = 4_096;
-    /** In seconds, of requests that are rejected before they are sent anywhere. */
-    private static final String RETRY_AFTER_S = "0.5";
+    /** Of requests that are rejected before they are sent anywhere. */
+    static final double RETRY_AFTER_MS = 500;
 
     /** The limit on heads may be meant for the fields alone: the request line gets this much beside them. */
     private static final int REQUEST_LINE_BYTES = 8 * 1024;
@@ -43,8 +42,10 @@
     private final ServerFeedback serverFeedback;
     private final double connectTimeoutMs;
     private final AccessControl accessControl;
+    private final RequestAdmission admission;
     private final Map<InboundConnection, ProxiedRequest> open = new HashMap<>();
     private final ParkedRequests parked;
+    private final QuotaClient quotas;
     private final Set<InboundConnection> connections = new HashSet<>();
     private boolean closing;
 
@@ -55,8 +56,9 @@
             RandomGenerator random,
             Counters counters,
             RetryBudgets.Limits limits,
-            AccessControl.Revocation revocation) {
-        this(loop, fleet, picker, random, counters, limits, revocation, CONNECT_TIMEOUT_MS);
+            AccessControl.Revocation revocation,
+            QuotaClient quotas) {
+        this(loop, fleet, picker, random, counters, limits, revocation, quotas, CONNECT_TIMEOUT_MS);
     }
 
     /**
@@ -70,6 +72,7 @@
             Counters counters,
             RetryBudgets.Limits limits,
             AccessControl.Revocation revocation,
+            QuotaClient quotas,
             double connectTimeoutMs) {
         this.loop = loop;
         this.fleet = fleet;
@@ -81,7 +84,9 @@
         this.serverFeedback = new ServerFeedback(loop, picker, counters);
         this.parked = new ParkedRequests(loop);
         this.connectTimeoutMs = connectTimeoutMs;
+        this.quotas = quotas;
         this.accessControl = new AccessControl(loop, fleet, revocation);
+        this.admission = new RequestAdmission(fleet, accessControl, quotas, counters, this::start);
     }
 
     /** The handler of a client's new connection. */
@@ -100,7 +105,7 @@
             park(request, connection);
             return;
         }
-        route(request, connection, connection.waitingSince());
+        admit(request, connection, connection.waitingSince());
     }
 
     private void park(InboundConnection.Request request, InboundConnection connection) {
@@ -113,45 +118,25 @@
     }
 
     private void reject(InboundConnection connection) {
-        counters.add(Counters.Count.REFUSED);
-        connection.answer(503, List.of(new Headers.Field("Retry-After", RETRY_AFTER_S)), new byte[0]);
+        admission.reject(connection, RETRY_AFTER_MS);
     }
 
     /** Called after each update of the fleet's metadata: parked requests go on once it is complete. */
     void onFleetChanged() {
         retryBudgets.recordMembership(fleet.dataPlanes());
+        if (fleet.configuration() != null) {
+            quotas.retainTenants(fleet.configuration().tenantDirectory());
+        }
         if (fleet.isComplete() && !parked.isEmpty()) {
-            parked.releaseAll(this::route);
+            parked.releaseAll(this::admit);
         }
     }
 
-    private void route(InboundConnection.Request request, InboundConnection connection, double arrivedAt) {
-        String host = request.headers().get("Host");
-        Route route = fleet.routes().find(host == null ? "" : host, request.target());
-        if (route == null) {
-            counters.add(Counters.Count.NO_ROUTE);
-            connection.answer(404);
-            return;
-        }
-        if (open.size() >= MAX_OPEN_REQUESTS) {
-            reject(connection);
-            return;
-        }
-        authorize(request, connection, route, arrivedAt);
-    }
-
-    private void authorize(
-            InboundConnection.Request request, InboundConnection connection, Route route, double arrivedAt) {
-        Credentials credentials = new Credentials(accessControl, route, request.headers());
-        AccessControl.Decision decision = credentials.decide();
-        if (decision instanceof AccessControl.Decision.UnknownKey) {
-            counters.add(Counters.Count.UNKNOWN_KEY);
-            connection.answer(401, List.of(new Headers.Field("WWW-Authenticate", "Bearer")), new byte[0]);
-        } else if (decision instanceof AccessControl.Decision.Unconfirmed) {
-            counters.add(Counters.Count.ACCESS_UNCONFIRMED);
+    private void admit(InboundConnection.Request request, InboundConnection connection, double arrivedAt) {
+        if (open.size() + admission.waiting() >= MAX_OPEN_REQUESTS) {
             reject(connection);
         } else {
-            start(request, connection, route, credentials, arrivedAt);
+            admission.decide(request, connection, arrivedAt);
         }
     }
 
@@ -181,6 +166,7 @@
     @Override
     public void callerGone(InboundConnection connection) {
         parked.drop(connection);
+        admission.drop(connection);
         ProxiedRequest request = open.remove(connection);
         if (request != null) {
             counters.add(Counters.Count.LEFT);
@@ -216,7 +202,7 @@
     }
 
     int openRequests() {
-        return open.size() + parked.size();
+        return open.size() + parked.size() + admission.waiting();
     }
 
     int openConnections() {
@@ -238,6 +224,7 @@
     /** The process ends: what is still open gets the answer that is true by now. */
     void terminateAll() {
         parked.releaseAll((request, connection, arrivedAt) -> reject(connection));
+        admission.rejectAll();
         List.copyOf(open.values()).forEach(ProxiedRequest::terminate);
     }
 
--- /dev/null
+++ b/dataplane/src/main/java/dewplank/dataplane/RequestAdmission.java
@@ -0,0 +1,162 @@
+package dewplank.dataplane;
+
+import dewplank.configuration.Route;
+import dewplank.configuration.Tenant;
+import dewplank.dataplane.Counters.Count;
+import dewplank.exchange.InboundConnection;
+import dewplank.http.Headers;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Decides whether a client's request is served: whether it has a route, an access key that allows it, and a token of its
+ * tenant's quota, for which it may have to wait. One that is not served is answered here. Called by the {@link
+ * Forwarder}; on the event loop's thread only.
+ */
+final class RequestAdmission {
+    private static final double MS_PER_SECOND = 1_000;
+
+    /** Takes a request that is served. */
+    interface Next {
+        void start(
+                InboundConnection.Request request,
+                InboundConnection connection,
+                Route route,
+                Credentials credentials,
+                double arrivedAt);
+    }
+
+    private final FleetMetadata fleet;
+    private final AccessControl accessControl;
+    private final QuotaClient quotas;
+    private final Counters counters;
+    private final Next next;
+    private final Map<InboundConnection, Candidate> awaitingQuota = new HashMap<>();
+
+    RequestAdmission(
+            FleetMetadata fleet, AccessControl accessControl, QuotaClient quotas, Counters counters, Next next) {
+        this.fleet = fleet;
+        this.accessControl = accessControl;
+        this.quotas = quotas;
+        this.counters = counters;
+        this.next = next;
+    }
+
+    /**
+     * Decides on a request, at once or later; there must be a configuration.
+     *
+     * @param arrivedAt when its first byte came, by the loop's clock in milliseconds
+     */
+    void decide(InboundConnection.Request request, InboundConnection connection, double arrivedAt) {
+        decide(request, connection, arrivedAt, false);
+    }
+
+    private void decide(
+            InboundConnection.Request request, InboundConnection connection, double arrivedAt, boolean hasToken) {
+        String host = request.headers().get("Host");
+        Route route = fleet.routes().find(host == null ? "" : host, request.target());
+        if (route == null) {
+            counters.add(Count.NO_ROUTE);
+            connection.answer(404);
+            return;
+        }
+        Credentials credentials = new Credentials(accessControl, route, request.headers());
+        new Candidate(request, connection, route, credentials, arrivedAt, hasToken).authorize();
+    }
+
+    /** Rejects a request that has not been sent anywhere, and says when to come back. */
+    void reject(InboundConnection connection, double retryAfterMs) {
+        counters.add(Count.REFUSED);
+        connection.answer(503, List.of(retryAfter(retryAfterMs)), new byte[0]);
+    }
+
+    private static Headers.Field retryAfter(double ms) {
+        return new Headers.Field("Retry-After", String.format(Locale.ROOT, "%.3f", ms / MS_PER_SECOND));
+    }
+
+    /** The client has disconnected. */
+    void drop(InboundConnection connection) {
+        awaitingQuota.remove(connection);
+    }
+
+    /** Requests that wait for a token. */
+    int waiting() {
+        return awaitingQuota.size();
+    }
+
+    /** The process ends: rejects all requests that wait. */
+    void rejectAll() {
+        List<InboundConnection> connections = List.copyOf(awaitingQuota.keySet());
+        awaitingQuota.clear();
+        connections.forEach(connection -> reject(connection, Forwarder.RETRY_AFTER_MS));
+    }
+
+    /** A request with a route, on which nothing else is decided yet. */
+    private final class Candidate {
+        private final InboundConnection.Request request;
+        private final InboundConnection connection;
+        private final Route route;
+        private final Credentials credentials;
+        private final double arrivedAt;
+        private final boolean hasToken;
+        private final long configurationVersion = fleet.configurationVersion();
+
+        Candidate(
+                InboundConnection.Request request,
+                InboundConnection connection,
+                Route route,
+                Credentials credentials,
+                double arrivedAt,
+                boolean hasToken) {
+            this.request = request;
+            this.connection = connection;
+            this.route = route;
+            this.credentials = credentials;
+            this.arrivedAt = arrivedAt;
+            this.hasToken = hasToken;
+        }
+
+        void authorize() {
+            AccessControl.Decision decision = credentials.decide();
+            if (decision instanceof AccessControl.Decision.Allowed allowed) {
+                acquireToken(allowed.tenant());
+            } else if (decision instanceof AccessControl.Decision.UnknownKey) {
+                counters.add(Count.UNKNOWN_KEY);
+                connection.answer(401, List.of(new Headers.Field("WWW-Authenticate", "Bearer")), new byte[0]);
+            } else {
+                counters.add(Count.ACCESS_UNCONFIRMED);
+                reject(connection, Forwarder.RETRY_AFTER_MS);
+            }
+        }
+
+        private void acquireToken(Optional<Tenant> tenant) {
+            if (hasToken || tenant.isEmpty()) {
+                next.start(request, connection, route, credentials, arrivedAt);
+                return;
+            }
+            awaitingQuota.put(connection, this);
+            quotas.acquire(tenant.get(), decision -> {
+                if (awaitingQuota.remove(connection, this)) { // else its client is gone, or was answered
+                    onQuotaDecided(decision);
+                }
+            });
+        }
+
+        private void onQuotaDecided(QuotaClient.Decision decision) {
+            if (decision instanceof QuotaClient.Decision.Exhausted exhausted) {
+                counters.add(Count.QUOTA_EXHAUSTED);
+                connection.answer(429, List.of(retryAfter(exhausted.retryAfterMs())), new byte[0]);
+            } else if (decision instanceof QuotaClient.Decision.Unavailable) {
+                counters.add(Count.QUOTA_UNAVAILABLE);
+                reject(connection, Forwarder.RETRY_AFTER_MS);
+            } else if (fleet.configurationVersion() == configurationVersion) {
+                next.start(request, connection, route, credentials, arrivedAt);
+            } else { // the route may be another one by now
+                decide(request, connection, arrivedAt, true);
+            }
+        }
+    }
+}
--- a/dataplane/src/main/java/dewplank/dataplane/SessionClient.java
+++ b/dataplane/src/main/java/dewplank/dataplane/SessionClient.java
@@ -2,10 +2,12 @@
 
 import dewplank.membership.Member;
 import dewplank.message.MessageTransport;
+import dewplank.message.QuotaReply;
 import dewplank.net.Scheduler;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -35,12 +37,16 @@
     private final Runnable updated;
     private final SessionParameters parameters = SessionParameters.DEFAULTS;
     private final double maxDeferralMs;
+    /** Takes replies about tokens; none before {@link #serve}. */
+    private Optional<QuotaClient> quotas = Optional.empty();
+
     private final ControlAddresses addresses = new ControlAddresses();
     private final List<ControlSession> sessions = new ArrayList<>();
     private final ControlSession.Owner sessionOwner = new SessionOwner();
     private double deferralEndsAt = Double.POSITIVE_INFINITY;
     private double lastTickAt = Double.POSITIVE_INFINITY;
     private long sequence;
+    private int nextSession;
     private boolean closed;
 
     /**
@@ -64,6 +70,25 @@
         this.updated = updated;
     }
 
+    /** Lets the client ask for tokens by the sessions. */
+    void serve(QuotaClient client) {
+        quotas = Optional.of(client);
+        client.connect(this::sessionOtherThan);
+    }
+
+    /** The next one in turn, so that all control planes are asked alike; one with a quorum if there is one. */
+    private Optional<ControlSession> sessionOtherThan(Optional<ControlSession> tried) {
+        List<ControlSession> open =
+                new ArrayList<>(sessions.stream().filter(ControlSession::isOpen).toList());
+        if (open.size() > 1) {
+            tried.ifPresent(open::remove);
+        }
+        if (open.stream().anyMatch(ControlSession::isQuorate)) {
+            open.removeIf(session -> !session.isQuorate());
+        }
+        return open.isEmpty() ? Optional.empty() : Optional.of(open.get(Math.floorMod(nextSession++, open.size())));
+    }
+
     /** Sets the addresses of the settings, which are retained however long nobody answers there. */
     void setSeeds(Collection<String> seeds) {
         addresses.setSeeds(loop.now(), seeds, addressesInUse());
@@ -187,6 +212,11 @@
             addresses.refresh(loop.now(), reported, addressesInUse());
         }
 
+        @Override
+        public void quotaReplied(QuotaReply reply) {
+            quotas.ifPresent(client -> client.replied(reply));
+        }
+
         @Override
         public void updateApplied() {
             updated.run();
@@ -195,6 +225,7 @@
         @Override
         public void sessionEnded(ControlSession session) {
             sessions.remove(session);
+            quotas.ifPresent(client -> client.sessionEnded(session));
             double backoffMs = parameters.redialBackoffMs() * (MIN_JITTER_FACTOR + random.nextDouble());
             addresses.backOff(session.address(), loop.now() + backoffMs);
             openMissingSessions();
--- a/dataplane/src/test/java/dewplank/dataplane/ForwarderFixture.java
+++ b/dataplane/src/test/java/dewplank/dataplane/ForwarderFixture.java
@@ -11,6 +11,7 @@
 import dewplank.exchange.Wire;
 import dewplank.net.EventLoop;
 import dewplank.net.Listener;
+import dewplank.quota.QuotaTerms;
 import dewplank.routing.HealthVotes;
 import dewplank.routing.Mechanism;
 import dewplank.routing.Policy;
@@ -64,6 +65,7 @@
                 new Counters(),
                 retryLimits,
                 revocation,
+                new QuotaClient(loop, new QuotaTerms(5_000, 0, 0)),
                 CONNECT_TIMEOUT_MS);
         listener = new Listener(
                 loop,
--- a/messages/src/main/java/dewplank/message/ControlHeartbeat.java
+++ b/messages/src/main/java/dewplank/message/ControlHeartbeat.java
@@ -19,6 +19,8 @@
      * file; empty later, and from processes of releases before this field.
      */
     public final List<String> founders;
+    /** The sender's share of tenants' quotas; null from processes of releases before this field. */
+    public final QuotaShareReport quotaShare;
 
     /** For Protostuff, which sets the fields and does not send an empty list. */
     private ControlHeartbeat() {
@@ -26,16 +28,22 @@
         this.sessions = new ArrayList<>();
         this.controlAddresses = new ArrayList<>();
         this.founders = new ArrayList<>();
+        this.quotaShare = null;
     }
 
     /** A heartbeat once the fleet is founded. */
     public ControlHeartbeat(long sequence, List<Member> sessions, List<String> controlAddresses) {
-        this(sequence, sessions, controlAddresses, List.of());
+        this(sequence, sessions, controlAddresses, List.of(), null);
     }
 
     /** A heartbeat while the fleet is founded. */
     public ControlHeartbeat(
-            long sequence, List<Member> sessions, List<String> controlAddresses, List<String> founders) {
+            long sequence,
+            List<Member> sessions,
+            List<String> controlAddresses,
+            List<String> founders,
+            QuotaShareReport quotaShare) {
+        this.quotaShare = quotaShare;
         this.founders = founders;
         this.sequence = sequence;
         this.sessions = sessions;
--- a/messages/src/main/java/dewplank/message/FleetMessages.java
+++ b/messages/src/main/java/dewplank/message/FleetMessages.java
@@ -23,6 +23,7 @@
                 VoteRequest.class,
                 VoteReply.class));
         types.addAll(RegisterMessages.TYPES);
+        types.addAll(List.of(QuotaRequest.class, QuotaReply.class));
         return new MessageCodec(types);
     }
 }
--- a/messages/src/main/java/dewplank/message/HeartbeatAck.java
+++ b/messages/src/main/java/dewplank/message/HeartbeatAck.java
@@ -18,6 +18,8 @@
     public final List<String> controlAddresses;
     /** Null where no quorum has confirmed any, and from processes of releases before this field. */
     public final ConfirmedConfiguration confirmed;
+    /** Of tenants' quotas, to a control plane by the one that assigns shares; null from all others. */
+    public final QuotaShareGrant quotaShare;
 
     /** For Protostuff, which sets the fields and does not send an empty list. */
     private HeartbeatAck() {
@@ -25,19 +27,41 @@
         this.quorate = false;
         this.controlAddresses = new ArrayList<>();
         this.confirmed = null;
+        this.quotaShare = null;
     }
 
     /** A reply that confirms no configuration. */
     public HeartbeatAck(long sequence, boolean quorate, List<String> controlAddresses) {
-        this(sequence, quorate, controlAddresses, null);
+        this(sequence, quorate, controlAddresses, null, null);
     }
 
-    /** @param confirmed null where no quorum has confirmed any */
+    /** A reply to a data plane.
+     *
+     * @param confirmed null where no quorum has confirmed any
+     */
     public HeartbeatAck(
             long sequence, boolean quorate, List<String> controlAddresses, ConfirmedConfiguration confirmed) {
+        this(sequence, quorate, controlAddresses, confirmed, null);
+    }
+
+    /** A reply to a control plane.
+     *
+     * @param quotaShare null unless the sender assigns shares
+     */
+    public HeartbeatAck(long sequence, boolean quorate, List<String> controlAddresses, QuotaShareGrant quotaShare) {
+        this(sequence, quorate, controlAddresses, null, quotaShare);
+    }
+
+    private HeartbeatAck(
+            long sequence,
+            boolean quorate,
+            List<String> controlAddresses,
+            ConfirmedConfiguration confirmed,
+            QuotaShareGrant quotaShare) {
         this.sequence = sequence;
         this.quorate = quorate;
         this.controlAddresses = controlAddresses;
         this.confirmed = confirmed;
+        this.quotaShare = quotaShare;
     }
 }
--- a/settings/src/main/java/dewplank/settings/NodeSettings.java
+++ b/settings/src/main/java/dewplank/settings/NodeSettings.java
@@ -64,7 +64,17 @@
             double contactMs,
             double ackMs,
             double catchUpMs,
-            Revocation revocation) {}
+            Revocation revocation,
+            Quota quota) {}
+
+    /**
+     * Bounds on the requests of a tenant with a limit.
+     *
+     * @param windowMs over which they are counted
+     * @param overshoot by which fraction of the limit they may exceed it
+     * @param slack by how many they may exceed it besides
+     */
+    public record Quota(double windowMs, double overshoot, double slack) {}
 
     /**
      * Bounds on the use of access keys that were taken away.
@@ -80,6 +90,7 @@
     /** Where the file gives no {@code catch_up_s}: the shortest time that any deployment has given so far. */
     private static final double DEFAULT_CATCH_UP_S = 4;
 
+    private static final double DEFAULT_QUOTA_WINDOW_S = 5;
     private static final double DEFAULT_LEASE_MS = 3_000;
     private static final double DEFAULT_ACK_MS = 4_000;
     private static final int MAX_PORT = 65_535;
@@ -238,7 +249,15 @@
                 fields.positive("contact_ms"),
                 fields.atLeast("ack_ms", 0, DEFAULT_ACK_MS),
                 fields.atLeast("catch_up_s", 0, DEFAULT_CATCH_UP_S) * MS_PER_S,
-                revocation(fields));
+                revocation(fields),
+                quota(fields));
+    }
+
+    private static Quota quota(Fields fields) {
+        return new Quota(
+                fields.atLeast("quota_window_s", 0, DEFAULT_QUOTA_WINDOW_S) * MS_PER_S,
+                fields.atLeast("quota_overshoot", 0, 0),
+                fields.atLeast("quota_slack", 0, 0));
     }
 
     private static Revocation revocation(Fields fields) {
