Tell nothing of a quota where there is neither a share nor a peer to ask

A control plane without a share that has no room to ask its peers replied that the quota is exhausted, so clients got 429 where nobody knew; now it replies that it cannot tell, and where it has a share, when its own bucket has the next token. Found by QuotaTokensTest#aControlPlaneWithoutAShareCannotTellWhereItAsksNobodyFurther, red before.

--- a/controlplane/src/main/java/dewplank/controlplane/ControlComponents.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlComponents.java
@@ -129,7 +129,12 @@
                 new OperatorViews(this));
         quotaTokens = new QuotaTokens(loop, quotaTerms(bounds), new QuotaPeers(), random);
         quotaShares = new QuotaShares(loop, address, role, quotaTokens::shareHeld);
-        dispatcher = new PeerMessageDispatcher(
+        dispatcher = newDispatcher();
+    }
+
+    /** Called once the parts that it hands messages to are there. */
+    private PeerMessageDispatcher newDispatcher() {
+        return new PeerMessageDispatcher(
                 loop,
                 configuration,
                 sessionTable,
--- a/controlplane/src/main/java/dewplank/controlplane/QuotaShares.java
+++ b/controlplane/src/main/java/dewplank/controlplane/QuotaShares.java
@@ -29,6 +29,8 @@
     /** Takes the share of this process whenever a grant was applied. On the loop's thread. */
     interface Listener {
         /**
+         * This process holds that share from now on.
+         *
          * @param fraction from 0 to 1
          * @param endsAtMs when it ends unless it is renewed, by the loop's clock
          */
--- a/controlplane/src/main/java/dewplank/controlplane/QuotaTokens.java
+++ b/controlplane/src/main/java/dewplank/controlplane/QuotaTokens.java
@@ -21,9 +21,9 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Grants tokens of tenants' quotas out of this control plane's share, and where that is used up out of the others', which
- * are asked one after the other ({@code docs/design-quotas.md}). On the loop's thread only; each request is replied to
- * once.
+ * Grants tokens of tenants' quotas out of this control plane's share, and where that is used up out of the others',
+ * which are asked one after the other ({@code docs/design-quotas.md}). On the loop's thread only; each request is
+ * replied to once.
  */
 final class QuotaTokens {
     /** A peer is in another zone at most and replies at once; one that has not by then is skipped. */
@@ -99,8 +99,10 @@
         double otherwiseMs = exhaustedUntil.getOrDefault(request.tenant, now) - now;
         if (request.forwarded) {
             replyTo.accept(exhausted(request, untilNextMs));
-        } else if (otherwiseMs > 0 || forwarded.size() >= MAX_FORWARDED) {
-            replyTo.accept(exhausted(request, Math.max(otherwiseMs, MIN_RETRY_AFTER_MS)));
+        } else if (otherwiseMs > 0) {
+            replyTo.accept(exhausted(request, otherwiseMs));
+        } else if (forwarded.size() >= MAX_FORWARDED) {
+            replyTo.accept(exhausted(request, untilNextMs));
         } else {
             new ForwardedRequest(request, untilNextMs, replyTo).askNext();
         }
