--- a/controlplane/src/test/java/dewplank/controlplane/EndpointPollerTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/EndpointPollerTest.java
@@ -7,13 +7,10 @@
 import dewplank.message.Endpoint;
 import dewplank.message.EndpointList;
 import dewplank.message.EndpointListVersion;
-import dewplank.net.Scheduler;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
-import java.util.PriorityQueue;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -23,42 +20,6 @@
     /** The first poll under a token and the last that fails each wait for their interval: 400 ms and a check. */
     private static final double POLLING_MS = 2 * (400 + 50);
 
-    private record Task(double at, long order, Runnable action) {}
-
-    private static final class VirtualTime implements Scheduler {
-        private final PriorityQueue<Task> tasks =
-                new PriorityQueue<>(Comparator.comparingDouble(Task::at).thenComparingLong(Task::order));
-        private double now;
-        private long order;
-
-        @Override
-        public double now() {
-            return now;
-        }
-
-        @Override
-        public Timer after(double ms, Runnable action) {
-            Task task = new Task(now + ms, order++, action);
-            tasks.add(task);
-            return () -> tasks.remove(task);
-        }
-
-        @Override
-        public void execute(Runnable task) {
-            after(0, task);
-        }
-
-        void run(double ms) {
-            double end = now + ms;
-            while (!tasks.isEmpty() && tasks.peek().at() <= end) {
-                Task task = tasks.poll();
-                now = Math.max(now, task.at());
-                task.action().run();
-            }
-            now = end;
-        }
-    }
-
     private static final class TestRole implements SingletonRole {
         private boolean leaseHeld = true;
         private long number = 7;
