Test how a data plane asks for tokens and what it decides on replies and time-outs

Over TCP with two stand-ins for control planes, by the test's clock: one question of a tenant at a time, as many tokens as wait, exhaustion that is remembered, time-outs, late replies, sessions that end, and the bound on what waits.

--- a/dataplane/src/test/java/dewplank/dataplane/FakeControlPlane.java
+++ b/dataplane/src/test/java/dewplank/dataplane/FakeControlPlane.java
@@ -4,6 +4,7 @@
 import dewplank.message.FleetMessages;
 import dewplank.message.HeartbeatAck;
 import dewplank.message.MessageCodec;
+import dewplank.message.QuotaRequest;
 import dewplank.message.SessionHeartbeat;
 import dewplank.message.SessionOpen;
 import java.io.Closeable;
@@ -22,8 +23,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * A stand-in for a control plane: the test sends the updates, it sends the acks of heartbeats. Its waits go by the
- * test's clock.
+ * A stand-in for a control plane: the test sends the updates and the replies about tokens, it sends the acks of
+ * heartbeats. Its waits go by the test's clock.
  */
 final class FakeControlPlane implements Closeable {
     private static final int BACKLOG = 50;
@@ -65,6 +66,7 @@
         private final MessageCodec codec = FleetMessages.codec();
         private final BlockingQueue<SessionOpen> opened = new LinkedBlockingQueue<>();
         private final BlockingQueue<SessionHeartbeat> heartbeats = new LinkedBlockingQueue<>();
+        private final BlockingQueue<QuotaRequest> quotaRequests = new LinkedBlockingQueue<>();
         private final AtomicLong sentCount = new AtomicLong();
         private final AtomicLong receivedCount = new AtomicLong();
         private volatile boolean ended;
@@ -104,6 +106,8 @@
                 if (sendsAcks) {
                     send(new HeartbeatAck(heartbeat.sequence, withQuorum, controlAddresses));
                 }
+            } else if (message instanceof QuotaRequest request) {
+                quotaRequests.add(request);
             }
         }
 
@@ -155,6 +159,15 @@
             return heartbeat;
         }
 
+        /** The next request for tokens that the test has not taken; null where there is none. */
+        QuotaRequest takeQuotaRequest() {
+            return quotaRequests.poll();
+        }
+
+        boolean hasQuotaRequest() {
+            return !quotaRequests.isEmpty();
+        }
+
         void awaitEnd() throws Exception {
             waiter.await(this::isEnded);
         }
--- a/dataplane/src/test/java/dewplank/dataplane/SessionFixture.java
+++ b/dataplane/src/test/java/dewplank/dataplane/SessionFixture.java
@@ -4,6 +4,7 @@
 import dewplank.exchange.Wire;
 import dewplank.membership.Member;
 import dewplank.net.EventLoop;
+import dewplank.quota.QuotaTerms;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -20,6 +21,9 @@
 final class SessionFixture implements Closeable {
     static final Member SELF = new Member("n1", Member.DATA, "10.0.0.9:1", ScriptedFleet.ZONE, 17);
 
+    /** A token may be used for half a second after it was asked for. */
+    static final QuotaTerms QUOTA_TERMS = new QuotaTerms(10_000, 0.05, 0);
+
     private static final int RANDOM_SEED = 3;
 
     /** By the test's clock, after which a wait fails. */
@@ -28,6 +32,8 @@
     final EventLoop loop = new EventLoop();
     final FleetMetadata metadata;
     final SessionClient client;
+    /** Asks for tokens by the client's sessions, by the test's clock. */
+    final QuotaClient quotas;
     /** How often the client has reported a change of the fleet. */
     final AtomicInteger changes = new AtomicInteger();
 
@@ -46,6 +52,8 @@
                 new SplittableRandom(RANDOM_SEED),
                 contactMs,
                 changes::incrementAndGet);
+        quotas = new QuotaClient(scheduler, QUOTA_TERMS);
+        client.serve(quotas);
     }
 
     /** A new control plane, which the client does not know yet; it is closed with the fixture. */
