--- a/dataplane/src/test/java/dewplank/dataplane/ForwarderFixture.java
+++ b/dataplane/src/test/java/dewplank/dataplane/ForwarderFixture.java
@@ -11,7 +11,6 @@
 import dewplank.exchange.Wire;
 import dewplank.net.EventLoop;
 import dewplank.net.Listener;
-import dewplank.quota.QuotaTerms;
 import dewplank.routing.HealthVotes;
 import dewplank.routing.Mechanism;
 import dewplank.routing.Policy;
@@ -48,6 +47,11 @@
     final EventLoop loop = new EventLoop();
     final FleetMetadata metadata = new FleetMetadata(loop);
     final ScriptedFleet servers = new ScriptedFleet(loop, metadata);
+    /** The clock of {@link #quotas}: no reply about tokens is overdue unless the test moves it. */
+    final ManualScheduler quotaTime = new ManualScheduler(loop);
+    /** Without control planes to ask until the test connects some. */
+    final QuotaClient quotas = new QuotaClient(quotaTime, SessionFixture.QUOTA_TERMS);
+
     final Forwarder forwarder;
     private final Listener listener;
     private final List<Wire> clients = new ArrayList<>();
@@ -65,7 +69,7 @@
                 new Counters(),
                 retryLimits,
                 revocation,
-                new QuotaClient(loop, new QuotaTerms(5_000, 0, 0)),
+                quotas,
                 CONNECT_TIMEOUT_MS);
         listener = new Listener(
                 loop,
--- /dev/null
+++ b/dataplane/src/test/java/dewplank/dataplane/ScriptedControlPlane.java
@@ -0,0 +1,86 @@
+package dewplank.dataplane;
+
+import dewplank.exchange.OnLoop;
+import dewplank.message.MessageLink;
+import dewplank.message.MessageTransport;
+import dewplank.message.QuotaReply;
+import dewplank.message.QuotaRequest;
+import dewplank.net.EventLoop;
+import dewplank.net.ServerEndpoint;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Supplier;
+
+/** The only control plane that a forwarder's data plane can ask for tokens, without a network; the test replies. */
+final class ScriptedControlPlane {
+    private static final String ADDRESS = "127.0.0.1:1";
+
+    private final EventLoop loop;
+    private final QuotaClient quotas;
+    private final BlockingQueue<QuotaRequest> requests = new LinkedBlockingQueue<>();
+
+    private ScriptedControlPlane(EventLoop loop, QuotaClient quotas) {
+        this.loop = loop;
+        this.quotas = quotas;
+    }
+
+    /** A new one, which the forwarder's data plane asks from now on. */
+    static ScriptedControlPlane connect(ForwarderFixture net) throws Exception {
+        ScriptedControlPlane controlPlane = new ScriptedControlPlane(net.loop, net.quotas);
+        ControlSession session = new ControlSession(
+                net.loop, null, net.metadata, SessionFixture.SELF, SessionParameters.DEFAULTS, ADDRESS);
+        session.connect(controlPlane.new RecordingTransport());
+        OnLoop.run(net.loop, () -> net.quotas.connect(tried -> Optional.of(session)));
+        return controlPlane;
+    }
+
+    /** The next request for tokens, once it has come. */
+    QuotaRequest nextRequest() throws Exception {
+        OnLoop.await(loop, this::isAsked);
+        return requests.remove();
+    }
+
+    boolean isAsked() {
+        return !requests.isEmpty();
+    }
+
+    void reply(QuotaReply reply) throws Exception {
+        OnLoop.run(loop, () -> quotas.replied(reply));
+    }
+
+    /** Opens links that are up from the start, and record what is sent. */
+    private final class RecordingTransport implements MessageTransport {
+        @Override
+        public MessageLink open(InetSocketAddress to, double timeoutMs, MessageLink.Handler handler) {
+            return new RecordingLink();
+        }
+
+        @Override
+        public ServerEndpoint listen(
+                InetSocketAddress at, int maxConnections, Supplier<? extends MessageLink.Handler> handlers) {
+            throw new UnsupportedOperationException("no server");
+        }
+    }
+
+    private final class RecordingLink implements MessageLink {
+        @Override
+        public void send(Object message) {
+            requests.add((QuotaRequest) message);
+        }
+
+        @Override
+        public boolean isOpen() {
+            return true;
+        }
+
+        @Override
+        public boolean isClosed() {
+            return false;
+        }
+
+        @Override
+        public void close() {}
+    }
+}
