--- a/dataplane/src/main/java/dewplank/dataplane/RequestAdmission.java
+++ b/dataplane/src/main/java/dewplank/dataplane/RequestAdmission.java
@@ -12,8 +12,8 @@
 import java.util.Optional;
 
 /**
- * Decides whether a client's request is served: whether it has a route, an access key that allows it, and a token of its
- * tenant's quota, for which it may have to wait. One that is not served is answered here. Called by the {@link
+ * Decides whether a client's request is served: whether it has a route, an access key that allows it, and a token of
+ * its tenant's quota, for which it may have to wait. One that is not served is answered here. Called by the {@link
  * Forwarder}; on the event loop's thread only.
  */
 final class RequestAdmission {
