Tell a send that was withheld from a failure of the server

WITHHELD is a failure of its own without feedback, and timers are set only for attempts that are still open. HttpCallTest's two tests of the condition now ask for WITHHELD, which is narrower than NOT_SENT. No test forces the crossing of decision and write within one task; it is by reading.

QuotaShares reads the clock before it checks the role, so that a grant counts from no later than when the role was held.

--- a/controlplane/src/main/java/dewplank/controlplane/QuotaShares.java
+++ b/controlplane/src/main/java/dewplank/controlplane/QuotaShares.java
@@ -96,8 +96,9 @@
     }
 
     private Optional<ShareGrant> assign(String user, ShareReport report) {
+        double now = loop.now(); // before the check: the grant counts from no later than when the role was held
         updateRole();
-        return assigningUnder == 0 ? Optional.empty() : assigner.onReport(loop.now(), user, report);
+        return assigningUnder == 0 ? Optional.empty() : assigner.onReport(now, user, report);
     }
 
     private void updateRole() {
--- a/dataplane/src/main/java/dewplank/dataplane/PrefillPhase.java
+++ b/dataplane/src/main/java/dewplank/dataplane/PrefillPhase.java
@@ -25,7 +25,9 @@
     /** The latest attempt; null before the first. */
     private ServerAttempt attempt;
 
+    /** Null before the first attempt was started. */
     private TimerWheel.Timer overdueTimer;
+
     /** Attempts that may have reached a server. */
     private int prefills;
     /** Whether the attempt that was free of charge may have reached a server, and is not known to be taken up there. */
@@ -72,9 +74,13 @@
         }
         request.forwarder.counters().add(Count.PREFILLS);
         List<Headers.Field> extraFields = List.of(new Headers.Field(HeaderNames.STAGE, "prefill"), priority());
-        attempt = request.attempts.newAttempt(
+        ServerAttempt started = request.attempts.newAttempt(
                 server, request.unsharedTokens(), extraFields, new HandleCollector(server, freeOfCharge));
-        attempt.start(request.forwarder.connectTimeoutMs());
+        attempt = started;
+        started.start(request.forwarder.connectTimeoutMs());
+        if (started.isOver()) { // withheld at once, and what follows from that has been done
+            return;
+        }
         double expectedMs = PrefillDecodePicker.prefillMs(request.prefix.tokens())
                 + request.forwarder.prefillDecodePicker().estimatedPrefillWaitMs(request.loop.now(), server.state);
         overdueTimer = request.loop.after(HEDGING.prefillMs() + HEDGING.prefillFactor() * expectedMs, this::onOverdue);
@@ -133,10 +139,16 @@
         start();
     }
 
+    private void cancelOverdueTimer() {
+        if (overdueTimer != null) {
+            overdueTimer.cancel();
+        }
+    }
+
     /** Ends the attempt under way. */
     void cancel() {
         if (attempt != null) {
-            overdueTimer.cancel();
+            cancelOverdueTimer();
             attempt.cancel();
         }
     }
@@ -168,7 +180,7 @@
 
         @Override
         public void complete() {
-            overdueTimer.cancel();
+            cancelOverdueTimer();
             isFreeAttemptUnanswered &= !freeOfCharge;
             if (AnswerKind.of(status, headers) == AnswerKind.NOT_EXECUTED) {
                 onRejected();
@@ -203,7 +215,7 @@
 
         @Override
         public void failed(HttpCall.Failure failure) {
-            overdueTimer.cancel();
+            cancelOverdueTimer();
             Execution execution =
                     request.forwarder.serverFeedback().recordFailure(server, request.route.name(), failure);
             if (execution == Execution.IMPOSSIBLE) {
--- a/dataplane/src/main/java/dewplank/dataplane/ServerFeedback.java
+++ b/dataplane/src/main/java/dewplank/dataplane/ServerFeedback.java
@@ -50,6 +50,9 @@
                 server.state.backOff(loop.now(), BACKOFF.rejectedMs(), BACKOFF.maxMs());
                 return Execution.IMPOSSIBLE;
             }
+            case WITHHELD -> {
+                return Execution.IMPOSSIBLE;
+            }
             default -> {
                 counters.add(Count.BROKEN);
                 recordOutcome(server, route, false);
--- a/dataplane/src/main/java/dewplank/dataplane/UnaryRequest.java
+++ b/dataplane/src/main/java/dewplank/dataplane/UnaryRequest.java
@@ -61,9 +61,10 @@
 
     private void sendTo(Server server) {
         allowance.recordAttempt();
-        attempt = attempts.newAttempt(server, 0, List.of(), new AnswerCollector(server));
-        attempt.start(forwarder.connectTimeoutMs());
-        if (isIdempotent() && forwarder.policy().isEnabled(Mechanism.PATIENCE)) {
+        ServerAttempt started = attempts.newAttempt(server, 0, List.of(), new AnswerCollector(server));
+        attempt = started;
+        started.start(forwarder.connectTimeoutMs());
+        if (!started.isOver() && isIdempotent() && forwarder.policy().isEnabled(Mechanism.PATIENCE)) {
             overdueTimer = loop.after(HEDGING.plainTargetFactor() * route.targetLatencyMs(), this::onOverdue);
         }
     }
--- a/transport/src/main/java/dewplank/exchange/HttpCall.java
+++ b/transport/src/main/java/dewplank/exchange/HttpCall.java
@@ -25,6 +25,8 @@
         NOT_CONNECTED,
         /** The connection broke before any byte of the request was handed to the system: it cannot have run. */
         NOT_SENT,
+        /** The condition for sending did not hold: nothing was sent, and the server has no part in it. */
+        WITHHELD,
         /**
          * The connection ended or broke after a part of the request was sent: it may have run, as a server may begin on
          * a request, and answer it, before it has read a long body.
@@ -122,7 +124,7 @@
             connectTimeout.cancel();
         }
         if (!sendCondition.getAsBoolean()) {
-            fail(Failure.NOT_SENT);
+            fail(Failure.WITHHELD);
             return;
         }
         established.write(request, () -> {});
--- a/transport/src/test/java/dewplank/exchange/HttpCallTest.java
+++ b/transport/src/test/java/dewplank/exchange/HttpCallTest.java
@@ -667,7 +667,7 @@
             OnLoop.run(loop, () -> call.start(60_000));
             OnLoop.run(loop, () -> condition[0] = false);
             late.letIn();
-            listener.expect("failed NOT_SENT");
+            listener.expect("failed WITHHELD");
             for (int i = 0; i < 3; i++) { // the two that fill the backlog, and the call's
                 late.nextConnection().awaitEnd();
             }
@@ -680,7 +680,7 @@
         RecordingListener second = new RecordingListener();
         HttpCall failing = call(REQUEST, second).sendOnlyIf(() -> false);
         start(failing);
-        second.expect("failed NOT_SENT");
+        second.expect("failed WITHHELD");
         assertTrue(OnLoop.get(loop, failing::isOver));
         RecordingListener third = startCall();
         assertAnswered(server.next().wire(), third, "");
