Pin the frames of quotas' messages, and fill buckets at exactly the rate

GoldenFramesTest failed as the two new types had no frame: their numbers and bytes are pinned now, all earlier frames are unchanged. The fraction of a rate at which buckets fill was 1 less a rounding error where the overshoot pays for the lifetime of tokens, so that a full bucket of 5 gave 4 (QuotaTokensTest).

--- a/messages/src/test/java/dewplank/message/GoldenFramesTest.java
+++ b/messages/src/test/java/dewplank/message/GoldenFramesTest.java
@@ -65,7 +65,9 @@
             "reject",
             "status-query",
             "status-report",
-            "chosen");
+            "chosen",
+            "quota-request",
+            "quota-reply");
 
     private final MessageCodec codec = FleetMessages.codec();
     private final Map<String, byte[]> frames = frames();
--- a/messages/src/test/java/dewplank/message/GoldenMessages.java
+++ b/messages/src/test/java/dewplank/message/GoldenMessages.java
@@ -58,6 +58,7 @@
         addUpdates(messages);
         addVotes(messages);
         addRegister(messages);
+        addQuotas(messages);
         return messages;
     }
 
@@ -71,6 +72,14 @@
         messages.put("heartbeat-ack alone", new HeartbeatAck(18, false, List.of()));
     }
 
+    private static void addQuotas(Map<String, Object> messages) {
+        messages.put("quota-request", new QuotaRequest(70, "acme", 3, false));
+        messages.put("quota-request forwarded", new QuotaRequest(71, "acme", 1, true));
+        messages.put("quota-reply granted", QuotaReply.granted(70, 2));
+        messages.put("quota-reply exhausted", QuotaReply.exhausted(71, 62.5));
+        messages.put("quota-reply unavailable", QuotaReply.unavailable(72));
+    }
+
     private static void addUpdates(Map<String, Object> messages) {
         List<Member> members = List.of(DATA_PLANE, CONTROL_PLANE);
         messages.put("update whole", new FleetUpdate(new byte[] {120, 1, -1}, 200, 0, ENDPOINTS, members));
--- a/routing/src/main/java/dewplank/quota/QuotaTerms.java
+++ b/routing/src/main/java/dewplank/quota/QuotaTerms.java
@@ -21,14 +21,20 @@
      * that are off by the drift: buckets that fill too fast, and a lifetime that ends too late.
      */
     public double tokenLifetimeMs() {
-        double affordableMs = windowMs * ((1 + overshoot) / (1 + DRIFT) - 1) * (1 - DRIFT);
-        return Math.max(MIN_TOKEN_LIFETIME_MS, affordableMs);
+        return Math.max(MIN_TOKEN_LIFETIME_MS, affordableLifetimeMs());
+    }
+
+    private double affordableLifetimeMs() {
+        return windowMs * ((1 + overshoot) / (1 + DRIFT) - 1) * (1 - DRIFT);
     }
 
     /** Of a limit's rate, how much buckets fill at: all of it unless the overshoot does not pay for the lifetime. */
     double rateFraction() {
-        double longestSpanMs = windowMs + tokenLifetimeMs() / (1 - DRIFT);
-        return Math.min(1, windowMs * (1 + overshoot) / (longestSpanMs * (1 + DRIFT)));
+        if (affordableLifetimeMs() >= MIN_TOKEN_LIFETIME_MS) {
+            return 1;
+        }
+        double longestSpanMs = windowMs + MIN_TOKEN_LIFETIME_MS / (1 - DRIFT);
+        return windowMs * (1 + overshoot) / (longestSpanMs * (1 + DRIFT));
     }
 
     /** What all buckets of a tenant together may hold beyond its burst, in tokens. */
