--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetBounds.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetBounds.java
@@ -18,6 +18,14 @@
     public static final int LEASE_MS = 3_000;
     /** After a thaw, a process may act on its earlier state for so long. */
     public static final int THAW_SLACK_MS = 300;
+    /** A request is not sent later than so long after the acknowledgement that took its key away. */
+    public static final int REVOKE_MS = 5_000;
+    /** Window in which a tenant's requests are counted. */
+    public static final int QUOTA_WINDOW_S = 4;
+    /** Share of a tenant's limit that may be served beyond it. */
+    public static final double QUOTA_OVERSHOOT = 0.1;
+    /** Requests of a tenant that may be served besides in each window. */
+    public static final int QUOTA_SLACK = 5;
     /** Retries as a share of requests. */
     static final double RETRY_RATIO = 0.2;
     /**
--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetClient.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetClient.java
@@ -38,7 +38,10 @@
         MessageWriter message = MessageWriter.request(
                         request.method(), request.target(), request.route().host())
                 .header(WireFields.ATTEMPT_ID, id)
-                .header(WireFields.REMAINING_TIME, Integer.toString(request.timeoutMs()));
+                .header(WireFields.REMAINING_TIME, Integer.toString(request.timeoutMs()))
+                .header(
+                        WireFields.AUTHORIZATION,
+                        request.accessKey().map("Bearer "::concat).orElse(null));
         if (request.route().kind().streaming()) {
             message.header(WireFields.MODEL_NAME, "m")
                     .header(WireFields.TOKEN_COUNTS, "1050," + request.events())
--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetConfiguration.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetConfiguration.java
@@ -13,14 +13,30 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
-/** A configuration that the operator sends; immutable. Routes and services are unique by name. */
-public record FleetConfiguration(long version, List<RouteSpec> routes, List<ServiceSpec> services) {
-    private static final List<String> LISTS = List.of("routes", "services");
+/**
+ * A configuration that the operator sends; immutable. Routes, services and tenants are unique by name.
+ *
+ * @param tenants empty: the configuration has no list of them, so no request needs an access key
+ */
+public record FleetConfiguration(
+        long version, List<RouteSpec> routes, List<ServiceSpec> services, List<TenantSpec> tenants) {
+    private static final List<String> LISTS = List.of("routes", "services", "tenants");
 
     /** Copies the lists. */
     public FleetConfiguration {
         routes = List.copyOf(routes);
         services = List.copyOf(services);
+        tenants = List.copyOf(tenants);
+    }
+
+    /** A configuration without tenants. */
+    public FleetConfiguration(long version, List<RouteSpec> routes, List<ServiceSpec> services) {
+        this(version, routes, services, List.of());
+    }
+
+    /** The same with another version and these tenants. */
+    public FleetConfiguration withTenants(long nextVersion, TenantSpec... nextTenants) {
+        return new FleetConfiguration(nextVersion, routes, services, List.of(nextTenants));
     }
 
     /** The same with another version and a route added, or replaced by its name. */
@@ -28,19 +44,19 @@
         List<RouteSpec> next = new ArrayList<>(routes);
         next.removeIf(present -> present.name().equals(route.name()));
         next.add(route);
-        return new FleetConfiguration(nextVersion, next, services);
+        return new FleetConfiguration(nextVersion, next, services, tenants);
     }
 
     /** The same with another version and without a route. */
     public FleetConfiguration without(long nextVersion, String route) {
         List<RouteSpec> next =
                 routes.stream().filter(present -> !present.name().equals(route)).toList();
-        return new FleetConfiguration(nextVersion, next, services);
+        return new FleetConfiguration(nextVersion, next, services, tenants);
     }
 
     /** The same with another version. */
     public FleetConfiguration withVersion(long nextVersion) {
-        return new FleetConfiguration(nextVersion, routes, services);
+        return new FleetConfiguration(nextVersion, routes, services, tenants);
     }
 
     /** The route of that name; throws where there is none. */
@@ -70,6 +86,9 @@
         document.add("routes", array(routes.stream().map(RouteSpec::json).toList()));
         document.add("services", array(services.stream().map(ServiceSpec::json).toList()));
         document.add("limits", limits());
+        if (!tenants.isEmpty()) {
+            document.add("tenants", array(tenants.stream().map(TenantSpec::json).toList()));
+        }
         return document;
     }
 
@@ -91,6 +110,9 @@
                         .filter(service -> !base.services.contains(service))
                         .map(ServiceSpec::json)
                         .toList()));
+        if (!tenants.equals(base.tenants)) {
+            upsert.add("tenants", array(tenants.stream().map(TenantSpec::json).toList()));
+        }
         JsonArray removedRoutes = new JsonArray();
         base.routes.stream()
                 .map(RouteSpec::name)
@@ -130,7 +152,8 @@
         Map<String, Object> all = new HashMap<>(document.asMap());
         for (String list : LISTS) {
             Map<String, JsonElement> items = new HashMap<>();
-            for (JsonElement item : document.getAsJsonArray(list)) {
+            JsonElement array = document.has(list) ? document.get(list) : new JsonArray();
+            for (JsonElement item : array.getAsJsonArray()) {
                 items.put(item.getAsJsonObject().get("name").getAsString(), item);
             }
             all.put(list, items);
--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetEvent.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetEvent.java
@@ -61,7 +61,7 @@
 
     // ---- servers --------------------------------------------------------------------------------------
 
-    /** A request reached a server, whatever becomes of it. */
+    /** A request reached a server, whatever becomes of it. {@code tenant}: empty where it names none. */
     record Arrived(
             double atMs,
             ServerIdentity server,
@@ -69,8 +69,21 @@
             boolean prefill,
             String method,
             String target,
-            String body)
-            implements FleetEvent {}
+            String body,
+            Optional<String> tenant)
+            implements FleetEvent {
+        /** One that names no tenant. */
+        Arrived(
+                double atMs,
+                ServerIdentity server,
+                String attemptId,
+                boolean prefill,
+                String method,
+                String target,
+                String body) {
+            this(atMs, server, attemptId, prefill, method, target, body, Optional.empty());
+        }
+    }
 
     /** A server began to work on a request. */
     record RunStarted(double atMs, ServerIdentity server, String attemptId) implements FleetEvent {}
--- a/emulator/src/main/java/dewplank/emulator/fleet/RouteSpec.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/RouteSpec.java
@@ -4,7 +4,12 @@
 import com.google.gson.JsonObject;
 import java.util.List;
 
-/** A route of a configuration that the operator sends; {@code timeoutMs} is the time that a request has. */
+/**
+ * A route of a configuration that the operator sends.
+ *
+ * @param timeoutMs the time that a request has
+ * @param isPublic whether its requests need no access key
+ */
 public record RouteSpec(
         String name,
         String host,
@@ -12,7 +17,8 @@
         Kind kind,
         List<WeightedService> split,
         int maxAttempts,
-        int timeoutMs) {
+        int timeoutMs,
+        boolean isPublic) {
     /** The type of a route, by what may be retried. */
     public enum Kind {
         SAFE("safe", false),
@@ -58,13 +64,19 @@
                 kind,
                 List.of(new WeightedService(service, 1)),
                 ATTEMPTS,
-                TIMEOUT_MS);
+                TIMEOUT_MS,
+                false);
+    }
+
+    /** The same route, whose requests need no access key. */
+    public RouteSpec asPublic() {
+        return new RouteSpec(name, host, prefix, kind, split, maxAttempts, timeoutMs, true);
     }
 
     /** The same route to another service. */
     public RouteSpec movedTo(String service) {
         return new RouteSpec(
-                name, host, prefix, kind, List.of(new WeightedService(service, 1)), maxAttempts, timeoutMs);
+                name, host, prefix, kind, List.of(new WeightedService(service, 1)), maxAttempts, timeoutMs, isPublic);
     }
 
     JsonObject json() {
@@ -80,6 +92,9 @@
         document.addProperty("max_attempts", maxAttempts);
         document.addProperty("sticky", kind.streaming());
         document.addProperty("resumable", kind.resumable);
+        if (isPublic) {
+            document.addProperty("public", true);
+        }
         if (kind.streaming()) {
             document.addProperty("gap_aim_ms", TARGET_GAP_MS);
         }
--- a/emulator/src/main/java/dewplank/emulator/fleet/SettingsFile.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/SettingsFile.java
@@ -92,6 +92,11 @@
         bounds.addProperty("retry_budget_slack", FleetBounds.RETRY_SLACK);
         bounds.addProperty("lease_ms", FleetBounds.LEASE_MS);
         bounds.addProperty("thaw_slack_ms", FleetBounds.THAW_SLACK_MS);
+        bounds.addProperty("revocation_closed", true);
+        bounds.addProperty("revoke_ms", FleetBounds.REVOKE_MS);
+        bounds.addProperty("quota_window_s", FleetBounds.QUOTA_WINDOW_S);
+        bounds.addProperty("quota_overshoot", FleetBounds.QUOTA_OVERSHOOT);
+        bounds.addProperty("quota_slack", FleetBounds.QUOTA_SLACK);
         return bounds;
     }
 }
--- a/emulator/src/main/java/dewplank/emulator/fleet/StandInServer.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/StandInServer.java
@@ -224,7 +224,8 @@
                     ServerStage.PREFILL.isNamedBy(arrival.header(WireFields.STAGE)),
                     arrival.method,
                     arrival.target,
-                    arrival.body));
+                    arrival.body,
+                    Optional.ofNullable(arrival.header(WireFields.TENANT_NAME))));
             String targetInstance = arrival.header(WireFields.TARGET_INSTANCE);
             if (targetInstance != null && !targetInstance.equals(identity.instanceId())) {
                 arrival.reject(421);
--- a/emulator/src/main/java/dewplank/emulator/fleet/WireFields.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/WireFields.java
@@ -15,5 +15,8 @@
     static final String LAST_EVENT_ID = "Last-Event-Id";
     static final String RETRY_AFTER = "Retry-After";
 
+    static final String AUTHORIZATION = "Authorization";
+    static final String TENANT_NAME = "X-Dewplank-Tenant-Name";
+
     private WireFields() {}
 }
