Give granted tokens first to the requests that they were asked for

A request that waited when its token was asked for needs no lifetime by the argument of docs/design-quotas.md: the token is granted after the client sent it. Only what is granted beyond those goes into the stock.

--- a/dataplane/src/main/java/dewplank/dataplane/QuotaClient.java
+++ b/dataplane/src/main/java/dewplank/dataplane/QuotaClient.java
@@ -116,6 +116,9 @@
 
         private long id;
         private double askedAt;
+        /** Requests that waited when tokens were asked for: their tokens need no lifetime. */
+        private int waitingWhenAsked;
+
         private int attempts;
 
         TenantQueue(String tenant) {
@@ -165,6 +168,7 @@
             id = ++lastId;
             pending.put(id, this);
             timeout = loop.after(REPLY_TIMEOUT_MS, this::onUnanswered);
+            waitingWhenAsked = waiting.size();
             int tokens = Math.max(waiting.size(), stock.tokensToRequest(askedAt));
             asked.get().send(new QuotaRequest(id, tenant, tokens, false));
         }
@@ -196,14 +200,22 @@
 
         private void onGranted(int tokens) {
             double now = loop.now();
-            stock.add(now, tokens, askedAt);
+            int forWaiting = Math.min(tokens, waitingWhenAsked);
+            stock.add(now, tokens - forWaiting, askedAt);
+            for (int token = 0; token < forWaiting; token++) {
+                admitNext();
+            }
             while (!waiting.isEmpty() && stock.tryTake(now)) {
-                waitingRequests--;
-                waiting.remove().decided(ADMITTED);
+                admitNext();
             }
             askIfNeeded();
         }
 
+        private void admitNext() {
+            waitingRequests--;
+            waiting.remove().decided(ADMITTED);
+        }
+
         /** Decides so on all that wait. */
         private void end(Decision decision) {
             List<Callback> decided = new ArrayList<>(waiting);
--- a/dataplane/src/test/java/dewplank/dataplane/QuotaClientTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/QuotaClientTest.java
@@ -11,6 +11,7 @@
 import dewplank.exchange.OnLoop;
 import dewplank.message.QuotaReply;
 import dewplank.message.QuotaRequest;
+import dewplank.quota.QuotaTerms;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -197,6 +198,16 @@
         assertDecided(ADMITTED, 3);
     }
 
+    /** A token that was granted after its request came may be used whatever the overshoot. */
+    @Test
+    void aTokenServesARequestThatWaitedForItWhereTheTermsAllowNoOvershoot() throws Exception {
+        QuotaClient exact = net.serveQuotas(new QuotaTerms(10_000, 0, 0));
+        OnLoop.run(net.loop, () -> exact.acquire(ACME, decisions::add));
+        nextQuestion().grant(1);
+        assertDecided(ADMITTED, 1);
+        assertNotAsked();
+    }
+
     // ---- exhaustion ------------------------------------------------------------------------------------
 
     @Test
--- a/dataplane/src/test/java/dewplank/dataplane/SessionFixture.java
+++ b/dataplane/src/test/java/dewplank/dataplane/SessionFixture.java
@@ -96,6 +96,13 @@
         }
     }
 
+    /** Another client for tokens under these terms, which takes the place of {@link #quotas}. */
+    QuotaClient serveQuotas(QuotaTerms terms) throws Exception {
+        QuotaClient next = new QuotaClient(scheduler, terms);
+        OnLoop.run(loop, () -> client.serve(next));
+        return next;
+    }
+
     /** The test's clock in milliseconds. */
     double now() {
         return scheduler.now();
