--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -584,6 +584,8 @@
         private final HttpServer http;
         private final int workMs;
         private final byte[] answer;
+        /** How fast the body of an answer is sent; 0 for at once. */
+        volatile int bytesPerSecond;
 
         PlainServer(String instance, String service, String ip, int workMs, int answerBytes) throws IOException {
             this.instance = instance;
@@ -611,15 +613,16 @@
             }
             runs.computeIfAbsent(request.id(), id -> new AtomicInteger()).incrementAndGet();
             Thread.sleep(workMs);
-            respond(
-                    out,
-                    200,
-                    List.of(
-                            "X-Dewplank-Request-Attempt-Id: " + request.id(),
-                            "X-Dewplank-Server-Seal: " + SEAL,
-                            "Versions: 1",
-                            "Keep-Alive: timeout=30"),
-                    answer);
+            String head = "HTTP/1.1 200 OK\r\nX-Dewplank-Request-Attempt-Id: " + request.id()
+                    + "\r\nX-Dewplank-Server-Seal: " + SEAL + "\r\nVersions: 1\r\nKeep-Alive: timeout=30\r\n"
+                    + "Content-Length: " + answer.length + "\r\n\r\n";
+            out.write(head.getBytes(StandardCharsets.ISO_8859_1));
+            int piece = bytesPerSecond == 0 ? answer.length : bytesPerSecond / 50;
+            for (int at = 0; at < answer.length; at += piece) {
+                out.write(answer, at, Math.min(piece, answer.length - at));
+                out.flush();
+                Thread.sleep(bytesPerSecond == 0 ? 0 : 20);
+            }
         }
 
         @Override
