Compute exponentials with StrictMath, so that decisions are the same on every processor

Cause: Math.exp and Math.log are replaced by other code on x86-64 than on arm64, with other last bits; 10 of the 24 digests of RecordedDecisionsTest, recorded on x86-64, failed on arm64.

Change: the balancer, the routing's decay of queue delays and the emulator use StrictMath, whose results are specified bit for bit.

Not run on x86-64, as this machine is arm64.

--- a/balancer/src/main/java/dewplank/balancer/adaptive/DecayingSum.java
+++ b/balancer/src/main/java/dewplank/balancer/adaptive/DecayingSum.java
@@ -16,6 +16,6 @@
     }
 
     double valueAt(double nowMs) {
-        return value * Math.exp((lastAtMs - nowMs) / timeConstantMs);
+        return value * StrictMath.exp((lastAtMs - nowMs) / timeConstantMs);
     }
 }
--- a/balancer/src/main/java/dewplank/balancer/adaptive/LatencyEstimates.java
+++ b/balancer/src/main/java/dewplank/balancer/adaptive/LatencyEstimates.java
@@ -110,7 +110,7 @@
     private void recordClassTime(ClassStats stats, double elapsedMs) {
         double sinceLastMs = stats.lastResponseAtMs == 0 ? 0 : step.nowMs() - stats.lastResponseAtMs;
         stats.elapsed.add(elapsedMs, IDLE_ALPHA);
-        double riseFraction = 1 - Math.exp(-sinceLastMs / IDLE_TIME_CONSTANT_MS);
+        double riseFraction = 1 - StrictMath.exp(-sinceLastMs / IDLE_TIME_CONSTANT_MS);
         double raisedMs = (stats.elapsed.value - stats.idleElapsedMs) * riseFraction;
         double minMs = Math.min(stats.elapsed.value, stats.idleElapsedMs + raisedMs);
         if (stats.elapsed.count >= MIN_IDLE_SAMPLES) {
@@ -119,7 +119,7 @@
         }
         stats.lastResponseAtMs = step.nowMs();
         double sinceWarmMs = fleet.lastWarmSampleAtMs == 0 ? 0 : step.nowMs() - fleet.lastWarmSampleAtMs;
-        double fleetAlpha = Math.max(FLEET_ALPHA, 1 - Math.exp(-sinceWarmMs / FLEET_TIME_CONSTANT_MS));
+        double fleetAlpha = Math.max(FLEET_ALPHA, 1 - StrictMath.exp(-sinceWarmMs / FLEET_TIME_CONSTANT_MS));
         fleet.slowdownOverIdle += (elapsedMs / stats.idleElapsedMs - fleet.slowdownOverIdle) * fleetAlpha;
         fleet.lastWarmSampleAtMs = step.nowMs();
     }
@@ -183,8 +183,8 @@
         double minusAgeMs = server.lastSampleAtMs - step.nowMs();
         double slowMs = server.longTermElapsed.value;
         double typicalMs = fleet.elapsed.value;
-        double longTermMs = typicalMs + (slowMs - typicalMs) * Math.exp(minusAgeMs / LONG_TERM_DECAY_MS);
-        double recency = Math.exp(minusAgeMs / RECENT_TIME_CONSTANT_MS);
+        double longTermMs = typicalMs + (slowMs - typicalMs) * StrictMath.exp(minusAgeMs / LONG_TERM_DECAY_MS);
+        double recency = StrictMath.exp(minusAgeMs / RECENT_TIME_CONSTANT_MS);
         double recentMs = (server.recentElapsed.value - slowMs) * recency;
         return (longTermMs + recentMs) / Math.max(MIN_MS, typicalMs);
     }
--- a/balancer/src/main/java/dewplank/balancer/adaptive/LoadShedder.java
+++ b/balancer/src/main/java/dewplank/balancer/adaptive/LoadShedder.java
@@ -61,7 +61,7 @@
     double rejectionFraction(PendingRequest request, ServerState server) {
         double lateness = latency.predictedLateness(server, request) / lateTolerance;
         double negativeAgeMs = fleet.lastWarmSampleAtMs - step.nowMs();
-        double freshness = Math.exp(negativeAgeMs / LatencyEstimates.FLEET_TIME_CONSTANT_MS);
+        double freshness = StrictMath.exp(negativeAgeMs / LatencyEstimates.FLEET_TIME_CONSTANT_MS);
         double slowdown = 1 + (fleet.slowdownOverIdle - 1) * freshness;
         double slowdownFraction = (slowdown - LOW_SLOWDOWN) / (HIGH_SLOWDOWN - LOW_SLOWDOWN);
         double queues = Math.min(latency.queueFraction(server, request), meanQueueFraction) / lateTolerance;
@@ -76,7 +76,7 @@
      * this fraction of the target.
      */
     double sustainedRejectionFraction(double queueFraction) {
-        double freshness = Math.exp((fleet.lastResponseAtMs - step.nowMs()) / OVERLOAD_TIME_CONSTANT_MS);
+        double freshness = StrictMath.exp((fleet.lastResponseAtMs - step.nowMs()) / OVERLOAD_TIME_CONSTANT_MS);
         return sustainedOverload * freshness * Math.min(1, queueFraction / OVERLOAD_QUEUE_FRACTION);
     }
 
--- a/emulator/src/main/java/dewplank/emulator/Arrivals.java
+++ b/emulator/src/main/java/dewplank/emulator/Arrivals.java
@@ -98,7 +98,7 @@
         double factor =
                 switch (load.shape()) {
                     case STEADY -> 1;
-                    case WAVE -> 1 + load.swing() * Math.sin(2 * Math.PI * (nowMs / load.periodMs() + phase));
+                    case WAVE -> 1 + load.swing() * StrictMath.sin(2 * Math.PI * (nowMs / load.periodMs() + phase));
                     case BURSTS -> burstFactor(load, nowMs);
                 };
         return factor * environment.loadFactor();
--- a/emulator/src/main/java/dewplank/emulator/RandomStreams.java
+++ b/emulator/src/main/java/dewplank/emulator/RandomStreams.java
@@ -64,7 +64,7 @@
         }
         return switch (distribution) {
             case LOGNORMAL -> {
-                double variance = Math.log(1 + cv * cv);
+                double variance = StrictMath.log(1 + cv * cv);
                 DoubleSupplier sampler = LogNormalSampler.of(
                         ZigguratSampler.NormalizedGaussian.of(random), -variance / 2, Math.sqrt(variance))::sample;
                 yield () -> Math.min(MAX_LOGNORMAL, sampler.getAsDouble());
--- a/emulator/src/main/java/dewplank/emulator/RequestMix.java
+++ b/emulator/src/main/java/dewplank/emulator/RequestMix.java
@@ -17,7 +17,7 @@
                 .mapToDouble(RequestClassSpec::weight)
                 .toArray());
         this.cumulativeKeys = cumulative(IntStream.range(0, keys.count())
-                .mapToDouble(rank -> Math.pow(rank + 1, -keys.zipfExponent()))
+                .mapToDouble(rank -> StrictMath.pow(rank + 1, -keys.zipfExponent()))
                 .toArray());
     }
 
--- a/emulator/src/main/java/dewplank/emulator/Server.java
+++ b/emulator/src/main/java/dewplank/emulator/Server.java
@@ -308,7 +308,7 @@
 
     /** Schedules the next pause, such as a garbage collection: exponential gap, 0.5 to 1.5 times the mean duration. */
     private void scheduleNextPause() {
-        double waitMs = -Math.log(1 - random.nextDouble()) * machine.pauseIntervalMs();
+        double waitMs = -StrictMath.log(1 - random.nextDouble()) * machine.pauseIntervalMs();
         environment.schedule(waitMs, () -> {
             pause(machine.pauseMs() * (0.5 + random.nextDouble()));
             scheduleNextPause();
--- a/routing/src/main/java/dewplank/routing/TrackedServer.java
+++ b/routing/src/main/java/dewplank/routing/TrackedServer.java
@@ -173,7 +173,7 @@
 
     /** The expected queue delay of a prompt at this server, from the delays of recent prompts. */
     public double estimatedQueueDelayMs(double nowMs) {
-        return queueDelayMs * Math.exp((queueDelayAtMs - nowMs) / QUEUE_DELAY.decayMs());
+        return queueDelayMs * StrictMath.exp((queueDelayAtMs - nowMs) / QUEUE_DELAY.decayMs());
     }
 
     // ---- backoff --------------------------------------------------------------------------------------
