Decode a configuration once, and bound its size, so that growing ones are acknowledged

Cause: each try of a change, each read and each learned value parsed the whole configuration again on the event loop, longer than a round may take; and nothing bounded the result of patches, nor the routes of the eight versions that are kept for deltas.

Change: the document of the last payload is kept; a configuration longer than 4 MiB is refused as TOO_LARGE, whatever it is made of; versions are kept for deltas up to 8,000 routes, two at least; an inflated payload may have 16 MiB instead of 64.

--- a/configuration/src/main/java/dewplank/configuration/ConfigurationDocument.java
+++ b/configuration/src/main/java/dewplank/configuration/ConfigurationDocument.java
@@ -39,16 +39,19 @@
     private static final int COMPRESSED = 64;
 
     /** The maximum size of a decompressed payload; a larger text would exceed the machines' memory. */
-    private static final int MAX_PLAIN_BYTES = 64 << 20;
+    private static final int MAX_PLAIN_BYTES = 16 << 20;
 
-    private static final ConfigurationDocument EMPTY = new ConfigurationDocument(null, ChangeHistory.EMPTY);
+    private static final ConfigurationDocument EMPTY = new ConfigurationDocument(null, ChangeHistory.EMPTY, 0);
 
     private final Configuration configuration;
     private final ChangeHistory history;
+    /** About the length of the configuration's text, from the lengths of the bodies that it was made of. */
+    private final long estimatedBytes;
 
-    private ConfigurationDocument(Configuration configuration, ChangeHistory history) {
+    private ConfigurationDocument(Configuration configuration, ChangeHistory history, long estimatedBytes) {
         this.configuration = configuration;
         this.history = history;
+        this.estimatedBytes = estimatedBytes;
     }
 
     /**
@@ -64,7 +67,7 @@
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(inflated(payload)))) {
             ChangeHistory history = ChangeHistory.read(in);
             byte[] json = in.readAllBytes();
-            return new ConfigurationDocument(json.length == 0 ? null : Configuration.parse(json), history);
+            return new ConfigurationDocument(json.length == 0 ? null : Configuration.parse(json), history, json.length);
         } catch (IOException | InvalidConfigurationException damaged) {
             throw new IllegalArgumentException("not the payload of a configuration document", damaged);
         }
@@ -142,7 +145,22 @@
             throw new InvalidConfigurationException(
                     Reason.VERSION_NOT_ABOVE, Configuration.VERSION, "is not above " + version());
         }
-        return new Accepted(new ConfigurationDocument(next, history.withChange(next.version(), digest)));
+        long nextBytes = checkedSize(request, next);
+        return new Accepted(new ConfigurationDocument(next, history.withChange(next.version(), digest), nextBytes));
+    }
+
+    /** Returns about the length of the changed configuration, and counts exactly where that may be too long. */
+    private long checkedSize(ChangeRequest request, Configuration next) throws InvalidConfigurationException {
+        long estimate = request.body().length + (request.patch() ? estimatedBytes : 0);
+        if (estimate <= MAX_BODY_BYTES) {
+            return estimate;
+        }
+        int length = next.json().length;
+        if (length > MAX_BODY_BYTES) {
+            throw new InvalidConfigurationException(
+                    Reason.TOO_LARGE, "", "the whole configuration is longer than " + MAX_BODY_BYTES + " bytes");
+        }
+        return length;
     }
 
     private Configuration changedConfiguration(boolean patch, JsonObject body) throws InvalidConfigurationException {
--- a/controlplane/src/main/java/dewplank/controlplane/ConfigurationHistory.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ConfigurationHistory.java
@@ -16,6 +16,10 @@
 final class ConfigurationHistory {
     /** Maximum number of stored versions. A data plane with an older version receives the full configuration. */
     private static final int MAX_VERSIONS = 8;
+    /** Maximum number of routes of all stored versions but the last two, since routes take most of the memory. */
+    private static final int MAX_STORED_ROUTES = 8_000;
+
+    private static final int MIN_VERSIONS = 2;
 
     /**
      * A compressed update, ready to be sent.
@@ -48,13 +52,19 @@
             return false;
         }
         versions.addLast(configuration);
-        if (versions.size() > MAX_VERSIONS) {
+        while (versions.size() > MAX_VERSIONS || versions.size() > MIN_VERSIONS && storedRoutes() > MAX_STORED_ROUTES) {
             versions.removeFirst();
         }
         encoded.clear();
         return true;
     }
 
+    private int storedRoutes() {
+        return versions.stream()
+                .mapToInt(configuration -> configuration.routes().size())
+                .sum();
+    }
+
     /** The update from the given version, 0 for no configuration, to the newest configuration. */
     EncodedUpdate updateFrom(long baseVersion) {
         return encoded.computeIfAbsent(baseVersion, this::encode);
--- a/controlplane/src/main/java/dewplank/controlplane/ConfigurationRequests.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ConfigurationRequests.java
@@ -75,11 +75,11 @@
         return version;
     }
 
-    private static OperatorResponse responseToRead(Outcome<ChangeResult> outcome) {
+    private OperatorResponse responseToRead(Outcome<ChangeResult> outcome) {
         if (!(outcome instanceof Outcome.Confirmed<ChangeResult> confirmed)) {
             return noQuorum(outcome);
         }
-        ConfigurationDocument document = ConfigurationDocument.decode(
+        ConfigurationDocument document = configurations.document(
                 confirmed.value() == null ? null : confirmed.value().payload());
         return document.configuration() == null
                 ? OperatorResponse.result(ResultCode.NO_CONFIGURATION, "no configuration has been taken yet")
--- a/controlplane/src/main/java/dewplank/controlplane/ConfigurationStore.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ConfigurationStore.java
@@ -15,6 +15,7 @@
 import dewplank.register.RegisterValue;
 import dewplank.register.RequestResult;
 import dewplank.store.DiskResult;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -71,6 +72,10 @@
     private final Register<ChangeResult> register;
     private final Map<Long, Consumer<Outcome<ChangeResult>>> pendingRequests = new HashMap<>();
     private long nextRequest;
+    /** The payload that {@link #decoded} was decoded from; null at first. */
+    private byte[] decodedPayload;
+
+    private ConfigurationDocument decoded;
 
     ConfigurationStore(
             Scheduler loop,
@@ -136,8 +141,7 @@
 
     @Override
     public void learned(RegisterValue value) {
-        Configuration configuration =
-                ConfigurationDocument.decode(value.payload()).configuration();
+        Configuration configuration = document(value.payload()).configuration();
         if (configuration != null) {
             environment.onConfigurationChosen(configuration);
         }
@@ -158,16 +162,30 @@
         register.change(
                 loop.now(),
                 addPendingRequest(callback),
-                payload -> decide(change, payload),
+                payload -> decide(change, document(payload)),
                 loop.now() + timeoutMs,
                 this);
     }
 
-    private static Decision<ChangeResult> decide(ChangeRequest change, byte[] payload) {
-        ChangeResult result = ConfigurationDocument.decode(payload).apply(change);
-        return result instanceof ChangeResult.Accepted a
-                ? new Decision<>(a.next().encode(), result)
-                : new Decision<>(null, result);
+    private Decision<ChangeResult> decide(ChangeRequest change, ConfigurationDocument current) {
+        ChangeResult result = current.apply(change);
+        if (!(result instanceof ChangeResult.Accepted accepted)) {
+            return new Decision<>(null, result);
+        }
+        byte[] payload = accepted.next().encode();
+        decodedPayload = payload;
+        decoded = accepted.next();
+        return new Decision<>(payload, result);
+    }
+
+    /** Decodes a payload, unless it is the one that was decoded or proposed last: that takes long for many routes. */
+    @Override
+    public ConfigurationDocument document(byte[] payload) {
+        if (payload == null || !Arrays.equals(payload, decodedPayload)) {
+            decoded = ConfigurationDocument.decode(payload);
+            decodedPayload = payload;
+        }
+        return decoded;
     }
 
     @Override
--- a/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
@@ -2,6 +2,7 @@
 
 import dewplank.configuration.ChangeRequest;
 import dewplank.configuration.ChangeResult;
+import dewplank.configuration.ConfigurationDocument;
 import dewplank.exchange.InboundConnection;
 import dewplank.exchange.PathRouter;
 import dewplank.exchange.Responder;
@@ -57,6 +58,11 @@
         /** Changes the configuration; the outcome contains a {@link ChangeResult}. */
         void change(ChangeRequest change, double timeoutMs, Consumer<Outcome<ChangeResult>> callback);
 
+        /** Decodes the register's payload. */
+        default ConfigurationDocument document(byte[] payload) {
+            return ConfigurationDocument.decode(payload);
+        }
+
         /** Reads the newest configuration from a quorum. */
         void read(double timeoutMs, Consumer<Outcome<ChangeResult>> callback);
     }
