--- a/configuration/src/main/java/dewplank/configuration/DeflateCodec.java
+++ b/configuration/src/main/java/dewplank/configuration/DeflateCodec.java
@@ -45,7 +45,7 @@
         Inflater inflater = new Inflater();
         try {
             inflater.setInput(deflated);
-            ByteArrayOutputStream out = new ByteArrayOutputStream(deflated.length * EXPECTED_RATIO + CHUNK_BYTES);
+            ByteArrayOutputStream out = new ByteArrayOutputStream(deflated.length + CHUNK_BYTES);
             byte[] chunk = new byte[CHUNK_BYTES];
             while (!inflater.finished()) {
                 int count = inflater.inflate(chunk);
--- a/consensus/src/main/java/dewplank/membership/Member.java
+++ b/consensus/src/main/java/dewplank/membership/Member.java
@@ -48,4 +48,9 @@
     public int hashCode() {
         return Objects.hash(node, role, address, zone, incarnation);
     }
+
+    /** Whether all fields but the zone are present, which a message from another process does not guarantee. */
+    public boolean isComplete() {
+        return node != null && role != null && address != null;
+    }
 }
--- a/controlplane/src/main/java/dewplank/controlplane/HttpModelServerClient.java
+++ b/controlplane/src/main/java/dewplank/controlplane/HttpModelServerClient.java
@@ -26,6 +26,7 @@
     private static final String TARGET_INSTANCE = "X-Dewplank-Target-Instance";
 
     private static final double MAX_IDLE_MS = 5_000;
+    private static final int MAX_RESPONSE_BYTES = 256 * 1024;
 
     private final EventLoop loop;
     private final Map<String, ConnectionPool> pools = new HashMap<>();
@@ -66,7 +67,10 @@
         InetSocketAddress to = SocketAddresses.parse(server.address);
         ConnectionPool pool = pools.computeIfAbsent(server.address, a -> new ConnectionPool(loop, 0, MAX_IDLE_MS));
         ResponseCollector response = new ResponseCollector(handler);
-        return new Call(new HttpCall(loop, to, pool, message, response).sendOnlyIf(onlyIf), response);
+        HttpCall http = new HttpCall(loop, to, pool, message, response)
+                .sendOnlyIf(onlyIf)
+                .collectBody(MAX_RESPONSE_BYTES);
+        return new Call(http, response);
     }
 
     private void start(Call call) {
--- a/controlplane/src/main/java/dewplank/controlplane/HttpPlatformClient.java
+++ b/controlplane/src/main/java/dewplank/controlplane/HttpPlatformClient.java
@@ -21,6 +21,8 @@
     private static final double CALL_TIMEOUT_MS = 1_000;
     private static final double CONNECT_TIMEOUT_MS = 500;
     private static final int MAX_PAGES = 1_000;
+    private static final int MAX_PAGE_BYTES = 4 * 1024 * 1024;
+    private static final int MAX_SERVERS = 20_000;
     /**
      * Fraction of the platform's rate limit that this process uses: for a short time, two processes may consider
      * themselves the lease holder.
@@ -88,11 +90,12 @@
             String target = token == null ? "/instances" : "/instances?page_token=" + token;
             String host = address.getAddress().getHostAddress() + ":" + address.getPort();
             call = new HttpCall(
-                    loop,
-                    address,
-                    pool,
-                    MessageWriter.request("GET", target, host).noBody(),
-                    this);
+                            loop,
+                            address,
+                            pool,
+                            MessageWriter.request("GET", target, host).noBody(),
+                            this)
+                    .collectBody(MAX_PAGE_BYTES);
             timeout = loop.after(CALL_TIMEOUT_MS, () -> {
                 call.cancel();
                 callback.failed("no answer");
@@ -128,8 +131,8 @@
             servers.addAll(page.instances());
             if (page.nextToken().isEmpty()) {
                 callback.completed(servers);
-            } else if (pages == MAX_PAGES) {
-                callback.failed("more than " + MAX_PAGES + " pages");
+            } else if (pages == MAX_PAGES || servers.size() > MAX_SERVERS) {
+                callback.failed("more than " + MAX_PAGES + " pages or " + MAX_SERVERS + " servers");
             } else {
                 requestPage(page.nextToken().get());
             }
--- a/controlplane/src/main/java/dewplank/controlplane/InboundLink.java
+++ b/controlplane/src/main/java/dewplank/controlplane/InboundLink.java
@@ -1,5 +1,6 @@
 package dewplank.controlplane;
 
+import dewplank.membership.Member;
 import dewplank.message.ControlHeartbeat;
 import dewplank.message.ControlHello;
 import dewplank.message.HeartbeatAck;
@@ -8,6 +9,8 @@
 import dewplank.message.SessionHeartbeat;
 import dewplank.message.SessionOpen;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A connection that another process has opened. Its first message determines whether it is a control plane's link or a
@@ -15,6 +18,8 @@
  * only.
  */
 final class InboundLink implements MessageLink.Handler {
+    private static final Logger LOG = LoggerFactory.getLogger(InboundLink.class);
+
     private final boolean durable;
     private final ControlMesh mesh;
     private final DataPlaneSessions sessions;
@@ -45,7 +50,12 @@
 
     @Override
     public void received(MessageLink connection, Object message) {
-        if (peer != null) {
+        if (!isComplete(message)) {
+            LOG.warn(
+                    "internal connection closed: incomplete {}",
+                    message.getClass().getSimpleName());
+            connection.close();
+        } else if (peer != null) {
             onPeerMessage(connection, message);
         } else if (message instanceof ControlHello hello && session == null) {
             peer = hello;
@@ -61,6 +71,23 @@
         }
     }
 
+    /** Whether a message names its members in full. An absent field would fail periodic tasks that read it later. */
+    private static boolean isComplete(Object message) {
+        if (message instanceof ControlHello hello) {
+            return hello.identity != null && isComplete(hello.member);
+        }
+        if (message instanceof SessionOpen opening) {
+            return isComplete(opening.member);
+        }
+        return !(message instanceof ControlHeartbeat heartbeat)
+                || heartbeat.sessions == null
+                || heartbeat.sessions.stream().allMatch(InboundLink::isComplete);
+    }
+
+    private static boolean isComplete(Member member) {
+        return member != null && member.isComplete();
+    }
+
     private void onPeerMessage(MessageLink connection, Object message) {
         mesh.recordReceived(peer);
         if (message instanceof ControlHeartbeat heartbeat) {
--- a/controlplane/src/test/java/dewplank/controlplane/DataPlaneSessionsTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/DataPlaneSessionsTest.java
@@ -83,7 +83,7 @@
                 loop,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 10,
-                () -> new FramedConnection(FleetMessages.codec(), new SessionHandler()));
+                () -> new FramedConnection(loop, FleetMessages.codec(), new SessionHandler()));
     }
 
     /** The loop with a clock that a test can advance. */
--- a/controlplane/src/test/java/dewplank/controlplane/FramedPeer.java
+++ b/controlplane/src/test/java/dewplank/controlplane/FramedPeer.java
@@ -33,7 +33,7 @@
                 loop,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 10,
-                () -> new FramedConnection(codec, this));
+                () -> new FramedConnection(loop, codec, this));
         loop.execute(listener::accept);
     }
 
--- a/dataplane/src/main/java/dewplank/dataplane/AttemptFactory.java
+++ b/dataplane/src/main/java/dewplank/dataplane/AttemptFactory.java
@@ -7,7 +7,6 @@
 import dewplank.http.MessageWriter;
 import dewplank.net.EventLoop;
 import dewplank.routing.TrackedServer;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -56,7 +55,7 @@
             Server server, long prefillTokens, List<Headers.Field> extraFields, HttpCall.Listener listener) {
         boolean repeated = !attemptedInstances.add(server.state.instanceId());
         Optional<Tenant> tenant = credentials.tenant();
-        ByteBuffer message = encode(server, extraFields, tenant);
+        MessageWriter.Message message = encode(server, extraFields, tenant);
         ServerAttempt attempt = new ServerAttempt(loop, server, prefillTokens, message, counters, listener);
         attempt.sendOnlyIf(() -> credentials.isAllowedFor(tenant));
         if (repeated || attemptId == null) {
@@ -85,7 +84,7 @@
         return attemptId == null || attemptId.equals(headers.get(HeaderNames.ATTEMPT_ID));
     }
 
-    private ByteBuffer encode(Server server, List<Headers.Field> extraFields, Optional<Tenant> tenant) {
+    private MessageWriter.Message encode(Server server, List<Headers.Field> extraFields, Optional<Tenant> tenant) {
         List<Headers.Field> fields = new ArrayList<>();
         for (Headers.Field field : request.headers().endToEnd()) {
             if (!isNotForwarded(field.name()) && !containsName(extraFields, field.name())) {
@@ -99,7 +98,7 @@
                 .headers(fields)
                 .header(HeaderNames.REMAINING_TIME, Long.toString(Math.max(1, (long) deadline.remainingMs())))
                 .header(HeaderNames.TARGET_INSTANCE, server.state.instanceId())
-                .body(request.body());
+                .message(request.body());
     }
 
     /**
--- a/dataplane/src/main/java/dewplank/dataplane/ClientTimeouts.java
+++ b/dataplane/src/main/java/dewplank/dataplane/ClientTimeouts.java
@@ -58,7 +58,7 @@
 
     /** Whether the time limit for the next request on the connection, or for the rest of a request, has passed. */
     boolean isTimedOut(double now, InboundConnection connection) {
-        return !connection.isBusy() && now - connection.waitingSince() > timeoutMs(now, connection);
+        return !connection.isBusy() && now - connection.idleSince() > timeoutMs(now, connection);
     }
 
     private double timeoutMs(double now, InboundConnection connection) {
--- a/dataplane/src/main/java/dewplank/dataplane/DecodeResponseListener.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DecodeResponseListener.java
@@ -23,6 +23,9 @@
     /** Null until the head was received. */
     private ResponseKind kind;
 
+    /** Maximum size of the body of a failure. */
+    private static final int MAX_FAILURE_BYTES = 512 * 1024;
+
     /** How a stream ended whose connection or body was closed normally. */
     private enum StreamEnd {
         COMPLETE,
@@ -61,7 +64,7 @@
     @Override
     public void body(byte[] bytes) {
         if (kind != ResponseKind.SUCCESS) {
-            failureBody.writeBytes(bytes);
+            collectFailure(bytes);
             return;
         }
         request.recordPossibleRun();
@@ -69,6 +72,23 @@
         phase.restartStallTimer();
     }
 
+    /** Collects the body of a failure; one that is too long can't be relayed. */
+    private void collectFailure(byte[] bytes) {
+        if (kind == ResponseKind.NOT_EXECUTED) {
+            return; // its body is never relayed
+        }
+        failureBody.writeBytes(bytes);
+        if (failureBody.size() > MAX_FAILURE_BYTES) {
+            request.recordPossibleRun();
+            request.fail(502);
+        }
+    }
+
+    @Override
+    public long heldBytes() {
+        return failureBody.size() + relay.incompleteEventBytes();
+    }
+
     private void relayEvents(byte[] completeEvents) {
         if (completeEvents.length == 0) {
             return;
--- a/dataplane/src/main/java/dewplank/dataplane/HealthGossip.java
+++ b/dataplane/src/main/java/dewplank/dataplane/HealthGossip.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.Semaphore;
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,6 +31,9 @@
  */
 final class HealthGossip {
     private static final Logger LOG = LoggerFactory.getLogger(HealthGossip.class);
+    /** Summaries that the event loop has not recorded yet; further ones are dropped. */
+    private static final int MAX_PENDING_SUMMARIES = 512;
+
     private static final RoutingParameters.HealthGossip PARAMETERS = RoutingParameters.DEFAULTS.healthGossip();
 
     private final EventLoop loop;
@@ -38,6 +42,7 @@
     private final Member self;
     private final Random random;
     private final DatagramSocket socket;
+    private final Semaphore pendingSummaries = new Semaphore(MAX_PENDING_SUMMARIES);
     private int sequence;
     private double lastSentAt = Double.NEGATIVE_INFINITY;
     private Set<Integer> lastSentSuspected = Set.of();
@@ -141,10 +146,15 @@
             }
             byte[] bytes = Arrays.copyOf(buffer, packet.getLength());
             Optional<HealthSummary> summary = HealthSummary.decode(bytes);
-            if (summary.isPresent()) {
+            if (summary.isPresent() && pendingSummaries.tryAcquire()) {
                 String from = packet.getAddress().getHostAddress();
-                loop.execute(() -> votes.recordSummary(loop.now(), from, summary.get()));
+                loop.execute(() -> record(from, summary.get()));
             }
         }
     }
+
+    private void record(String from, HealthSummary summary) {
+        pendingSummaries.release();
+        votes.recordSummary(loop.now(), from, summary);
+    }
 }
--- a/dataplane/src/main/java/dewplank/dataplane/PrefillPhase.java
+++ b/dataplane/src/main/java/dewplank/dataplane/PrefillPhase.java
@@ -20,6 +20,9 @@
  */
 final class PrefillPhase {
     private static final RoutingParameters.Hedging HEDGING = RoutingParameters.DEFAULTS.hedging();
+    /** Maximum size of a prefill server's response, which contains a handle and a number. */
+    private static final int MAX_RESPONSE_BYTES = 64 * 1024;
+
     private static final RoutingParameters.PrefillLoad PREFILL_LOAD = RoutingParameters.DEFAULTS.prefillLoad();
 
     private final GenerationRequest request;
@@ -83,6 +86,7 @@
         ServerAttempt started = request.attempts.newAttempt(
                 server, request.unsharedTokens(), extraFields, new PrefillResponseCollector(server, isExempt));
         attempt = started;
+        started.collectBody(MAX_RESPONSE_BYTES);
         started.start(request.forwarder.connectTimeoutMs());
         if (started.isOver()) { // the attempt was not sent, and its listener has handled that
             return;
--- a/dataplane/src/main/java/dewplank/dataplane/ServerAttempt.java
+++ b/dataplane/src/main/java/dewplank/dataplane/ServerAttempt.java
@@ -2,9 +2,9 @@
 
 import dewplank.exchange.HttpCall;
 import dewplank.http.Headers;
+import dewplank.http.MessageWriter;
 import dewplank.net.EventLoop;
 import dewplank.routing.TrackedServer;
-import java.nio.ByteBuffer;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -27,14 +27,30 @@
             EventLoop loop,
             Server server,
             long prefillTokens,
-            ByteBuffer message,
+            MessageWriter.Message message,
             Counters counters,
             HttpCall.Listener listener) {
         this.counters = counters;
         this.loop = loop;
         this.server = server;
         this.prefillTokens = prefillTokens;
-        this.call = new HttpCall(loop, server.address, server.pool, message, new LoadReleasingListener(listener));
+        this.call = new HttpCall(
+                loop, server.address, server.pool, message.head(), message.body(), new LoadReleasingListener(listener));
+    }
+
+    /** Collects the response's body up to this size; a longer response fails. */
+    void collectBody(long maxBytes) {
+        call.collectBody(maxBytes);
+    }
+
+    /** Stops reading the response until {@link #resumeReading}. */
+    void pauseReading() {
+        call.pauseReading();
+    }
+
+    /** Continues to read the response. */
+    void resumeReading() {
+        call.resumeReading();
     }
 
     /** Makes the attempt use a connection that carries no other call, neither before nor after it. */
@@ -125,6 +141,16 @@
             listener.complete();
         }
 
+        @Override
+        public long heldBytes() {
+            return listener.heldBytes();
+        }
+
+        @Override
+        public boolean releaseHeldBytes() {
+            return listener.releaseHeldBytes();
+        }
+
         @Override
         public void failed(HttpCall.Failure failure) {
             releaseLoad();
--- a/dataplane/src/main/java/dewplank/dataplane/StreamRelay.java
+++ b/dataplane/src/main/java/dewplank/dataplane/StreamRelay.java
@@ -33,6 +33,11 @@
         return events.hasIncompleteEvent();
     }
 
+    /** Size of the incomplete event that is stored. */
+    int incompleteEventBytes() {
+        return events.incompleteBytes();
+    }
+
     /** The id of the event after which the stream can be continued; empty before the first event with an id. */
     Optional<String> lastEventId() {
         return events.lastEventId();
--- a/dataplane/src/main/java/dewplank/dataplane/UnaryRequest.java
+++ b/dataplane/src/main/java/dewplank/dataplane/UnaryRequest.java
@@ -22,6 +22,12 @@
 final class UnaryRequest extends ProxiedRequest {
     private static final RoutingParameters.Hedging HEDGING = RoutingParameters.DEFAULTS.hedging();
 
+    /** Responses longer than this are relayed as they arrive. */
+    private static final int MAX_COLLECTED_BYTES = 256 * 1024;
+
+    /** Relays a long response; null while none is relayed. */
+    private ResponseRelay relay;
+
     /** The latest attempt; null before the first. */
     private ServerAttempt attempt;
 
@@ -121,12 +127,21 @@
         }
     }
 
-    /** Collects the response to one attempt. */
+    @Override
+    boolean isResponseStarted() {
+        return relay != null;
+    }
+
+    /**
+     * Collects the response to one attempt, so that the request can be retried if the response is not complete. A long
+     * response is relayed as it arrives instead, at the pace at which its client reads.
+     */
     private final class ResponseCollector implements HttpCall.Listener {
         private final Server server;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private int status;
         private Headers headers;
+        private ResponseKind kind;
 
         ResponseCollector(Server server) {
             this.server = server;
@@ -136,18 +151,55 @@
         public boolean head(int responseStatus, Headers responseHeaders) {
             status = responseStatus;
             headers = responseHeaders;
+            kind = ResponseKind.of(responseStatus, responseHeaders);
             return attempts.isResponseToThisRequest(responseHeaders);
         }
 
         @Override
         public void body(byte[] bytes) {
-            body.writeBytes(bytes);
+            if (relay != null) {
+                relay.write(bytes);
+            } else if (kind != ResponseKind.NOT_EXECUTED && kind != ResponseKind.UNUSABLE) { // these are never relayed
+                body.writeBytes(bytes);
+                if (body.size() > MAX_COLLECTED_BYTES) {
+                    startRelay();
+                }
+            }
+        }
+
+        @Override
+        public long heldBytes() {
+            return body.size();
+        }
+
+        @Override
+        public boolean releaseHeldBytes() {
+            startRelay();
+            return true;
+        }
+
+        /** Relays what was collected and then what arrives; from now on the request can't be retried. */
+        private void startRelay() {
+            if (relay != null || body.size() == 0) {
+                return;
+            }
+            cancelOverdueTimer();
+            recordPossibleRun();
+            relay = new ResponseRelay(client, attempt);
+            relay.start(status, headers);
+            relay.write(body.toByteArray());
+            body.reset();
         }
 
         @Override
         public void complete() {
             cancelOverdueTimer();
-            ResponseKind kind = ResponseKind.of(status, headers);
+            if (relay != null) {
+                recordOutcome(server, kind == ResponseKind.SUCCESS || ResponseKind.isHealthyFailure(status));
+                client.endResponse();
+                UnaryRequest.this.complete();
+                return;
+            }
             if (kind == ResponseKind.NOT_EXECUTED) {
                 forwarder.serverFeedback().recordRejection(server, status);
                 sendToNextServer();
@@ -180,7 +232,9 @@
                 return;
             }
             recordPossibleRun();
-            if (isIdempotent()) {
+            if (relay != null) {
+                abortResponse();
+            } else if (isIdempotent()) {
                 sendToNextServer();
             } else {
                 fail(502);
--- a/messages/src/main/java/dewplank/message/FramedConnection.java
+++ b/messages/src/main/java/dewplank/message/FramedConnection.java
@@ -3,6 +3,7 @@
 import dewplank.net.Connection;
 import dewplank.net.EventLoop;
 import dewplank.net.Listener;
+import dewplank.net.ReceiveBudget;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -10,23 +11,28 @@
 /**
  * A {@link MessageLink} that carries messages as frames over one TCP connection.
  *
- * <p>It closes on a corrupt frame, and if the peer does not read. All methods must be called on the event loop's
+ * <p>It closes on a corrupt frame, if the peer does not read, and if the incomplete messages of all connections hold
+ * too much memory and this one holds the most. All methods must be called on the event loop's
  * thread.
  */
 public final class FramedConnection implements Listener.Accepted, MessageLink {
+    private static final System.Logger LOG = System.getLogger(FramedConnection.class.getName());
+
     /** Maximum number of unsent bytes. Beyond it, the peer is considered unresponsive and the connection closes. */
     private static final long MAX_UNSENT_BYTES = 32L * 1024 * 1024;
 
     private final MessageCodec codec;
     private final MessageCodec.Decoder decoder;
     private final Handler handler;
+    private final ReceiveBudget.Account held;
     private Connection connection;
     private Connection.Connecting connecting;
     private long unsentBytes;
     private boolean closed;
 
     /** Creates a connection for a listener to accept. */
-    public FramedConnection(MessageCodec codec, Handler handler) {
+    public FramedConnection(EventLoop loop, MessageCodec codec, Handler handler) {
+        this.held = loop.receiveBudget().open(this::closeForOverload);
         this.codec = codec;
         this.decoder = codec.newDecoder();
         this.handler = handler;
@@ -39,7 +45,7 @@
      */
     public static FramedConnection open(
             EventLoop loop, InetSocketAddress to, double timeoutMs, MessageCodec codec, Handler handler) {
-        FramedConnection framed = new FramedConnection(codec, handler);
+        FramedConnection framed = new FramedConnection(loop, codec, handler);
         framed.connecting = Connection.open(loop, to, framed, framed::accepted, e -> framed.close());
         loop.after(timeoutMs, () -> {
             if (framed.connection == null) {
@@ -62,11 +68,23 @@
             for (Object message = decoder.decode(bytes); message != null && !closed; message = decoder.decode(bytes)) {
                 handler.received(this, message);
             }
+            if (!closed && !held.hold(decoder.heldBytes())) {
+                closeForOverload();
+            }
         } catch (CorruptFrameException e) {
+            LOG.log(System.Logger.Level.WARNING, "internal connection closed: corrupt frame cause={0}", e.getMessage());
             close();
         }
     }
 
+    private void closeForOverload() {
+        LOG.log(
+                System.Logger.Level.WARNING,
+                "internal connection closed: incomplete messages hold too much memory bytes={0}",
+                Long.toString(decoder.heldBytes()));
+        close();
+    }
+
     @Override
     public void closed(IOException cause) {
         close();
@@ -107,6 +125,7 @@
             return;
         }
         closed = true;
+        held.release();
         if (connection != null) {
             connection.close();
         } else if (connecting != null) {
--- a/messages/src/main/java/dewplank/message/MessageCodec.java
+++ b/messages/src/main/java/dewplank/message/MessageCodec.java
@@ -1,11 +1,14 @@
 package dewplank.message;
 
+import io.protostuff.ByteArrayInput;
 import io.protostuff.LinkedBuffer;
 import io.protostuff.ProtostuffIOUtil;
 import io.protostuff.Schema;
 import io.protostuff.runtime.RuntimeSchema;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +28,7 @@
     private static final int HEADER_BYTES = Integer.BYTES + 1;
 
     private static final int BUFFER_BYTES = 1024;
+    private static final byte[] NO_BODY = new byte[0];
 
     private final List<Schema<Object>> schemas = new ArrayList<>();
     private final Map<Class<?>, Integer> typeNumbers = new HashMap<>();
@@ -75,11 +79,13 @@
         try {
             Schema<Object> schema = schemas.get(number);
             Object message = schema.newMessage();
-            ProtostuffIOUtil.mergeFrom(body, message, schema);
+            ByteArrayInput input = new ByteArrayInput(body, true);
+            schema.mergeFrom(new BoundedInput(input), message);
+            input.checkLastTagWas(0);
             return message;
-        } catch (RuntimeException | OutOfMemoryError e) {
+        } catch (IOException | RuntimeException | StackOverflowError e) {
             // The bytes come from another process. Protostuff throws many different runtime exceptions for a malformed
-            // body, and allocates memory according to lengths within the body, which may exceed the available memory.
+            // body, and skips nested groups recursively.
             throw new CorruptFrameException("can't decode the body of the message: " + e);
         }
     }
@@ -92,7 +98,7 @@
     /** Assembles frames from the bytes of one connection, which may be split at any position. */
     public final class Decoder {
         private final ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES);
-        private byte[] body;
+        private byte[] body = NO_BODY;
         private int bodyBytesRead;
 
         /**
@@ -109,25 +115,35 @@
             if (header.hasRemaining()) {
                 return null;
             }
-            if (body == null) {
-                int length = header.getInt(0);
-                if (length < 0 || length > MAX_BODY_BYTES) {
-                    throw new CorruptFrameException("invalid body length of " + length + " bytes");
-                }
-                body = new byte[length];
-                bodyBytesRead = 0;
+            int length = header.getInt(0);
+            if (length < 0 || length > MAX_BODY_BYTES) {
+                throw new CorruptFrameException("invalid body length of " + length + " bytes");
             }
-            int count = Math.min(in.remaining(), body.length - bodyBytesRead);
+            int count = Math.min(in.remaining(), length - bodyBytesRead);
+            ensureCapacity(bodyBytesRead + count, length);
             in.get(body, bodyBytesRead, count);
             bodyBytesRead += count;
-            if (bodyBytesRead < body.length) {
+            if (bodyBytesRead < length) {
                 return null;
             }
             byte[] complete = body;
             int number = header.get(Integer.BYTES);
-            body = null;
+            body = NO_BODY;
+            bodyBytesRead = 0;
             header.clear();
             return decodeBody(number, complete);
         }
+
+        /** Grows the body with the bytes that have arrived, since a header may announce bytes that never follow. */
+        private void ensureCapacity(int needed, int length) {
+            if (needed > body.length) {
+                body = Arrays.copyOf(body, Math.min(length, Math.max(needed, 2 * body.length)));
+            }
+        }
+
+        /** Memory in bytes that the received part of the next frame uses. */
+        public long heldBytes() {
+            return body.length;
+        }
     }
 }
--- a/messages/src/main/java/dewplank/message/TcpTransport.java
+++ b/messages/src/main/java/dewplank/message/TcpTransport.java
@@ -27,6 +27,6 @@
     public ServerEndpoint listen(
             InetSocketAddress at, int maxConnections, Supplier<? extends MessageLink.Handler> handlers)
             throws IOException {
-        return new Listener(loop, at, maxConnections, () -> new FramedConnection(codec, handlers.get()));
+        return new Listener(loop, at, maxConnections, () -> new FramedConnection(loop, codec, handlers.get()));
     }
 }
--- a/messages/src/test/java/dewplank/message/FramedConnectionTest.java
+++ b/messages/src/test/java/dewplank/message/FramedConnectionTest.java
@@ -77,7 +77,7 @@
                 loop,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 10,
-                () -> new FramedConnection(codec, remote));
+                () -> new FramedConnection(loop, codec, remote));
         loop.execute(listener::accept);
     }
 
--- a/routing/src/main/java/dewplank/routing/EventSplitter.java
+++ b/routing/src/main/java/dewplank/routing/EventSplitter.java
@@ -109,6 +109,11 @@
         carriageReturn = false;
     }
 
+    /** Size of the stored incomplete event. */
+    public int incompleteBytes() {
+        return incomplete.size();
+    }
+
     /** Whether the stream is within an event that is not complete yet. */
     public boolean hasIncompleteEvent() {
         return incomplete.size() > 0;
--- a/transport/src/main/java/dewplank/exchange/HttpCall.java
+++ b/transport/src/main/java/dewplank/exchange/HttpCall.java
@@ -5,6 +5,7 @@
 import dewplank.http.ResponseParser;
 import dewplank.net.Connection;
 import dewplank.net.EventLoop;
+import dewplank.net.ReceiveBudget;
 import dewplank.net.TimerWheel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -49,6 +50,19 @@
 
         /** The call failed; no further method is called. */
         void failed(Failure failure);
+
+        /** Bytes of the response that the listener keeps. */
+        default long heldBytes() {
+            return 0;
+        }
+
+        /**
+         * Frees the bytes that the listener keeps, because all messages together hold too much memory. Returns false if
+         * it can't: the call then fails with {@link Failure#MALFORMED}.
+         */
+        default boolean releaseHeldBytes() {
+            return false;
+        }
     }
 
     private static final double DEFAULT_IDLE_MS = 1_000; // for servers that send no Keep-Alive timeout
@@ -58,15 +72,20 @@
      */
     private static final double KEEP_ALIVE_FRACTION = 0.8;
 
+    /** The parser's limit does not matter, as each piece of a body is taken out of it at once. */
     private static final int UNBOUNDED_BODY_BYTES = Integer.MAX_VALUE;
 
+    private static final ByteBuffer NO_BODY = ByteBuffer.allocate(0);
+
     private final EventLoop loop;
     private final InetSocketAddress to;
     private final ConnectionPool pool;
     private final ByteBuffer request;
+    private final ByteBuffer requestBody;
     private final int requestStart;
     private final Listener listener;
     private final ResponseParser parser = new ResponseParser(UNBOUNDED_BODY_BYTES);
+    private final ReceiveBudget.Account held;
     private Connection connection;
     private Connection.Connecting connecting;
     private TimerWheel.Timer connectTimeout;
@@ -75,14 +94,30 @@
     private boolean isReused;
     private boolean isDone;
     private boolean usesDedicatedConnection;
+    private boolean collectsBody;
+    private long maxBodyBytes;
+    private long bodyBytes;
     private BooleanSupplier sendCondition = () -> true;
 
     /** Creates a call to {@code to}; {@code request} is the encoded message, which the call consumes. */
     public HttpCall(EventLoop loop, InetSocketAddress to, ConnectionPool pool, ByteBuffer request, Listener listener) {
+        this(loop, to, pool, request, NO_BODY, listener);
+    }
+
+    /** Creates a call whose message is in two buffers, so that a long body need not be copied. */
+    public HttpCall(
+            EventLoop loop,
+            InetSocketAddress to,
+            ConnectionPool pool,
+            ByteBuffer request,
+            ByteBuffer requestBody,
+            Listener listener) {
         this.loop = loop;
         this.to = to;
         this.pool = pool;
         this.request = request;
+        this.requestBody = requestBody;
+        this.held = loop.receiveBudget().open(this::giveUp);
         this.requestStart = request.position();
         this.listener = listener;
     }
@@ -102,6 +137,31 @@
         return this;
     }
 
+    /**
+     * For a listener that collects the body: a response with a longer body, or one that holds too much memory together
+     * with all others, fails with {@link Failure#MALFORMED}. Any other listener has to bound what it keeps. Called
+     * before {@link #start}.
+     */
+    public HttpCall collectBody(long maxBytes) {
+        collectsBody = true;
+        maxBodyBytes = maxBytes;
+        return this;
+    }
+
+    /** Stops reading the response until {@link #resumeReading}. */
+    public void pauseReading() {
+        if (connection != null) {
+            connection.pauseReading();
+        }
+    }
+
+    /** Continues to read the response. */
+    public void resumeReading() {
+        if (!isDone && connection != null) {
+            connection.resumeReading();
+        }
+    }
+
     /** Starts the call on an idle connection, or on a new one opened within {@code connectTimeoutMs}. */
     public void start(double connectTimeoutMs) {
         Connection idle = usesDedicatedConnection ? null : pool.take(to);
@@ -132,6 +192,9 @@
             return;
         }
         established.write(request, () -> {});
+        if (requestBody.hasRemaining()) {
+            established.write(requestBody, () -> {});
+        }
     }
 
     /** Whether the connection has carried an earlier call. */
@@ -146,7 +209,11 @@
 
     /** Whether the system has accepted the complete request. */
     public boolean isSent() {
-        return connection != null && !request.hasRemaining();
+        return connection != null && isWritten();
+    }
+
+    private boolean isWritten() {
+        return !request.hasRemaining() && !requestBody.hasRemaining();
     }
 
     /**
@@ -173,11 +240,26 @@
                     finishResponse(bytes);
                 }
             }
+            if (!isDone && !held.hold(heldBytes())) {
+                giveUp();
+            }
         } catch (BadMessageException e) {
             fail(Failure.MALFORMED);
         }
     }
 
+    private long heldBytes() {
+        return parser.heldBytes() + listener.heldBytes() + (collectsBody ? bodyBytes : 0);
+    }
+
+    private void giveUp() {
+        if (listener.releaseHeldBytes()) {
+            held.release();
+        } else {
+            fail(Failure.MALFORMED);
+        }
+    }
+
     private void deliverHead() {
         if (!headDelivered && parser.isHeadRead() && !isDone) {
             headDelivered = true;
@@ -188,7 +270,10 @@
     private void deliverBody() {
         if (headDelivered && !isDone) {
             byte[] piece = parser.takeBody();
-            if (piece.length > 0 && !skippingResponse) {
+            bodyBytes += piece.length;
+            if (collectsBody && bodyBytes > maxBodyBytes) {
+                fail(Failure.MALFORMED);
+            } else if (piece.length > 0 && !skippingResponse) {
                 listener.body(piece);
             }
         }
@@ -210,8 +295,9 @@
 
     private void finish(boolean reusable) {
         isDone = true;
+        held.release();
         cancelConnectTimeout();
-        if (reusable && !usesDedicatedConnection && !request.hasRemaining()) {
+        if (reusable && !usesDedicatedConnection && isWritten()) {
             pool.put(connection, to, idleMs());
         } else {
             connection.close();
@@ -269,6 +355,7 @@
     }
 
     private void release() {
+        held.release();
         cancelConnectTimeout();
         if (connection != null) {
             connection.close();
--- a/transport/src/main/java/dewplank/exchange/InboundConnection.java
+++ b/transport/src/main/java/dewplank/exchange/InboundConnection.java
@@ -8,6 +8,7 @@
 import dewplank.net.Connection;
 import dewplank.net.EventLoop;
 import dewplank.net.Listener;
+import dewplank.net.ReceiveBudget;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -27,6 +28,9 @@
     private static final byte[] NO_BODY = new byte[0];
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
+    private static final int SERVICE_UNAVAILABLE = 503;
+    /** When a client should retry that was rejected because too many long requests arrive at once. */
+    private static final String OVERLOAD_RETRY_AFTER_S = "0.5";
 
     /** Serves the requests of a listener. Called on the loop's thread. */
     public interface Service {
@@ -61,6 +65,7 @@
     private final EventLoop loop;
     private final Service service;
     private final RequestParser parser;
+    private final ReceiveBudget.Account held;
     private Connection connection;
     private boolean isBusy;
     private Request pendingRequest; // complete, not yet dispatched to the service
@@ -69,6 +74,7 @@
     private boolean headOnly; // the request is a HEAD: the client would read a body as the next response
     private boolean streaming;
     private boolean responseWithoutBody; // the streamed response has no body
+    private boolean chunked; // the streamed response is sent in chunks
     private boolean hasResponded;
     private double waitingSince;
 
@@ -76,6 +82,7 @@
         this.loop = loop;
         this.service = service;
         this.parser = new RequestParser(service.maxBodyBytes());
+        this.held = loop.receiveBudget().open(this::rejectForOverload);
     }
 
     @Override
@@ -95,16 +102,36 @@
             while (!isBusy && !connection.isClosed() && parser.feed(bytes)) {
                 takeRequest();
             }
-            if (!isBusy && parser.waitsForContinue()) {
-                connection.write(MessageWriter.response(100).noBody(), () -> {});
+            if (!isBusy && !connection.isClosed()) {
+                holdPartialRequest();
             }
         } catch (BadMessageException e) {
             reject(e);
         }
     }
 
+    private void holdPartialRequest() {
+        if (!held.hold(parser.heldBytes())) {
+            rejectForOverload();
+        } else if (parser.waitsForContinue()) {
+            connection.write(MessageWriter.response(100).noBody(), () -> {});
+        }
+    }
+
+    /** Rejects a request that has not been received completely, because requests hold too much memory. */
+    private void rejectForOverload() {
+        keepAlive = false;
+        isBusy = true;
+        respond(
+                SERVICE_UNAVAILABLE,
+                List.of(new Headers.Field("Retry-After", OVERLOAD_RETRY_AFTER_S)),
+                "too many long requests at once\n".getBytes(StandardCharsets.UTF_8));
+    }
+
     private void takeRequest() {
         isBusy = true;
+        held.hold(parser.heldBytes());
+        held.markInUse();
         keepAlive = parser.keepAlive();
         headOnly = parser.method().equals("HEAD");
         Request request = new Request(parser.method(), parser.target(), parser.headers(), parser.takeBody());
@@ -123,7 +150,7 @@
         dispatched = true;
         try {
             service.handle(request, this);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) { // the latter for input that is nested too deeply
             LOG.log(System.Logger.Level.ERROR, "a request failed", e);
             reject(new BadMessageException(500, "internal error"));
         }
@@ -156,6 +183,7 @@
 
     @Override
     public void closed(IOException cause) {
+        held.release();
         dropRequest();
         service.connectionClosed(this);
     }
@@ -169,10 +197,21 @@
         boolean isLast = isLastResponse();
         MessageWriter head =
                 MessageWriter.response(status).headers(headers).header("Connection", isLast ? "close" : null);
-        connection.write(isWithoutBody(status) ? head.noBody() : head.body(body), () -> {});
+        if (isWithoutBody(status)) {
+            connection.write(head.noBody(), () -> {});
+        } else {
+            write(head.message(body));
+        }
         onResponseEnd(isLast);
     }
 
+    private void write(MessageWriter.Message message) {
+        connection.write(message.head(), () -> {});
+        if (message.body().hasRemaining()) {
+            connection.write(message.body(), () -> {});
+        }
+    }
+
     /** Sends a response without fields and body. */
     public void respond(int status) {
         respond(status, List.of(), NO_BODY);
@@ -183,18 +222,30 @@
         return headOnly || status == NO_CONTENT || status == NOT_MODIFIED;
     }
 
-    /** Starts a response whose body follows in parts. */
+    /** Starts a response whose body follows in parts, as chunks. */
     public void startResponse(int status, List<Headers.Field> headers) {
+        startResponse(status, headers, null);
+    }
+
+    /**
+     * Starts a response whose body follows in parts.
+     *
+     * @param contentLength the value of the field, if the parts are known to have this length in total; null to send
+     *     them as chunks
+     */
+    public void startResponse(int status, List<Headers.Field> headers, String contentLength) {
         if (connection.isClosed()) {
             return;
         }
         streaming = true;
         keepAlive = !isLastResponse();
         responseWithoutBody = isWithoutBody(status);
+        chunked = !responseWithoutBody && contentLength == null;
         connection.write(
                 MessageWriter.response(status)
                         .headers(headers)
-                        .header("Transfer-Encoding", responseWithoutBody ? null : "chunked")
+                        .header("Content-Length", responseWithoutBody ? null : contentLength)
+                        .header("Transfer-Encoding", chunked ? "chunked" : null)
                         .header("Connection", keepAlive ? null : "close")
                         .noBody(),
                 () -> {});
@@ -202,23 +253,30 @@
 
     /** Writes the next part of the body. */
     public void writePart(byte[] bytes) {
+        writePart(bytes, () -> {});
+    }
+
+    /** Writes the next part of the body; {@code onWritten} runs once the system has accepted it. */
+    public void writePart(byte[] bytes, Runnable onWritten) {
         if (bytes.length > 0 && !responseWithoutBody && !connection.isClosed()) {
-            byte[] size = Integer.toHexString(bytes.length).getBytes(StandardCharsets.US_ASCII);
-            connection.write(
-                    ByteBuffer.allocate(size.length + bytes.length + 2 * CRLF.length)
-                            .put(size)
-                            .put(CRLF)
-                            .put(bytes)
-                            .put(CRLF)
-                            .flip(),
-                    () -> {});
+            connection.write(chunked ? chunk(bytes) : ByteBuffer.wrap(bytes), onWritten);
         }
     }
 
+    private static ByteBuffer chunk(byte[] bytes) {
+        byte[] size = Integer.toHexString(bytes.length).getBytes(StandardCharsets.US_ASCII);
+        return ByteBuffer.allocate(size.length + bytes.length + 2 * CRLF.length)
+                .put(size)
+                .put(CRLF)
+                .put(bytes)
+                .put(CRLF)
+                .flip();
+    }
+
     /** Ends the body of a streamed response. */
     public void endResponse() {
         if (!connection.isClosed()) {
-            if (!responseWithoutBody) {
+            if (chunked) {
                 connection.write(ByteBuffer.wrap(LAST_CHUNK), () -> {});
             }
             onResponseEnd(!keepAlive);
@@ -228,6 +286,7 @@
     /** Closes the connection during a response, so that the client detects that it is incomplete. */
     public void abort() {
         dispatched = false;
+        held.release();
         connection.close();
         service.connectionClosed(this);
     }
@@ -243,6 +302,7 @@
         hasResponded = true;
         waitingSince = loop.now();
         parser.reset();
+        held.release();
         if (isLast) {
             connection.closeGracefully();
             service.connectionClosed(this);
@@ -285,9 +345,14 @@
         return waitingSince;
     }
 
+    /** Time since which the connection waits: {@link #waitingSince}, or when its client last read bytes, if later. */
+    public double idleSince() {
+        return parser.hasBegun() ? waitingSince : Math.max(waitingSince, connection.lastWriteProgressAt());
+    }
+
     /** Times the connection out if it has waited for a complete request for more than {@code ms}. */
     public void timeOutAfter(double ms) {
-        if (!isBusy && loop.now() - waitingSince > ms) {
+        if (!isBusy && loop.now() - idleSince() > ms) {
             timeOut();
         }
     }
@@ -297,6 +362,7 @@
         if (parser.hasBegun()) {
             reject(new BadMessageException(408, "the request did not become whole in time"));
         } else {
+            held.release();
             connection.close();
             service.connectionClosed(this);
         }
@@ -306,6 +372,7 @@
     public void closeIfIdle(boolean includingPartial) {
         if (!isBusy && (includingPartial || !parser.hasBegun())) {
             isBusy = true;
+            held.release();
             connection.closeGracefully();
             service.connectionClosed(this);
         }
--- a/transport/src/main/java/dewplank/http/Headers.java
+++ b/transport/src/main/java/dewplank/http/Headers.java
@@ -31,6 +31,11 @@
         fields.add(new Field(name, value));
     }
 
+    /** Number of fields; repeated ones count each time. */
+    int size() {
+        return fields.size();
+    }
+
     /** Returns the value of a field, or null; the values of repeated fields are joined with commas. */
     public String get(String name) {
         String found = null;
--- a/transport/src/main/java/dewplank/http/MessageParser.java
+++ b/transport/src/main/java/dewplank/http/MessageParser.java
@@ -13,6 +13,12 @@
     public static final int MAX_HEAD_BYTES = 16 * 1024;
     public static final int MAX_BODY_BYTES = 64 * 1024;
     private static final int MAX_CHUNK_LINE_BYTES = 256;
+    /** Maximum number of header fields: each takes far more memory than its bytes on the wire. */
+    static final int MAX_FIELDS = 256;
+    /** Memory of a header field in addition to its bytes: a record, two strings and their arrays. */
+    private static final int FIELD_OVERHEAD_BYTES = 128;
+
+    private static final int LINE_CAPACITY_BYTES = 128;
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
     private enum State {
@@ -30,8 +36,8 @@
     private int maxBodyBytes;
     private int maxHeadBytes = MAX_HEAD_BYTES;
     private State state = State.START;
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private ByteArrayOutputStream line = new ByteArrayOutputStream(LINE_CAPACITY_BYTES);
+    private final BodyBuffer body = new BodyBuffer();
     private Headers headers = new Headers();
     private int headBytes;
     private long bodyBytesLeft;
@@ -82,8 +88,8 @@
     public void reset() {
         state = State.START;
         headers = new Headers();
-        line.reset();
-        body.reset();
+        resetLine();
+        body.clear();
         headBytes = 0;
         bodyBytesLeft = 0;
     }
@@ -94,9 +100,21 @@
 
     /** Returns and removes the part of the body that has been read, so that a stream can be read in pieces. */
     public final byte[] takeBody() {
-        byte[] taken = body.toByteArray();
-        body.reset();
-        return taken;
+        return body.take();
+    }
+
+    /** Memory in bytes that the received part of the message uses. */
+    public final long heldBytes() {
+        return headBytes + (long) FIELD_OVERHEAD_BYTES * headers.size() + body.capacity();
+    }
+
+    /** Long lines are rare, so that their array is not kept for the next one. */
+    private void resetLine() {
+        if (line.size() > LINE_CAPACITY_BYTES) {
+            line = new ByteArrayOutputStream(LINE_CAPACITY_BYTES);
+        } else {
+            line.reset();
+        }
     }
 
     /** Prefix of all valid start lines: input that differs is rejected without waiting for a line end. */
@@ -131,7 +149,7 @@
                 continue;
             }
             String text = line.toString(StandardCharsets.ISO_8859_1);
-            line.reset();
+            resetLine();
             handleLine(text.endsWith("\r") ? text.substring(0, text.length() - 1) : text);
             return;
         }
@@ -182,6 +200,9 @@
                 throw new BadMessageException(400, "a header field holds a control character");
             }
         }
+        if (headers.size() == MAX_FIELDS) {
+            throw new BadMessageException(431, "the head has too many fields");
+        }
         headers.add(name, value);
     }
 
@@ -248,9 +269,7 @@
     private void readBody(ByteBuffer in) throws BadMessageException {
         int n = state == State.TO_THE_END ? in.remaining() : (int) Math.min(bodyBytesLeft, in.remaining());
         checkBodySize(body.size() + (long) n);
-        byte[] piece = new byte[n];
-        in.get(piece);
-        body.writeBytes(piece);
+        body.append(in, n, state == State.FIXED ? bodyBytesLeft : Long.MAX_VALUE);
         if (state != State.TO_THE_END) {
             bodyBytesLeft -= n;
             if (bodyBytesLeft == 0) {
--- a/transport/src/main/java/dewplank/http/MessageWriter.java
+++ b/transport/src/main/java/dewplank/http/MessageWriter.java
@@ -5,6 +5,12 @@
 
 /** Builds a message: a start line, header fields in order, and a body. */
 public final class MessageWriter {
+    /** Bodies of up to this size are copied behind the head, as two writes cost more than the copy. */
+    private static final int MAX_COPIED_BODY_BYTES = 16 * 1024;
+
+    /** A message in two buffers; the second is empty if the first contains the body. */
+    public record Message(ByteBuffer head, ByteBuffer body) {}
+
     private final StringBuilder head = new StringBuilder(256);
 
     private MessageWriter(String startLine) {
@@ -38,6 +44,15 @@
         return end(body);
     }
 
+    /** Returns the complete message with this body and its Content-Length; a long body is not copied. */
+    public Message message(byte[] body) {
+        if (body.length <= MAX_COPIED_BODY_BYTES) {
+            return new Message(body(body), ByteBuffer.allocate(0));
+        }
+        header("Content-Length", Integer.toString(body.length));
+        return new Message(end(new byte[0]), ByteBuffer.wrap(body));
+    }
+
     /** Returns the complete message, without a body and without a Content-Length. */
     public ByteBuffer noBody() {
         return end(new byte[0]);
--- a/transport/src/main/java/dewplank/net/Connection.java
+++ b/transport/src/main/java/dewplank/net/Connection.java
@@ -19,15 +19,12 @@
  */
 public final class Connection {
     private static final System.Logger LOG = System.getLogger(Connection.class.getName());
-    private static final int BUFFER_BYTES = 8 * 1024;
-    /**
-     * Maximum number of bytes that are read ahead while a peer's last request is in progress: the longest HTTP head and
-     * body, 16 + 64 KiB.
-     */
-    static final int MAX_READ_AHEAD_BYTES = 80 * 1024;
-
+    /** How long input is discarded after the output has been shut down. */
     private static final double LINGER_MS = 1_000;
 
+    /** A connection that closes gracefully is closed if its peer has accepted no byte for this time. */
+    private static final double CLOSING_STALL_MS = 10_000;
+
     /** Receives the bytes and the close of a connection. Called on the loop's thread. */
     public interface Handler {
         /** Consumes bytes; unconsumed bytes are passed again together with the next ones, or on {@link #resume}. */
@@ -48,15 +45,15 @@
 
     private final EventLoop loop;
     private final AsynchronousSocketChannel channel;
-    private ByteBuffer input = ByteBuffer.allocate(BUFFER_BYTES);
-    private int consumedTo; // end of the bytes that the handler has consumed
-    private int filledTo; // end of the bytes received; the pending read may be filling the rest on another thread
-    private boolean hasReadAheadBuffer;
+    private final InputBuffer input;
     private final WriteQueue writes;
     private Handler handler;
     private boolean reading;
+    private boolean paused;
     private boolean delivering;
     private boolean closingGracefully;
+    private boolean outputShutDown;
+    private double lastWriteProgressAt;
     private boolean closed;
     private Runnable onClosed = () -> {};
 
@@ -68,6 +65,7 @@
         this.channel = channel;
         this.handler = handler;
         this.writes = new WriteQueue(this, loop.writeBudget());
+        this.input = new InputBuffer(loop);
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
     }
 
@@ -156,7 +154,7 @@
         void done(int n, Throwable failure);
     }
 
-    /** Catches all exceptions: one that leaves a completion handler would stop the processing of this connection. */
+    /** Catches everything: what leaves a completion handler would stop the processing of this connection. */
     private CompletionHandler<Integer, Void> handler(Completion completion) {
         return new CompletionHandler<>() {
             @Override
@@ -174,7 +172,7 @@
                     if (!loop.isStopping()) {
                         completion.done(n, failure);
                     }
-                } catch (RuntimeException e) {
+                } catch (Throwable e) {
                     LOG.log(System.Logger.Level.ERROR, "a connection's handler failed", e);
                     closeAndNotify(new IOException("a handler failed", e));
                 }
@@ -205,53 +203,33 @@
         }
     }
 
+    /**
+     * Stops reading until {@link #resumeReading}, so that the peer is slowed down. A read in progress is still
+     * delivered. A close by the peer is not detected meanwhile.
+     */
+    public void pauseReading() {
+        paused = true;
+    }
+
+    /** Continues to read after {@link #pauseReading}. */
+    public void resumeReading() {
+        paused = false;
+        resume();
+    }
+
     void read() {
-        if (closed || reading) {
+        if (closed || reading || paused && !closingGracefully) {
             return;
         }
         if (!closingGracefully) {
-            ensureReadCapacity();
-            if (filledTo == input.capacity()) {
+            input.prepareRead();
+            if (input.isFull()) {
                 handler.readAheadExceeded();
                 return;
             }
         }
         reading = true;
-        channel.read(
-                closingGracefully ? loop.discardBuffer() : input.slice(filledTo, input.capacity() - filledTo),
-                null,
-                onReadDone);
-    }
-
-    /**
-     * Ensures buffer capacity for the next read; no read is pending. Unconsumed bytes must not stop reading below the
-     * read-ahead limit: otherwise a client's close would not be detected, and its request would still be forwarded.
-     */
-    private void ensureReadCapacity() {
-        int unconsumed = filledTo - consumedTo;
-        if (!hasReadAheadBuffer && unconsumed == BUFFER_BYTES && loop.acquireReadAhead()) {
-            hasReadAheadBuffer = true;
-            moveUnconsumedTo(ByteBuffer.allocate(MAX_READ_AHEAD_BYTES));
-        } else if (hasReadAheadBuffer && unconsumed < BUFFER_BYTES) {
-            releaseReadAhead();
-            moveUnconsumedTo(ByteBuffer.allocate(BUFFER_BYTES));
-        } else if (consumedTo > 0) {
-            moveUnconsumedTo(input);
-        }
-    }
-
-    private void moveUnconsumedTo(ByteBuffer to) {
-        to.put(0, input, consumedTo, filledTo - consumedTo);
-        filledTo -= consumedTo;
-        consumedTo = 0;
-        input = to;
-    }
-
-    private void releaseReadAhead() {
-        if (hasReadAheadBuffer) {
-            hasReadAheadBuffer = false;
-            loop.releaseReadAhead();
-        }
+        channel.read(closingGracefully ? loop.discardBuffer() : input.freeSpace(), null, onReadDone);
     }
 
     private void onReadDone(int n, Throwable failure) {
@@ -264,22 +242,22 @@
         } else if (n < 0) {
             closeAndNotify(null);
         } else {
-            filledTo += closingGracefully ? 0 : n;
+            input.recordRead(closingGracefully ? 0 : n);
             deliver();
             read();
         }
     }
 
     private void deliver() {
-        if (closed || closingGracefully || consumedTo == filledTo) { // input is discarded during a graceful close
+        if (closed || closingGracefully || input.isEmpty()) { // input is discarded during a graceful close
             return;
         }
         delivering = true;
-        ByteBuffer bytes = input.duplicate().limit(filledTo).position(consumedTo);
+        ByteBuffer bytes = input.unconsumed();
         try {
             handler.received(bytes);
         } finally {
-            consumedTo = bytes.position();
+            input.recordConsumed(bytes);
             delivering = false;
         }
     }
@@ -290,7 +268,18 @@
             return;
         }
         if (writes.add(bytes, onWritten)) {
-            channel.write(writes.nextPiece(), null, onWriteDone);
+            lastWriteProgressAt = loop.now();
+            writeNextPiece();
+        }
+    }
+
+    private void writeNextPiece() {
+        ByteBuffer piece = writes.nextPiece();
+        try {
+            channel.write(piece, null, onWriteDone);
+        } catch (OutOfMemoryError e) { // direct memory is exhausted, which does not end the process
+            LOG.log(System.Logger.Level.WARNING, "connection closed: no direct memory for a write");
+            loop.execute(() -> closeAndNotify(new IOException(e)));
         }
     }
 
@@ -311,9 +300,10 @@
             closeAndNotify(asIoException(failure));
             return;
         }
+        lastWriteProgressAt = loop.now();
         Runnable onWritten = writes.recordWritten(n);
         if (!writes.isEmpty()) {
-            channel.write(writes.nextPiece(), null, onWriteDone);
+            writeNextPiece();
         }
         if (onWritten != null) {
             onWritten.run();
@@ -321,29 +311,53 @@
         shutdownOutputIfDrained();
     }
 
+    /** Whether bytes are queued that the system has not accepted yet. */
+    public boolean hasUnsentBytes() {
+        return !writes.isEmpty();
+    }
+
+    /** When the system last accepted queued bytes, or began to; 0 if nothing was written. */
+    public double lastWriteProgressAt() {
+        return lastWriteProgressAt;
+    }
+
     /**
      * Closes the connection when all queued bytes are written. A plain close with unread input sends a reset, which may
      * destroy a response in transit; so the output is shut down first and input is discarded for {@link #LINGER_MS}.
+     * The connection is closed earlier if its peer accepts no byte for {@link #CLOSING_STALL_MS}.
      */
     public void closeGracefully() {
         if (closed || closingGracefully) {
             return;
         }
         closingGracefully = true;
-        loop.after(LINGER_MS, this::close);
         if (!delivering) {
             read();
         }
         shutdownOutputIfDrained();
+        if (!outputShutDown) {
+            closeWhenStalled();
+        }
+    }
+
+    private void closeWhenStalled() {
+        if (closed || outputShutDown) {
+            return;
+        }
+        double remainingMs = lastWriteProgressAt + CLOSING_STALL_MS - loop.now();
+        loop.after(Math.max(0, remainingMs), remainingMs <= 0 ? this::close : this::closeWhenStalled);
     }
 
     private void shutdownOutputIfDrained() {
-        if (closingGracefully && !closed && writes.isEmpty()) {
-            try {
-                channel.shutdownOutput();
-            } catch (IOException e) {
-                close();
-            }
+        if (!closingGracefully || closed || outputShutDown || !writes.isEmpty()) {
+            return;
+        }
+        outputShutDown = true;
+        loop.after(LINGER_MS, this::close);
+        try {
+            channel.shutdownOutput();
+        } catch (IOException e) {
+            close();
         }
     }
 
@@ -360,7 +374,7 @@
         if (!closed) {
             closed = true;
             closeQuietly(channel);
-            releaseReadAhead();
+            input.release();
             writes.clear();
             onClosed.run();
         }
--- a/transport/src/main/java/dewplank/net/EventLoop.java
+++ b/transport/src/main/java/dewplank/net/EventLoop.java
@@ -28,17 +28,27 @@
     private final TimerWheel wheel = new TimerWheel(now(), TICK_MS);
     private final ByteBuffer discardBuffer = ByteBuffer.allocateDirect(DISCARD_BUFFER_BYTES);
     private final WriteBudget writeBudget;
+    private final ReceiveBudget receiveBudget;
     private volatile Thread thread;
     private volatile boolean isStopping;
     private int readAheadBuffersInUse;
 
     /** Starts the thread, with limits on queued bytes that depend on the heap size. */
     public EventLoop() throws IOException {
-        this(new WriteBudget());
+        this(new WriteBudget(), new ReceiveBudget());
     }
 
     EventLoop(WriteBudget writeBudget) throws IOException {
+        this(writeBudget, new ReceiveBudget());
+    }
+
+    EventLoop(ReceiveBudget receiveBudget) throws IOException {
+        this(new WriteBudget(), receiveBudget);
+    }
+
+    private EventLoop(WriteBudget writeBudget, ReceiveBudget receiveBudget) throws IOException {
         this.writeBudget = writeBudget;
+        this.receiveBudget = receiveBudget;
         executor = new ScheduledThreadPoolExecutor(1, task -> {
             thread = new Thread(task, "loop");
             thread.setDaemon(true); // the process must exit if its main thread fails
@@ -52,13 +62,16 @@
         wheel.run(now(), this::runGuarded);
     }
 
-    /** Catches exceptions, because the executor does not repeat a periodic task that has thrown. */
+    /**
+     * Catches everything: the executor does not repeat a periodic task that has thrown, so that a process would go on
+     * without timers. An exhausted heap ends the process by a JVM flag instead.
+     */
     private void runGuarded(Runnable task) {
         try {
             if (!isStopping) {
                 task.run();
             }
-        } catch (RuntimeException | StackOverflowError | LinkageError e) {
+        } catch (Throwable e) {
             LOG.log(System.Logger.Level.ERROR, "task failed", e);
         }
     }
@@ -117,6 +130,11 @@
         return writeBudget;
     }
 
+    /** The limit on bytes that connections hold of messages from peers. */
+    public ReceiveBudget receiveBudget() {
+        return receiveBudget;
+    }
+
     AsynchronousChannelGroup group() {
         return group;
     }
