Start once a passing state of the machine has passed, instead of ending the process

What callers saw: a process ended with 1 at once, at each start, while its data directory was missing, a port was taken, or its settings file was being written; a supervisor that starts it again at once ends it three times within a second. Two control planes on one data directory both voted. A data plane without a control plane or platform wrote nothing.

Cause: every failure of a start was treated as final; ControlPlaneRunner even ended the process when a restart with its disk failed.

A lock on the directory keeps a second process without a vote. A restart with the disk is retried in the process. A data plane tells what it waits for.

GoldenDiskTest: the new, empty file lock is checked besides the files that stay bit for bit.

--- a/balancer/src/main/java/dewplank/balancer/adaptive/LatencyEstimates.java
+++ b/balancer/src/main/java/dewplank/balancer/adaptive/LatencyEstimates.java
@@ -183,7 +183,8 @@
         double minusAgeMs = server.lastSampleAtMs - step.nowMs();
         double slowMs = server.longTermElapsed.value;
         double typicalMs = fleet.elapsed.value;
-        double longTermMs = typicalMs + (slowMs - typicalMs) * StrictMath.exp(minusAgeMs / LONG_TERM_DECAY_MS);
+        double longTermFraction = StrictMath.exp(minusAgeMs / LONG_TERM_DECAY_MS);
+        double longTermMs = typicalMs + (slowMs - typicalMs) * longTermFraction;
         double recency = StrictMath.exp(minusAgeMs / RECENT_TIME_CONSTANT_MS);
         double recentMs = (server.recentElapsed.value - slowMs) * recency;
         return (longTermMs + recentMs) / Math.max(MIN_MS, typicalMs);
--- a/balancer/src/main/java/dewplank/balancer/adaptive/LoadShedder.java
+++ b/balancer/src/main/java/dewplank/balancer/adaptive/LoadShedder.java
@@ -76,7 +76,8 @@
      * this fraction of the target.
      */
     double sustainedRejectionFraction(double queueFraction) {
-        double freshness = StrictMath.exp((fleet.lastResponseAtMs - step.nowMs()) / OVERLOAD_TIME_CONSTANT_MS);
+        double minusAgeMs = fleet.lastResponseAtMs - step.nowMs();
+        double freshness = StrictMath.exp(minusAgeMs / OVERLOAD_TIME_CONSTANT_MS);
         return sustainedOverload * freshness * Math.min(1, queueFraction / OVERLOAD_QUEUE_FRACTION);
     }
 
--- a/cli/src/main/java/dewplank/FleetCommands.java
+++ b/cli/src/main/java/dewplank/FleetCommands.java
@@ -62,12 +62,9 @@
         public void run() throws InterruptedException {
             SettingsReloader reloader = reloader();
             FileWatch file = new FileWatch(NodeSettings.path(System.getenv()));
-            DataPlane plane;
-            try {
-                plane = new DataPlane(settings().requireDataPlaneKeys(), policy());
-            } catch (IOException e) {
-                throw StartFailures.of(e);
-            }
+            Policy policy = policy();
+            DataPlane plane =
+                    StartRetry.run(() -> DataPlane.open(readSettings(file).requireDataPlaneKeys(), policy));
             onTermination(plane::drain);
             plane.start();
             reloader.run(file, () -> reload(plane::reload));
@@ -80,12 +77,9 @@
         public void run() throws InterruptedException {
             SettingsReloader reloader = reloader();
             FileWatch file = new FileWatch(NodeSettings.path(System.getenv()));
-            ControlPlaneRunner runner;
-            try {
-                runner = new ControlPlaneRunner(settings().requireControlPlaneKeys(), policy());
-            } catch (IOException | StoreException e) {
-                throw StartFailures.of(e);
-            }
+            Policy policy = policy();
+            ControlPlaneRunner runner = StartRetry.run(
+                    () -> new ControlPlaneRunner(readSettings(file).requireControlPlaneKeys(), policy));
             onTermination(runner::drain);
             runner.start();
             reloader.run(file, () -> reload(runner::reload));
@@ -108,6 +102,12 @@
         return NodeSettings.fromEnvironment(System.getenv());
     }
 
+    /** Reads the settings for an attempt to start; the file may have changed since the last one. */
+    private static NodeSettings readSettings(FileWatch file) {
+        file.markRead();
+        return settings();
+    }
+
     private static SettingsReloader reloader() {
         SettingsReloader reloader = new SettingsReloader();
         if (reloader.isSignalIgnored()) {
@@ -138,6 +138,8 @@
             log.info("settings reloaded");
         } catch (InvalidInputException e) {
             log.warn("reload rejected, old settings stay cause={}", e.getMessage());
+        } catch (RuntimeException | StackOverflowError e) { // what leaves the main thread ends the process
+            log.error("reload failed, old settings stay", e);
         }
     }
 }
--- a/cli/src/main/java/dewplank/rehearsal/FleetRehearsal.java
+++ b/cli/src/main/java/dewplank/rehearsal/FleetRehearsal.java
@@ -52,7 +52,7 @@
         loop.execute(servers::accept);
         ControlPlaneRunner control = new ControlPlaneRunner(NodeSettings.parse(settings("core", ports[0], true)));
         control.start();
-        DataPlane data = new DataPlane(NodeSettings.parse(settings("edge", ports[0], false)));
+        DataPlane data = DataPlane.open(NodeSettings.parse(settings("edge", ports[0], false)));
         data.start();
         await(() -> status("PUT", ports[3], "/configuration", configuration()) == 200);
         status("GET", ports[3], "/configuration", null);
--- a/controlplane/src/main/java/dewplank/controlplane/Bootstrap.java
+++ b/controlplane/src/main/java/dewplank/controlplane/Bootstrap.java
@@ -51,6 +51,7 @@
     static DiskStorage openDiskStorage(
             NodeSettings settings, ControlEnvironment environment, MessageCodec codec, String address)
             throws StoreException {
+        environment.prepareDataDirectory();
         String identityIfNew = settings.initialStart() ? bootstrapIdentity(address) : environment.newIdentity();
         return new DiskStorage(
                 settings, identityIfNew, seeds(settings), environment.files(), environment.disk(), codec);
--- a/controlplane/src/main/java/dewplank/controlplane/ControlComponents.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlComponents.java
@@ -89,7 +89,7 @@
                 loop,
                 environment.disk(),
                 () -> Bootstrap.openDiskStorage(settings, environment, codec, address)
-                        .closeFiles(),
+                        .releaseFiles(),
                 onDiskUsable);
         AcceptorId self = new AcceptorId(address, storage.identity());
         Member member = new Member(node, Member.CONTROL, address, settings.zone(), environment.wallClockMs());
--- a/controlplane/src/main/java/dewplank/controlplane/ControlEnvironment.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlEnvironment.java
@@ -4,6 +4,7 @@
 import dewplank.net.Scheduler;
 import dewplank.net.ServerEndpoint;
 import dewplank.store.DiskExecutor;
+import dewplank.store.StoreException;
 import dewplank.store.StoreFiles;
 import java.io.IOException;
 import java.util.random.RandomGenerator;
@@ -29,6 +30,13 @@
 
     StoreFiles files();
 
+    /**
+     * Creates the data directory if it is missing and may be created.
+     *
+     * @throws StoreException if there is no directory that this process can write to
+     */
+    default void prepareDataDirectory() throws StoreException {}
+
     DiskExecutor disk();
 
     PlatformClient platform();
--- a/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlPlane.java
@@ -79,10 +79,17 @@
         this.environment = environment;
         loop = environment.scheduler();
         components = new ControlComponents(settings, environment, codec, policy, onDiskUsable);
-        operatorListener = environment.operators(components.operatorApi());
-        internalListener = environment
-                .transport()
-                .listen(SocketAddresses.parse(components.address()), MAX_CONNECTIONS, components::inboundLink);
+        try {
+            operatorListener = environment.operators(components.operatorApi());
+            internalListener = environment
+                    .transport()
+                    .listen(SocketAddresses.parse(components.address()), MAX_CONNECTIONS, components::inboundLink);
+        } catch (IOException e) {
+            environment.stop();
+            components.storage().closeFiles();
+            components.diskRecovery().close();
+            throw e;
+        }
     }
 
     /** Starts to listen, to connect to the others, and to take part in the fleet. Returns immediately. */
--- a/controlplane/src/main/java/dewplank/controlplane/ControlPlaneRunner.java
+++ b/controlplane/src/main/java/dewplank/controlplane/ControlPlaneRunner.java
@@ -15,12 +15,15 @@
  */
 public final class ControlPlaneRunner {
     private static final Logger LOG = LoggerFactory.getLogger(ControlPlaneRunner.class);
-    private static final int FAILURE_EXIT_CODE = 1;
+    private static final long RETRY_INTERVAL_MS = 200;
+    /** Number of failed attempts between two lines in the log. */
+    private static final int ATTEMPTS_PER_LOG_LINE = 50;
 
     private final Policy policy;
     private NodeSettings settings;
     private ControlPlane controlPlane;
     private boolean isDrained;
+    private boolean isTerminated;
 
     /**
      * Opens the disk and the sockets of this machine.
@@ -53,11 +56,14 @@
     /** Applies a changed settings file. */
     public synchronized void reload(NodeSettings next) {
         settings = next;
-        controlPlane.reload(next);
+        if (!isDrained) {
+            controlPlane.reload(next);
+        }
     }
 
     /** Shuts down gracefully, on SIGTERM. Blocks until that is done, for 3 s at most. */
     public synchronized void drain() throws InterruptedException {
+        isTerminated = true;
         if (!isDrained) {
             isDrained = true;
             controlPlane.drain();
@@ -66,28 +72,45 @@
 
     /** Called on the event loop of the control plane that has to be drained, so another thread drains it. */
     private void onDiskUsable() {
-        new Thread(this::restartOrExit, "restart").start();
+        Thread thread = new Thread(this::restart, "restart");
+        thread.setDaemon(true);
+        thread.start();
     }
 
-    private void restartOrExit() {
+    /** Replaces the control plane; tries again while an address or the disk can't be used after all. */
+    private void restart() {
         try {
-            restart();
-        } catch (IOException | StoreException | RuntimeException failure) {
-            LOG.error("control plane can't start with its disk, process ends cause={}", failure.toString());
-            System.exit(FAILURE_EXIT_CODE); // the platform restarts the process
+            drainForRestart();
+            for (int attempt = 0; !tryStart(attempt); attempt++) {
+                Thread.sleep(RETRY_INTERVAL_MS);
+            }
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private synchronized void restart() throws IOException, StoreException, InterruptedException {
-        if (isDrained) {
-            return;
+    private synchronized void drainForRestart() throws InterruptedException {
+        if (!isTerminated) {
+            isDrained = true; // there is nothing to drain until the new control plane has been created
+            controlPlane.drain();
+        }
+    }
+
+    /** Returns whether no further attempt is needed. */
+    private synchronized boolean tryStart(int attempt) {
+        if (isTerminated) {
+            return true;
+        }
+        try {
+            controlPlane = new ControlPlane(settings, policy, this::onDiskUsable);
+            isDrained = false;
+            controlPlane.start();
+            return true;
+        } catch (IOException | StoreException | RuntimeException failure) {
+            if (attempt % ATTEMPTS_PER_LOG_LINE == 0) {
+                LOG.warn("start with the disk is retried cause={}", failure.toString());
+            }
+            return false;
         }
-        isDrained = true; // there is nothing to drain until the new control plane has been created
-        controlPlane.drain();
-        controlPlane = new ControlPlane(settings, policy, this::onDiskUsable);
-        isDrained = false;
-        controlPlane.start();
     }
 }
--- a/controlplane/src/main/java/dewplank/controlplane/DiskStorage.java
+++ b/controlplane/src/main/java/dewplank/controlplane/DiskStorage.java
@@ -13,14 +13,23 @@
 import dewplank.store.FounderIdentities;
 import dewplank.store.StoreException;
 import dewplank.store.StoreFiles;
+import java.io.Closeable;
+import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The storage of a process with a disk: files in its data directory, written by the disk executor. */
 final class DiskStorage implements Storage {
+    private static final Logger LOG = LoggerFactory.getLogger(DiskStorage.class);
+    private static final String LOCK_FILE = "lock";
+
+    private final Closeable lock;
     private final AcceptorStore store;
     private final DiskExecutor executor;
     private final ChecksummedFile serverList;
@@ -49,16 +58,31 @@
             throws StoreException {
         this.executor = executor;
         this.codec = codec;
-        List<String> founders =
-                new BootstrapSeeds(files, settings.dataDirectory()).loadOrStore(seeds, settings.initialStart());
-        store = AcceptorStore.open(
-                settings.dataDirectory(), files, settings.resources().diskBytes(), identityIfNew);
+        lock = lock(files, settings.dataDirectory());
+        List<String> founders;
+        try {
+            founders = new BootstrapSeeds(files, settings.dataDirectory()).loadOrStore(seeds, settings.initialStart());
+            store = AcceptorStore.open(
+                    settings.dataDirectory(), files, settings.resources().diskBytes(), identityIfNew);
+        } catch (StoreException | RuntimeException e) {
+            release(lock);
+            throw e;
+        }
         bootstrap = new FleetBootstrap(founders, settings.initialStart() && store.isNew());
         founderIdentities = new FounderIdentities(files, settings.dataDirectory());
         loadedFounderIdentities = founderIdentities.load();
         serverList = new ChecksummedFile(files, settings.dataDirectory(), "servers");
     }
 
+    /** Keeps a second process off the directory, which would vote with the same identity. */
+    private static Closeable lock(StoreFiles files, Path directory) throws StoreException {
+        try {
+            return files.lock(directory.resolve(LOCK_FILE));
+        } catch (IOException e) {
+            throw new StoreException("cannot lock " + directory, e);
+        }
+    }
+
     @Override
     public boolean isDurable() {
         return true;
@@ -138,8 +162,23 @@
         executor.close();
     }
 
-    /** Closes the files and leaves their contents, for a caller that only checks whether they can be opened. */
-    void closeFiles() {
+    @Override
+    public void closeFiles() {
+        executor.close();
+        releaseFiles();
+    }
+
+    /** Closes the files as {@link #closeFiles} does, for a caller that goes on with the disk executor. */
+    void releaseFiles() {
         store.close();
+        release(lock);
+    }
+
+    private static void release(Closeable lock) {
+        try {
+            lock.close();
+        } catch (IOException e) {
+            LOG.warn("lock not released cause={}", e.toString());
+        }
     }
 }
--- a/controlplane/src/main/java/dewplank/controlplane/MemoryStorage.java
+++ b/controlplane/src/main/java/dewplank/controlplane/MemoryStorage.java
@@ -73,6 +73,9 @@
     @Override
     public void saveList(EndpointList list) {} // nothing outlives the process
 
+    @Override
+    public void closeFiles() {}
+
     @Override
     public void close() {}
 }
--- a/controlplane/src/main/java/dewplank/controlplane/Storage.java
+++ b/controlplane/src/main/java/dewplank/controlplane/Storage.java
@@ -57,4 +57,7 @@
 
     /** Stops writing; queued writes are dropped. */
     void close();
+
+    /** Closes the files, and leaves their contents. No write may be in progress. */
+    void closeFiles();
 }
--- a/controlplane/src/main/java/dewplank/controlplane/SystemEnvironment.java
+++ b/controlplane/src/main/java/dewplank/controlplane/SystemEnvironment.java
@@ -27,6 +27,7 @@
     private static final double IDLE_CHECK_INTERVAL_MS = 1_000;
 
     private final NodeSettings settings;
+    private final DataDirectory dataDirectory;
     private final EventLoop loop;
     private final RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
     private final StoreFiles files = new DiskFiles();
@@ -37,18 +38,19 @@
      * Creates the environment of a process with these settings.
      *
      * @throws IOException if sockets can't be opened
-     * @throws StoreException if the data directory is not a directory that this process can write to
+     * @throws StoreException if the path of the data directory is that of a file
      */
     static SystemEnvironment of(NodeSettings settings, MessageCodec codec) throws IOException, StoreException {
         Path directory = settings.dataDirectory();
-        if (directory != null && !(Files.isDirectory(directory) && Files.isWritable(directory))) {
-            throw new StoreException("data_directory is no directory that can be written to: " + directory);
+        if (directory != null && Files.exists(directory) && !Files.isDirectory(directory)) {
+            throw new StoreException("data_directory is no directory: " + directory);
         }
         return new SystemEnvironment(settings, codec);
     }
 
     private SystemEnvironment(NodeSettings settings, MessageCodec codec) throws IOException {
         this.settings = settings;
+        dataDirectory = new DataDirectory(settings.dataDirectory());
         loop = new EventLoop();
         disk = new SingleThreadDiskExecutor(loop::execute);
         transport = new TcpTransport(loop, codec);
@@ -84,6 +86,11 @@
         return files;
     }
 
+    @Override
+    public void prepareDataDirectory() throws StoreException {
+        dataDirectory.prepare(settings.initialStart());
+    }
+
     @Override
     public DiskExecutor disk() {
         return disk;
--- a/controlplane/src/test/java/dewplank/controlplane/GoldenDiskTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/GoldenDiskTest.java
@@ -184,6 +184,8 @@
         try (Stream<Path> files = Files.list(directory)) {
             files.forEach(file -> names.add(file.getFileName().toString()));
         }
+        assertTrue(names.remove("lock"));
+        assertEquals(0, Files.size(directory.resolve("lock")));
         assertEquals(FILES, List.copyOf(names));
         assertArrayEquals(resource("data/founders"), Files.readAllBytes(directory.resolve("founders")));
         assertArrayEquals(resource("data/servers"), Files.readAllBytes(directory.resolve("servers")));
--- a/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
@@ -18,6 +18,8 @@
 import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The data plane process: receives clients' requests, forwards them according to the configuration from its sessions
@@ -26,6 +28,7 @@
  * loop.
  */
 public final class DataPlane {
+    private static final Logger LOG = LoggerFactory.getLogger(DataPlane.class);
     private static final double COUNTERS_INTERVAL_MS = 5_000;
     private static final double SWEEP_INTERVAL_MS = 250;
     /** File descriptors reserved for idle connections to servers, sessions, files and the JVM. */
@@ -34,6 +37,11 @@
     private static final int DESCRIPTORS_PER_CLIENT = 2;
 
     private static final int MIN_CLIENT_CONNECTIONS = 64;
+    /** Memory of a client's connection and of the connection to its server while no message is in progress. */
+    private static final int BYTES_PER_CLIENT = 14 * 1024;
+    /** Such connections use at most the heap divided by this. */
+    private static final int CONNECTIONS_HEAP_DIVISOR = 3;
+
     private static final int MAX_READINESS_CONNECTIONS = 64;
 
     private final EventLoop loop;
@@ -51,19 +59,29 @@
     /**
      * Binds the listeners; connections are accepted only after {@link #start}.
      *
-     * @throws IOException if an address of the settings cannot be bound
+     * @throws IOException if an address of the settings cannot be bound; nothing stays open then
      */
-    public DataPlane(NodeSettings settings) throws IOException {
-        this(settings, Policy.ALL_ENABLED);
+    public static DataPlane open(NodeSettings settings) throws IOException {
+        return open(settings, Policy.ALL_ENABLED);
     }
 
     /**
      * Creates a data plane for an experiment in which the policy disables some mechanisms.
      *
-     * @throws IOException if an address of the settings cannot be bound
+     * @throws IOException if an address of the settings cannot be bound; nothing stays open then
      */
-    public DataPlane(NodeSettings settings, Policy policy) throws IOException {
-        loop = new EventLoop();
+    public static DataPlane open(NodeSettings settings, Policy policy) throws IOException {
+        EventLoop loop = new EventLoop();
+        try {
+            return new DataPlane(loop, settings, policy);
+        } catch (IOException | RuntimeException e) {
+            loop.stop();
+            throw e;
+        }
+    }
+
+    private DataPlane(EventLoop loop, NodeSettings settings, Policy policy) throws IOException {
+        this.loop = loop;
         fleet = new FleetMetadata(loop);
         long seed = new SecureRandom().nextLong();
         RandomGenerator random = new SplittableRandom(seed);
@@ -75,7 +93,6 @@
         forwarder =
                 new Forwarder(loop, fleet, picker, random, counters, retryLimits(bounds), revocation(bounds), quotas);
         Member self = self(settings);
-        healthGossip = new HealthGossip(loop, fleet, votes, self, new Random(seed));
         sessions = new SessionClient(
                 loop,
                 new TcpTransport(loop, FleetMessages.codec()),
@@ -92,6 +109,8 @@
                 new Listener(loop, settings.readiness(), MAX_READINESS_CONNECTIONS, readinessEndpoint::newConnection);
         shutdown = new GracefulShutdown(
                 loop, forwarder, frontListener, new DrainSchedule(bounds.graceMs()), this::closePeerConnections);
+        // The last one to bind an address: the loop's listeners are closed if that fails.
+        healthGossip = new HealthGossip(loop, fleet, votes, self, new Random(seed));
     }
 
     private static RetryBudgets.Limits retryLimits(NodeSettings.Bounds bounds) {
@@ -125,7 +144,8 @@
 
     private static int maxClientConnections(NodeSettings settings) {
         int descriptors = settings.resources().fileDescriptors() - RESERVED_DESCRIPTORS;
-        return Math.max(MIN_CLIENT_CONNECTIONS, descriptors / DESCRIPTORS_PER_CLIENT);
+        long maxByHeap = Runtime.getRuntime().maxMemory() / CONNECTIONS_HEAP_DIVISOR / BYTES_PER_CLIENT;
+        return (int) Math.max(MIN_CLIENT_CONNECTIONS, Math.min(maxByHeap, descriptors / DESCRIPTORS_PER_CLIENT));
     }
 
     /** Opens the sessions and accepts connections. */
@@ -146,6 +166,13 @@
 
     private void logCounters() {
         counters.log();
+        if (!fleet.isComplete() && !shutdown.isStarted()) {
+            LOG.warn(
+                    "not serving yet waitingFor={} openSessions={} knownControlPlanes={}",
+                    fleet.missingParts(),
+                    sessions.openSessions(),
+                    sessions.addressCount());
+        }
         loop.after(COUNTERS_INTERVAL_MS, this::logCounters);
     }
 
--- a/dataplane/src/main/java/dewplank/dataplane/FleetMetadata.java
+++ b/dataplane/src/main/java/dewplank/dataplane/FleetMetadata.java
@@ -50,6 +50,18 @@
         return configuration != null && !listVersion.equals(EndpointListVersion.NONE);
     }
 
+    /** What is needed before requests can be served, for the log. */
+    List<String> missingParts() {
+        List<String> missing = new ArrayList<>();
+        if (configuration == null) {
+            missing.add("configuration");
+        }
+        if (listVersion.equals(EndpointListVersion.NONE)) {
+            missing.add("endpointList");
+        }
+        return missing;
+    }
+
     /** The configuration in force; null before the first one. */
     Configuration configuration() {
         return configuration;
--- a/store/src/main/java/dewplank/store/DiskFiles.java
+++ b/store/src/main/java/dewplank/store/DiskFiles.java
@@ -1,9 +1,11 @@
 package dewplank.store;
 
+import java.io.Closeable;
 import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -32,6 +34,25 @@
         Files.deleteIfExists(file);
     }
 
+    @Override
+    public Closeable lock(Path file) throws IOException {
+        boolean isNew = !exists(file);
+        FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE, StandardOpenOption.CREATE);
+        try {
+            if (channel.tryLock() == null) {
+                throw new IOException("another process holds the lock on " + file);
+            }
+            if (isNew) {
+                channel.force(true);
+                syncDirectory(file.toAbsolutePath().getParent());
+            }
+            return channel;
+        } catch (IOException | OverlappingFileLockException e) {
+            channel.close();
+            throw e instanceof IOException io ? io : new IOException("this process holds the lock on " + file, e);
+        }
+    }
+
     @Override
     public void syncDirectory(Path directory) throws IOException {
         try (FileChannel channel = FileChannel.open(directory, StandardOpenOption.READ)) {
