--- a/dataplane/src/main/java/dewplank/dataplane/GracefulShutdown.java
+++ b/dataplane/src/main/java/dewplank/dataplane/GracefulShutdown.java
@@ -17,6 +17,10 @@
     private static final double POLL_INTERVAL_MS = 20;
     /** After accepting has stopped, requests in transit on open connections are read for this time. */
     private static final double FINAL_READ_MS = 400;
+    /** A poll that is late by more than this shows that the loop has stalled: requests may wait to be read. */
+    private static final double STALL_MS = 40;
+    /** Maximum number of polls after which no connection is closed because of a stall. */
+    private static final int MAX_STALLED_POLLS = 40;
 
     private final EventLoop loop;
     private final Forwarder forwarder;
@@ -25,6 +29,7 @@
     private final Runnable closePeerConnections;
     private final CountDownLatch drained = new CountDownLatch(1);
     private boolean started;
+    private int stalledPolls;
 
     /**
      * @param closePeerConnections runs once no request and no client connection is open
@@ -68,10 +73,24 @@
     private void stopAccepting() {
         forwarder.close();
         front.close();
-        completeDrainWhenIdle(loop.now() + FINAL_READ_MS);
+        pollAgain(loop.now() + FINAL_READ_MS);
     }
 
-    private void completeDrainWhenIdle(double readUntil) {
+    private void pollAgain(double readUntil) {
+        double dueAt = loop.now() + POLL_INTERVAL_MS;
+        loop.after(POLL_INTERVAL_MS, () -> completeDrainWhenIdle(dueAt, readUntil));
+    }
+
+    /**
+     * Closes idle connections, unless the loop has stalled just now: timers run before the reads that have become due
+     * meanwhile, and a connection whose request has arrived but is not read yet would be closed without a response.
+     */
+    private void completeDrainWhenIdle(double dueAt, double readUntil) {
+        if (loop.now() - dueAt > STALL_MS && stalledPolls < MAX_STALLED_POLLS) {
+            stalledPolls++;
+            pollAgain(readUntil);
+            return;
+        }
         boolean closePartlyRead = loop.now() >= readUntil;
         forwarder.connections().forEach(c -> c.closeIfIdle(closePartlyRead));
         if (forwarder.openConnections() == 0 && forwarder.openRequests() == 0 && !front.hasOpenConnections()) {
@@ -79,7 +98,7 @@
             LOG.info("drained");
             loop.after(POLL_INTERVAL_MS, drained::countDown);
         } else {
-            loop.after(POLL_INTERVAL_MS, () -> completeDrainWhenIdle(readUntil));
+            pollAgain(readUntil);
         }
     }
 }
