--- a/cli/src/test/java/dewplank/fleet/soak/ProcessStep.java
+++ b/cli/src/test/java/dewplank/fleet/soak/ProcessStep.java
@@ -21,7 +21,11 @@
         /** SIGHUP with a settings file that lists other seed nodes. */
         RELOAD,
         /** SIGHUP with a settings file that can't be read. */
-        RELOAD_UNREADABLE
+        RELOAD_UNREADABLE,
+        /** A start with a settings file of which the second half is written later. */
+        START_BEFORE_SETTINGS,
+        /** Bytes that are no valid message, or the start of a long one, over several connections. */
+        HOSTILE_BYTES
     }
 
     @Override
--- a/cli/src/test/java/dewplank/fleet/soak/ProcessStepRunner.java
+++ b/cli/src/test/java/dewplank/fleet/soak/ProcessStepRunner.java
@@ -4,6 +4,7 @@
 import dewplank.emulator.fleet.FleetProcess;
 import dewplank.emulator.fleet.MachineClass;
 import dewplank.fleet.FleetHarness;
+import dewplank.fleet.process.HostileBytes;
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
@@ -12,6 +13,8 @@
 
 /** Runs the steps of one process on one thread. */
 final class ProcessStepRunner {
+    private static final int MAX_SETTINGS_DELAY_MS = 600;
+
     private final FleetHarness harness;
     private final FleetProcess process;
     private final Random random;
@@ -34,6 +37,8 @@
                 awaitListening();
                 process.reload(randomSeeds());
             }
+            case START_BEFORE_SETTINGS -> startBeforeSettings();
+            case HOSTILE_BYTES -> HostileBytes.send(process.machine(), random);
             case RELOAD_UNREADABLE -> {
                 awaitListening();
                 process.reloadUnreadable();
@@ -41,6 +46,12 @@
         }
     }
 
+    private void startBeforeSettings() throws Exception {
+        process.restartWithUnreadableSettings();
+        Thread.sleep(random.nextInt(MAX_SETTINGS_DELAY_MS));
+        process.completeSettings();
+    }
+
     private void terminate() throws Exception {
         process.terminate();
         if (!process.awaitEnd(FleetBounds.GRACE_S)) {
--- a/cli/src/test/java/dewplank/fleet/soak/SoakPlan.java
+++ b/cli/src/test/java/dewplank/fleet/soak/SoakPlan.java
@@ -44,7 +44,10 @@
         return steps;
     }
 
-    /** Generates the steps of one process. Half of the processes only have planned maintenance: SIGTERM and SIGHUP. */
+    /**
+     * Generates the steps of one process. Half of the processes only have planned maintenance: SIGTERM and SIGHUP,
+     * and bytes that are no messages.
+     */
     private static final class ProcessStepGenerator {
         /** The planned time from SIGTERM to the exit of a process; a data plane accepts connections for 2.6 s of it. */
         private static final double TERMINATION_MS = 3_000;
@@ -53,6 +56,7 @@
         private static final double MAX_FROZEN_MS = 2_500;
         private static final double MAX_GAP_MS = 800;
         private static final int MAX_RESTARTS = 3;
+        private static final int MAX_ATTACKS = 3;
 
         /** Steps that follow each other with only short pauses between them. */
         private enum Series {
@@ -60,12 +64,13 @@
             RELOAD_AND_RESTART,
             RESTARTS,
             RELOADS,
+            HOSTILE_BYTES,
             KILL_AND_START,
             FREEZE_AND_THAW
         }
 
-        private static final List<Series> PLANNED_MAINTENANCE =
-                List.of(Series.RESTART, Series.RELOAD_AND_RESTART, Series.RESTARTS, Series.RELOADS);
+        private static final List<Series> PLANNED_MAINTENANCE = List.of(
+                Series.RESTART, Series.RELOAD_AND_RESTART, Series.RESTARTS, Series.RELOADS, Series.HOSTILE_BYTES);
         private static final List<Series> ALL_SERIES = List.of(Series.values());
 
         private final Random random;
@@ -107,10 +112,17 @@
                     advance(MAX_GAP_MS);
                     reload();
                 }
+                case HOSTILE_BYTES -> {
+                    int attacks = 1 + random.nextInt(MAX_ATTACKS);
+                    for (int i = 0; i < attacks; i++) {
+                        add(Kind.HOSTILE_BYTES);
+                        advance(MAX_GAP_MS);
+                    }
+                }
                 case KILL_AND_START -> {
                     add(Kind.KILL);
                     advance(MAX_DOWN_MS);
-                    add(Kind.START);
+                    start();
                 }
                 case FREEZE_AND_THAW -> {
                     add(Kind.FREEZE);
@@ -124,7 +136,11 @@
             add(Kind.TERMINATE);
             atMs += TERMINATION_MS;
             advance(MAX_DOWN_MS);
-            add(Kind.START);
+            start();
+        }
+
+        private void start() {
+            add(random.nextInt(4) == 0 ? Kind.START_BEFORE_SETTINGS : Kind.START);
         }
 
         private void reload() {
--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetProcess.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetProcess.java
@@ -67,6 +67,18 @@
         process.start(SettingsFile.of(machine, seeds, initialStart, disk), List.of());
     }
 
+    /** Restarts the process while its settings file is only half written. */
+    public void restartWithUnreadableSettings() throws IOException {
+        record(ProcessFault.STARTED);
+        String text = SettingsFile.of(machine, seeds, false, disk);
+        process.start(text.substring(0, text.length() / 2), List.of());
+    }
+
+    /** Writes the complete settings file. */
+    public void completeSettings() throws IOException {
+        process.writeSettings(SettingsFile.of(machine, seeds, false, disk));
+    }
+
     /** Writes a settings file that lists only the seeds with the given indexes, and sends SIGHUP. */
     public void reload(List<Integer> seedIndexes) throws IOException, InterruptedException {
         List<InetSocketAddress> chosen = seedIndexes.stream().map(seeds::get).toList();
