--- a/cli/src/test/java/dewplank/fleet/process/HostileBytesTest.java
+++ b/cli/src/test/java/dewplank/fleet/process/HostileBytesTest.java
@@ -8,12 +8,8 @@
 import dewplank.emulator.fleet.FleetProcess;
 import dewplank.emulator.fleet.Futures;
 import dewplank.emulator.fleet.RouteSpec;
-import dewplank.emulator.fleet.ServerIdentity;
-import dewplank.emulator.fleet.ServerStage;
-import dewplank.emulator.fleet.ServiceSpec;
 import dewplank.fleet.FleetHarness;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -33,9 +29,11 @@
     private static final int FRAME_BYTES = 8 * 1024 * 1024;
     private static final int FLEET_UPDATE = 4;
     private static final int INTERNAL_PORT = 17_660;
-    private static final int RAW_SERVER_PORT = 18_081;
     private static final int LONG_BODY_BYTES = 4_000_000;
-    private static final RouteSpec LONG = RouteSpec.to("long", "long", RouteSpec.Kind.UNSAFE);
+    /** Routes of the stand-in operator have 300 bytes each. */
+    private static final int LONG_CONFIGURATION_ROUTES = 12_000;
+
+    private static final RouteSpec LONG = LongService.ROUTE;
 
     private interface Attack {
         void run(FleetHarness harness) throws Exception;
@@ -148,6 +146,31 @@
         });
     }
 
+    /** Several configurations of nearly the longest text, of which one is accepted. Two ended a control plane. */
+    @Test
+    void longConfigurationsAtOnce() throws Exception {
+        FleetHarness.run(3, 2, harness -> {
+            List<CompletableFuture<Integer>> changes = new ArrayList<>();
+            for (int change = 0; change < 4; change++) {
+                List<RouteSpec> routes = new ArrayList<>(FleetHarness.INITIAL.routes());
+                for (int route = 0; route < LONG_CONFIGURATION_ROUTES; route++) {
+                    routes.add(RouteSpec.to("plain", "r" + change + "x" + route, RouteSpec.Kind.SAFE));
+                }
+                FleetConfiguration next = new FleetConfiguration(20 + change, routes, FleetHarness.INITIAL.services());
+                changes.add(harness.operator().put(next, FleetHarness.INITIAL.version(), change));
+            }
+            long accepted = changes.stream()
+                    .map(Futures::await)
+                    .filter(status -> status == 200)
+                    .count();
+            assertTrue(accepted <= 1, accepted + " accepted");
+            harness.awaitReady();
+            harness.assertServed(0, ClientRequest.plain(FleetHarness.READ, "after"));
+            harness.assertServed(1, ClientRequest.plain(FleetHarness.READ, "after"));
+            assertRunning(harness);
+        });
+    }
+
     /** Many short fields take far more memory than their bytes. */
     @Test
     void headsOfManyFieldsThatNeverEnd() throws Exception {
@@ -215,37 +238,11 @@
     }
 
     private static void withLongService(int responseBytes, boolean sendsLength, Attack attack) throws Exception {
-        survivesWithConfiguration(harness -> {
-            InetAddress address = harness.fleet.dataMachine(0).address();
-            ServerIdentity identity = new ServerIdentity(
-                    "i-long", "long", "ost", ServerStage.NONE, address.getHostAddress() + ":" + RAW_SERVER_PORT);
-            try (RawServer server =
-                    new RawServer(address, RAW_SERVER_PORT, identity.instanceId(), responseBytes, sendsLength)) {
-                harness.fleet.platform().add(identity);
-                harness.awaitState("the long service", () -> isServed(harness));
+        FleetHarness.run(3, 1, harness -> {
+            try (RawServer server = LongService.start(harness, responseBytes, sendsLength, 0)) {
                 attack.run(harness);
+                assertTrue(server.isListening());
             }
-        });
-    }
-
-    private static boolean isServed(FleetHarness harness) {
-        try (RawClient client = new RawClient(harness.fleet.dataMachine(0).front())) {
-            return client.post(LONG.host(), LONG.prefix() + "x", "probe", 1)
-                    && client.read().status() == 200;
-        } catch (IOException e) {
-            return false;
-        }
-    }
-
-    private static void survivesWithConfiguration(Attack attack) throws Exception {
-        FleetHarness.run(3, 1, harness -> {
-            List<RouteSpec> routes = new ArrayList<>(FleetHarness.INITIAL.routes());
-            routes.add(LONG);
-            List<ServiceSpec> services = new ArrayList<>(FleetHarness.INITIAL.services());
-            services.add(ServiceSpec.plain("long"));
-            FleetConfiguration next = new FleetConfiguration(8, routes, services);
-            assertEquals(200, Futures.await(harness.operator().put(next, FleetHarness.INITIAL.version(), 0)));
-            attack.run(harness);
             harness.assertServed(0, ClientRequest.plain(FleetHarness.READ, "after"));
             assertRunning(harness);
         });
--- a/cli/src/test/java/dewplank/fleet/process/RawClient.java
+++ b/cli/src/test/java/dewplank/fleet/process/RawClient.java
@@ -63,6 +63,30 @@
         }
     }
 
+    /** Reads a response of a known length at a limited rate, and returns the bytes of its body that have come. */
+    long readSlowly(long bodyBytes, long bytesPerSecond) {
+        long received = 0;
+        try {
+            readHead();
+            long startNanos = System.nanoTime();
+            byte[] piece = new byte[16 * 1024];
+            while (received < bodyBytes) {
+                int count = in.read(piece);
+                if (count < 0) {
+                    return received;
+                }
+                received += count;
+                long aheadMs = received * 1_000 / bytesPerSecond - (System.nanoTime() - startNanos) / 1_000_000;
+                Thread.sleep(Math.max(0, aheadMs));
+            }
+        } catch (IOException e) {
+            return received;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return received;
+    }
+
     private long readChunks() throws IOException {
         long total = 0;
         while (true) {
--- a/cli/src/test/java/dewplank/fleet/process/RawServer.java
+++ b/cli/src/test/java/dewplank/fleet/process/RawServer.java
@@ -22,9 +22,12 @@
     private final String instanceId;
     private final int responseBytes;
     private final boolean sendsLength;
+    private final int delayMs;
 
-    RawServer(InetAddress address, int port, String instanceId, int responseBytes, boolean sendsLength)
+    /** Starts the server, which responds {@code delayMs} after it has read a request. */
+    RawServer(InetAddress address, int port, String instanceId, int responseBytes, boolean sendsLength, int delayMs)
             throws IOException {
+        this.delayMs = delayMs;
         this.listener = new ServerSocket(port, BACKLOG, address);
         this.instanceId = instanceId;
         this.responseBytes = responseBytes;
@@ -56,13 +59,14 @@
             Map<String, String> head = readHead(in);
             while (!head.isEmpty()) {
                 in.skipNBytes(Long.parseLong(head.getOrDefault("content-length", "0")));
+                Thread.sleep(delayMs);
                 respond(out, head.get("x-dewplank-request-attempt-id"));
                 if (!sendsLength) {
                     return;
                 }
                 head = readHead(in);
             }
-        } catch (IOException e) {
+        } catch (IOException | InterruptedException e) {
             return; // the data plane has closed the connection
         }
     }
@@ -100,6 +104,10 @@
         out.flush();
     }
 
+    boolean isListening() {
+        return !listener.isClosed();
+    }
+
     @Override
     public void close() throws IOException {
         listener.close();
--- a/cli/src/test/java/dewplank/fleet/soak/SoakPlan.java
+++ b/cli/src/test/java/dewplank/fleet/soak/SoakPlan.java
@@ -14,20 +14,26 @@
     private static final double MAX_CHANGE_PAUSE_MS = 1_200;
     private static final int ROUTES = 6;
 
-    /** Generates a plan in which no series starts after {@code durationMs}. */
-    static SoakPlan generate(long seed, double durationMs, int controlMachines, int dataMachines) {
+    /**
+     * Generates a plan in which no series starts after {@code durationMs}.
+     *
+     * @param hostile whether the plan has bytes that are no messages, and starts before the settings are complete;
+     *     without them, a seed gives the same plan as before these steps existed
+     */
+    static SoakPlan generate(long seed, double durationMs, int controlMachines, int dataMachines, boolean hostile) {
         Random random = new Random(seed);
         return new SoakPlan(
                 seed,
-                stepsByProcess(random, durationMs, controlMachines),
-                stepsByProcess(random, durationMs, dataMachines),
+                stepsByProcess(random, durationMs, controlMachines, hostile),
+                stepsByProcess(random, durationMs, dataMachines, hostile),
                 changes(random, durationMs, controlMachines));
     }
 
-    private static List<List<ProcessStep>> stepsByProcess(Random random, double durationMs, int machines) {
+    private static List<List<ProcessStep>> stepsByProcess(
+            Random random, double durationMs, int machines, boolean hostile) {
         List<List<ProcessStep>> stepsByProcess = new ArrayList<>();
         for (int i = 0; i < machines; i++) {
-            stepsByProcess.add(new ProcessStepGenerator(random).generate(durationMs));
+            stepsByProcess.add(new ProcessStepGenerator(random, hostile).generate(durationMs));
         }
         return stepsByProcess;
     }
@@ -57,6 +63,8 @@
         private static final double MAX_GAP_MS = 800;
         private static final int MAX_RESTARTS = 3;
         private static final int MAX_ATTACKS = 3;
+        /** One of so many starts comes before the settings file is complete. */
+        private static final int EARLY_STARTS_DIVISOR = 4;
 
         /** Steps that follow each other with only short pauses between them. */
         private enum Series {
@@ -64,23 +72,34 @@
             RELOAD_AND_RESTART,
             RESTARTS,
             RELOADS,
-            HOSTILE_BYTES,
             KILL_AND_START,
-            FREEZE_AND_THAW
+            FREEZE_AND_THAW,
+            HOSTILE_BYTES
         }
 
-        private static final List<Series> PLANNED_MAINTENANCE = List.of(
-                Series.RESTART, Series.RELOAD_AND_RESTART, Series.RESTARTS, Series.RELOADS, Series.HOSTILE_BYTES);
-        private static final List<Series> ALL_SERIES = List.of(Series.values());
+        private static final List<Series> PLANNED_MAINTENANCE =
+                List.of(Series.RESTART, Series.RELOAD_AND_RESTART, Series.RESTARTS, Series.RELOADS);
+        private static final List<Series> ALL_FAULTS = List.of(
+                Series.RESTART,
+                Series.RELOAD_AND_RESTART,
+                Series.RESTARTS,
+                Series.RELOADS,
+                Series.KILL_AND_START,
+                Series.FREEZE_AND_THAW);
 
         private final Random random;
         private final List<ProcessStep> steps = new ArrayList<>();
         private final List<Series> availableSeries;
+        private final boolean hostile;
         private double atMs;
 
-        ProcessStepGenerator(Random random) {
+        ProcessStepGenerator(Random random, boolean hostile) {
             this.random = random;
-            this.availableSeries = random.nextBoolean() ? PLANNED_MAINTENANCE : ALL_SERIES;
+            this.hostile = hostile;
+            this.availableSeries = new ArrayList<>(random.nextBoolean() ? PLANNED_MAINTENANCE : ALL_FAULTS);
+            if (hostile) {
+                availableSeries.add(Series.HOSTILE_BYTES);
+            }
         }
 
         List<ProcessStep> generate(double durationMs) {
@@ -140,7 +159,8 @@
         }
 
         private void start() {
-            add(random.nextInt(4) == 0 ? Kind.START_BEFORE_SETTINGS : Kind.START);
+            boolean early = hostile && random.nextInt(EARLY_STARTS_DIVISOR) == 0;
+            add(early ? Kind.START_BEFORE_SETTINGS : Kind.START);
         }
 
         private void reload() {
--- a/cli/src/test/java/dewplank/fleet/soak/SoakRun.java
+++ b/cli/src/test/java/dewplank/fleet/soak/SoakRun.java
@@ -28,12 +28,14 @@
  * mvn -o -pl cli -am test -Dtest=SoakRun -Dsoak.seed=1 -Dsoak.seconds=30 -Dsurefire.failIfNoSpecifiedTests=false
  * </pre>
  *
- * {@code -Dsoak.edges=N} sets the number of data planes. A failure prints the seed and the processes' logs.
+ * {@code -Dsoak.edges=N} sets the number of data planes, {@code -Dsoak.hostile=false} leaves out hostile bytes and
+ * starts before the settings file is complete. A failure prints the seed and the processes' logs.
  */
 class SoakRun {
     private static final long SEED = Long.getLong("soak.seed", 1);
     private static final int SECONDS = Integer.getInteger("soak.seconds", 30);
     private static final int DATA_PLANES = Integer.getInteger("soak.edges", 3);
+    private static final boolean HOSTILE = Boolean.parseBoolean(System.getProperty("soak.hostile", "true"));
     private static final int CONTROL_PLANES = 3;
     private static final int MS_PER_S = 1_000;
 
@@ -47,7 +49,7 @@
 
     @Test
     void violatesNoRuleDuringConcurrentFaultsAndPlannedMaintenance() throws Exception {
-        SoakPlan plan = SoakPlan.generate(SEED, SECONDS * MS_PER_S, CONTROL_PLANES, DATA_PLANES);
+        SoakPlan plan = SoakPlan.generate(SEED, SECONDS * MS_PER_S, CONTROL_PLANES, DATA_PLANES, HOSTILE);
         System.out.print(plan.text());
         try {
             FleetHarness.run(CONTROL_PLANES, DATA_PLANES, harness -> runPlan(plan, harness));
