--- a/cli/src/test/java/dewplank/fleet/process/HostileBytesTest.java
+++ b/cli/src/test/java/dewplank/fleet/process/HostileBytesTest.java
@@ -33,6 +33,8 @@
     /** Routes of the stand-in operator have 300 bytes each. */
     private static final int LONG_CONFIGURATION_ROUTES = 12_000;
 
+    private static final int SLOW_RESPONSE_BYTES = 16_000_000;
+    private static final int SLOW_BYTES_PER_S = 12_000_000;
     private static final RouteSpec LONG = LongService.ROUTE;
 
     private interface Attack {
@@ -237,6 +239,19 @@
         });
     }
 
+    /** Reading from the server pauses while a client is slow; the connection is used again afterwards. */
+    @Test
+    void responsesToASlowClient() throws Exception {
+        withLongService(SLOW_RESPONSE_BYTES, true, harness -> {
+            try (RawClient client = new RawClient(harness.fleet.dataMachine(0).front())) {
+                for (int i = 0; i < 4; i++) {
+                    client.post(LONG.host(), LONG.prefix() + "x", "slow" + i, 100);
+                    assertEquals(SLOW_RESPONSE_BYTES, client.readSlowly(SLOW_RESPONSE_BYTES, SLOW_BYTES_PER_S));
+                }
+            }
+        });
+    }
+
     private static void withLongService(int responseBytes, boolean sendsLength, Attack attack) throws Exception {
         FleetHarness.run(3, 1, harness -> {
             try (RawServer server = LongService.start(harness, responseBytes, sendsLength, 0)) {
--- a/transport/src/main/java/dewplank/exchange/HttpCall.java
+++ b/transport/src/main/java/dewplank/exchange/HttpCall.java
@@ -298,6 +298,7 @@
         held.release();
         cancelConnectTimeout();
         if (reusable && !usesDedicatedConnection && isWritten()) {
+            connection.resumeReading(); // it may have been paused, and the pool has to detect a close
             pool.put(connection, to, idleMs());
         } else {
             connection.close();
