Test a request that arrives while the loop stalls during a drain; drop unused members

Connection.hasUnsentBytes and a constructor of EventLoop were unused.

Change: PlainRouteTest#aRequestThatArrivesDuringAStallOfTheDrainIsServed; an AssertionError among the failures of EventLoopTest; the unused members are gone.

--- a/dataplane/src/test/java/dewplank/dataplane/ForwarderFixture.java
+++ b/dataplane/src/test/java/dewplank/dataplane/ForwarderFixture.java
@@ -56,7 +56,7 @@
     final QuotaClient quotas = new QuotaClient(quotaClock, SessionFixture.QUOTA_BOUNDS);
 
     final Forwarder forwarder;
-    private final Listener listener;
+    final Listener listener;
     private final List<TestPeer> clients = new ArrayList<>();
     private long configurationVersion;
     private String tenants = "";
--- a/dataplane/src/test/java/dewplank/dataplane/PlainRouteTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/PlainRouteTest.java
@@ -778,4 +778,40 @@
         OnLoop.await(fixture.loop, () -> fixture.forwarder.openConnections() == 0);
         fixture.assertNoOpenRequests();
     }
+
+    /** A request that arrives while the loop stalls across the end of the drain's first phase was never read. */
+    @Test
+    void aRequestThatArrivesDuringAStallOfTheDrainIsServed() throws Exception {
+        fixture.servers.plain();
+        TestPeer client = fixture.sendRequest("/once/");
+        serve(fixture.nextCall(), "first");
+        assertEquals("first", client.read().body());
+        DrainSchedule schedule = new DrainSchedule(1_000);
+        GracefulShutdown shutdown =
+                new GracefulShutdown(fixture.loop, fixture.forwarder, fixture.listener, schedule, () -> {});
+        Thread drain = new Thread(() -> {
+            try {
+                shutdown.run();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        drain.start();
+        OnLoop.await(fixture.loop, shutdown::isStarted);
+        fixture.loop.after(schedule.acceptMs() - 60, () -> {
+            sendAndStall(client);
+        });
+        serve(fixture.nextCall(), "second");
+        assertEquals("second", client.read().body());
+        drain.join();
+    }
+
+    private static void sendAndStall(TestPeer client) {
+        try {
+            client.send(ClientRequests.request("/once/", "", ""));
+            Thread.sleep(200);
+        } catch (IOException | InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
 }
--- a/transport/src/main/java/dewplank/net/Connection.java
+++ b/transport/src/main/java/dewplank/net/Connection.java
@@ -311,11 +311,6 @@
         shutdownOutputIfDrained();
     }
 
-    /** Whether bytes are queued that the system has not accepted yet. */
-    public boolean hasUnsentBytes() {
-        return !writes.isEmpty();
-    }
-
     /** When the system last accepted queued bytes, or began to; 0 if nothing was written. */
     public double lastWriteProgressAt() {
         return lastWriteProgressAt;
--- a/transport/src/main/java/dewplank/net/EventLoop.java
+++ b/transport/src/main/java/dewplank/net/EventLoop.java
@@ -42,10 +42,6 @@
         this(writeBudget, new ReceiveBudget());
     }
 
-    EventLoop(ReceiveBudget receiveBudget) throws IOException {
-        this(new WriteBudget(), receiveBudget);
-    }
-
     private EventLoop(WriteBudget writeBudget, ReceiveBudget receiveBudget) throws IOException {
         this.writeBudget = writeBudget;
         this.receiveBudget = receiveBudget;
--- a/transport/src/test/java/dewplank/net/EventLoopTest.java
+++ b/transport/src/test/java/dewplank/net/EventLoopTest.java
@@ -77,6 +77,7 @@
     static Stream<Throwable> failures() {
         return Stream.of(
                 new IllegalStateException("test failure"),
+                new AssertionError("an error of a task"),
                 new NoClassDefFoundError("AbsentType"),
                 new StackOverflowError());
     }
