--- a/cli/src/test/java/dewplank/fleet/FleetHarness.java
+++ b/cli/src/test/java/dewplank/fleet/FleetHarness.java
@@ -17,6 +17,7 @@
 import dewplank.emulator.fleet.FleetProcess;
 import dewplank.emulator.fleet.Futures;
 import dewplank.emulator.fleet.History;
+import dewplank.emulator.fleet.MachineLimits;
 import dewplank.emulator.fleet.ModelServer;
 import dewplank.emulator.fleet.PlainServer;
 import dewplank.emulator.fleet.RouteSpec;
@@ -76,9 +77,10 @@
     final List<ModelServer> prefillServers = new ArrayList<>();
     final List<ModelServer> decodeServers = new ArrayList<>();
 
-    private FleetHarness(StandInFleet.Commands commands, int control, int data) throws IOException {
+    private FleetHarness(StandInFleet.Commands commands, MachineLimits limits, int control, int data)
+            throws IOException {
         folder = Files.createTempDirectory("fleet");
-        fleet = new StandInFleet(commands, folder, control, data);
+        fleet = new StandInFleet(commands, limits, folder, control, data);
     }
 
     /** The steps of a test with a running fleet. */
@@ -96,7 +98,14 @@
 
     /** Runs the scenario as {@link #run(int, int, Scenario)} does, with processes started by these commands. */
     static void run(StandInFleet.Commands commands, int control, int data, Scenario scenario) throws Exception {
-        try (FleetHarness harness = new FleetHarness(commands, control, data)) {
+        run(commands, MachineLimits.DEPLOYED, control, data, scenario);
+    }
+
+    /** Runs the scenario as {@link #run(int, int, Scenario)} does, with these commands and resources. */
+    public static void run(
+            StandInFleet.Commands commands, MachineLimits limits, int control, int data, Scenario scenario)
+            throws Exception {
+        try (FleetHarness harness = new FleetHarness(commands, limits, control, data)) {
             try {
                 harness.start();
                 scenario.run(harness);
@@ -297,7 +306,7 @@
         assertEquals(200, status, "version " + next.version());
     }
 
-    ClientAttempt.Outcome awaitOutcome(int edge, ClientRequest request) {
+    public ClientAttempt.Outcome awaitOutcome(int edge, ClientRequest request) {
         return Futures.await(send(edge, request).ended());
     }
 
--- a/cli/src/test/java/dewplank/fleet/Programs.java
+++ b/cli/src/test/java/dewplank/fleet/Programs.java
@@ -21,13 +21,15 @@
 
     private Programs() {}
 
-    static StandInFleet.Commands commands() {
-        return new StandInFleet.Commands(command("control-plane"), command("data-plane"));
+    /** Returns the commands with further JVM options, which replace deployed ones of the same name. */
+    public static StandInFleet.Commands commands(String... options) {
+        return new StandInFleet.Commands(command("control-plane", options), command("data-plane", options));
     }
 
-    /** Returns the command line of a program, by its verb. */
-    public static List<String> command(String program) {
+    /** Returns the command line of a program, by its verb; of two options of the same name the later one applies. */
+    public static List<String> command(String program, String... options) {
         List<String> command = new ArrayList<>(java(program));
+        command.addAll(List.of(options));
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "dewplank.Main", program));
         return command;
     }
--- a/cli/src/test/java/dewplank/fleet/process/LongService.java
+++ b/cli/src/test/java/dewplank/fleet/process/LongService.java
@@ -24,11 +24,7 @@
 
     /** Configures the route, starts the server and waits until it is reached through the first data plane. */
     static RawServer start(FleetHarness harness, int responseBytes, boolean sendsLength, int delayMs) throws Exception {
-        List<RouteSpec> routes = new ArrayList<>(FleetHarness.INITIAL.routes());
-        routes.add(ROUTE);
-        List<ServiceSpec> services = new ArrayList<>(FleetHarness.INITIAL.services());
-        services.add(ServiceSpec.plain("long"));
-        FleetConfiguration next = new FleetConfiguration(VERSION, routes, services);
+        FleetConfiguration next = configuration(VERSION);
         assertEquals(200, Futures.await(harness.operator().put(next, FleetHarness.INITIAL.version(), 0)));
         InetAddress address = harness.fleet.dataMachine(0).address();
         ServerIdentity identity =
@@ -39,6 +35,15 @@
         return server;
     }
 
+    /** Returns the fleet's initial configuration with the service and its route added, under another version. */
+    static FleetConfiguration configuration(long version) {
+        List<RouteSpec> routes = new ArrayList<>(FleetHarness.INITIAL.routes());
+        routes.add(ROUTE);
+        List<ServiceSpec> services = new ArrayList<>(FleetHarness.INITIAL.services());
+        services.add(ServiceSpec.plain("long"));
+        return new FleetConfiguration(version, routes, services);
+    }
+
     private static boolean isServed(FleetHarness harness) {
         try (RawClient client = new RawClient(harness.fleet.dataMachine(0).front())) {
             return client.post(ROUTE.host(), ROUTE.prefix() + "x", "probe", 1)
--- a/cli/src/test/java/dewplank/fleet/process/RawClient.java
+++ b/cli/src/test/java/dewplank/fleet/process/RawClient.java
@@ -43,6 +43,11 @@
     /** The status and the size of a response; the status is 0 if the connection ended before the response was whole. */
     record Response(int status, long bodyBytes) {}
 
+    /** Whether bytes of a response have arrived. */
+    boolean hasReceived() throws IOException {
+        return in.available() > 0;
+    }
+
     /** Reads one response, with a length or in chunks. */
     Response read() {
         try {
--- a/emulator/src/main/java/dewplank/emulator/fleet/FleetProcess.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/FleetProcess.java
@@ -18,6 +18,7 @@
     private final EventLoop loop;
     private final History history;
     private final FleetMachine machine;
+    private final MachineLimits limits;
     private final List<InetSocketAddress> seeds;
     private final ProgramProcess process;
     private final Optional<Path> disk;
@@ -26,12 +27,14 @@
             EventLoop loop,
             History history,
             FleetMachine machine,
+            MachineLimits limits,
             List<InetSocketAddress> seeds,
             List<String> command,
             Path folder) {
         this.loop = loop;
         this.history = history;
         this.machine = machine;
+        this.limits = limits;
         this.seeds = List.copyOf(seeds);
         this.process = new ProgramProcess(machine.node(), command, NodeSettings.VARIABLE, folder);
         this.disk = machine.machineClass() == MachineClass.CORE
@@ -64,30 +67,30 @@
             Files.createDirectories(disk.get());
         }
         record(ProcessFault.STARTED);
-        process.start(SettingsFile.of(machine, seeds, initialStart, disk), List.of());
+        process.start(SettingsFile.of(machine, limits, seeds, initialStart, disk), List.of());
     }
 
     /** Restarts the process while its settings file is only half written. */
     public void restartWithUnreadableSettings() throws IOException {
         record(ProcessFault.STARTED);
-        String text = SettingsFile.of(machine, seeds, false, disk);
+        String text = SettingsFile.of(machine, limits, seeds, false, disk);
         process.start(text.substring(0, text.length() / 2), List.of());
     }
 
     /** Writes the complete settings file. */
     public void completeSettings() throws IOException {
-        process.writeSettings(SettingsFile.of(machine, seeds, false, disk));
+        process.writeSettings(SettingsFile.of(machine, limits, seeds, false, disk));
     }
 
     /** Writes a settings file that lists only the seeds with the given indexes, and sends SIGHUP. */
     public void reload(List<Integer> seedIndexes) throws IOException, InterruptedException {
         List<InetSocketAddress> chosen = seedIndexes.stream().map(seeds::get).toList();
-        reload(SettingsFile.of(machine, chosen, false, disk));
+        reload(SettingsFile.of(machine, limits, chosen, false, disk));
     }
 
     /** Writes a truncated settings file, which can't be parsed, and sends SIGHUP. */
     public void reloadUnreadable() throws IOException, InterruptedException {
-        String text = SettingsFile.of(machine, seeds, false, disk);
+        String text = SettingsFile.of(machine, limits, seeds, false, disk);
         reload(text.substring(0, text.length() / 2));
     }
 
@@ -102,6 +105,11 @@
         return seeds.size();
     }
 
+    /** The process id of the current incarnation. */
+    public long pid() {
+        return process.pid();
+    }
+
     /** Whether the process is running or paused. */
     public boolean isAlive() {
         return process.isAlive();
--- a/emulator/src/main/java/dewplank/emulator/fleet/SettingsFile.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/SettingsFile.java
@@ -13,14 +13,17 @@
 
 /** Creates the settings file of a control plane or data plane. */
 final class SettingsFile {
-    private static final int MEMORY_MB = 430;
-    private static final int MAX_FILE_DESCRIPTORS = 4_100;
     private static final int DISK_MB = 256;
 
     private SettingsFile() {}
 
     /** Returns the file's text; {@code data} is the data directory, empty for a machine without a disk. */
-    static String of(FleetMachine machine, List<InetSocketAddress> seeds, boolean initialStart, Optional<Path> data) {
+    static String of(
+            FleetMachine machine,
+            MachineLimits machineLimits,
+            List<InetSocketAddress> seeds,
+            boolean initialStart,
+            Optional<Path> data) {
         JsonObject settings = new JsonObject();
         settings.addProperty("node_name", machine.node());
         settings.addProperty("machine_class", machine.machineClass().settingsName());
@@ -39,7 +42,7 @@
                         .toList()));
         settings.addProperty("initial_start", initialStart);
         settings.addProperty("loss_counted", machine.machineClass() == MachineClass.CORE);
-        settings.add("limits", limits());
+        settings.add("limits", limits(machineLimits));
         settings.add(
                 "data_directory",
                 data.<JsonElement>map(path -> new JsonPrimitive(path.toString()))
@@ -70,12 +73,12 @@
         return array;
     }
 
-    private static JsonObject limits() {
+    private static JsonObject limits(MachineLimits machineLimits) {
         JsonObject limits = new JsonObject();
         limits.addProperty("cpu_share", 1.0);
         limits.addProperty("core_count", 1);
-        limits.addProperty("memory_mb", MEMORY_MB);
-        limits.addProperty("max_file_descriptors", MAX_FILE_DESCRIPTORS);
+        limits.addProperty("memory_mb", machineLimits.memoryMb());
+        limits.addProperty("max_file_descriptors", machineLimits.maxFileDescriptors());
         limits.addProperty("disk_mb", DISK_MB);
         return limits;
     }
--- a/emulator/src/main/java/dewplank/emulator/fleet/StandInFleet.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/StandInFleet.java
@@ -34,16 +34,17 @@
     private int serverCount;
 
     /** Opens the stand-ins' sockets and starts no process. {@code folder} stores settings, logs and the disks' data. */
-    public StandInFleet(Commands commands, Path folder, int controlMachines, int dataMachines) throws IOException {
+    public StandInFleet(Commands commands, MachineLimits limits, Path folder, int controlMachines, int dataMachines)
+            throws IOException {
         List<InetSocketAddress> seeds = new ArrayList<>();
         List<FleetMachine> core = machines(controlMachines, this::controlMachine);
         core.stream().limit(MAX_SEEDS).forEach(machine -> seeds.add(machine.control()));
         for (FleetMachine machine : core) {
             platform.listenFor(machine);
-            control.add(new FleetProcess(loop, history, machine, seeds, commands.control(), folder));
+            control.add(new FleetProcess(loop, history, machine, limits, seeds, commands.control(), folder));
         }
         for (FleetMachine machine : machines(dataMachines, this::createDataMachine)) {
-            data.add(new FleetProcess(loop, history, machine, seeds, commands.data(), folder));
+            data.add(new FleetProcess(loop, history, machine, limits, seeds, commands.data(), folder));
         }
         operator = new StandInOperator(loop, history, core);
         new StallRecorder(loop, history).start();
--- a/emulator/src/main/java/dewplank/emulator/loopback/ProgramProcess.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/ProgramProcess.java
@@ -46,6 +46,11 @@
         return Files.writeString(folder.resolve(name + ".json"), settings);
     }
 
+    /** The process id of the latest start. */
+    public long pid() {
+        return process.orElseThrow().pid();
+    }
+
     /** Whether the process was started and has not exited. */
     public boolean isAlive() {
         return process.filter(Process::isAlive).isPresent();
@@ -58,10 +63,7 @@
 
     /** Sends the signal with the given name, such as TERM. */
     public void signal(String signal) throws IOException, InterruptedException {
-        int exitStatus = new ProcessBuilder(
-                        "kill",
-                        "-" + signal,
-                        Long.toString(process.orElseThrow().pid()))
+        int exitStatus = new ProcessBuilder("kill", "-" + signal, Long.toString(pid()))
                 .start()
                 .waitFor();
         if (exitStatus != 0) {
