Serve heads of many short fields and long chunk extensions; parse each byte once

Callers saw 431 for legal requests: heads of over 256 lines (the cap that kept memory down), and chunk lines with an extension of over 256 bytes. Requests with many Connection lines or one-byte chunks also took far more work than their bytes: endToEnd walked all fields for each field, repeated values were joined by concatenation, and each chunk's line went through a string and a regular expression.

Cause: a field was a record, two strings and their arrays, over 100 bytes for 4 on the wire, so that only a cap on the number bounded a head. Headers now keeps the fields in one array of bytes with their lengths, about what they take on the wire, and the cap is gone. The line before a chunk is parsed byte by byte and its extension discarded; a body grows in segments, without an old and a new array side by side. Trailers have the limit of a head of their own. A sidecar keeps a request's fields in the same form until it sends them.

OddMessagesTest measures allocated bytes, not time.

--- a/sidecar/src/main/java/dewplank/sidecar/AttemptDispatcher.java
+++ b/sidecar/src/main/java/dewplank/sidecar/AttemptDispatcher.java
@@ -8,11 +8,13 @@
 import dewplank.balancer.Outcome;
 import dewplank.balancer.Settings;
 import dewplank.discovery.DiscoveryClient;
+import dewplank.http.Headers;
 import dewplank.http.MessageWriter;
 import dewplank.net.EventLoop;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -147,8 +149,10 @@
 
     private static ByteBuffer encode(
             PendingRequest.ForwardedRequest forwarded, InetSocketAddress server, double timeoutMs) {
+        List<Headers.Field> fields = forwarded.headers().endToEnd();
+        fields.removeIf(field -> field.name().equalsIgnoreCase(EXPIRES_IN_HEADER)); // each attempt has its own time
         MessageWriter request = MessageWriter.request(forwarded.method(), forwarded.target(), hostHeader(server))
-                .headers(forwarded.headers())
+                .headers(fields)
                 .header(EXPIRES_IN_HEADER, Long.toString(Math.max(1, (long) timeoutMs)));
         return forwarded.body().length == 0 && forwarded.method().equals("GET")
                 ? request.noBody()
--- a/sidecar/src/main/java/dewplank/sidecar/PendingRequest.java
+++ b/sidecar/src/main/java/dewplank/sidecar/PendingRequest.java
@@ -32,7 +32,7 @@
      *
      * @param traceId the client's trace id, which is also one of the headers
      */
-    record ForwardedRequest(String traceId, String method, String target, List<Headers.Field> headers, byte[] body) {}
+    record ForwardedRequest(String traceId, String method, String target, Headers headers, byte[] body) {}
 
     final long number;
     final ForwardedRequest forwarded;
--- a/sidecar/src/main/java/dewplank/sidecar/RequestDecoder.java
+++ b/sidecar/src/main/java/dewplank/sidecar/RequestDecoder.java
@@ -7,7 +7,6 @@
 import dewplank.http.BadMessageException;
 import dewplank.http.Headers;
 import dewplank.http.RequestParser;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.regex.Pattern;
@@ -53,11 +52,8 @@
         if (idempotency == Idempotency.KEYED && headers.get("Idempotency-Key") == null) {
             throw new BadMessageException(400, "Idempotency-Key is missing");
         }
-        List<Headers.Field> forwardedHeaders = headers.endToEnd().stream()
-                .filter(field -> !field.name().equalsIgnoreCase(AttemptDispatcher.EXPIRES_IN_HEADER))
-                .toList(); // each attempt has its own remaining time
-        PendingRequest.ForwardedRequest forwarded = new PendingRequest.ForwardedRequest(
-                id, parser.method(), parser.target(), forwardedHeaders, parser.takeBody());
+        PendingRequest.ForwardedRequest forwarded =
+                new PendingRequest.ForwardedRequest(id, parser.method(), parser.target(), headers, parser.takeBody());
         return new ClientRequest(
                 forwarded,
                 RequestAttributes.of(headers, tenants),
--- a/transport/src/main/java/dewplank/http/MessageParser.java
+++ b/transport/src/main/java/dewplank/http/MessageParser.java
@@ -1,8 +1,6 @@
 package dewplank.http;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.regex.Pattern;
 
 /**
@@ -12,13 +10,6 @@
 public abstract class MessageParser {
     public static final int MAX_HEAD_BYTES = 16 * 1024;
     public static final int MAX_BODY_BYTES = 64 * 1024;
-    private static final int MAX_CHUNK_LINE_BYTES = 256;
-    /** Maximum number of header fields: each takes far more memory than its bytes on the wire. */
-    static final int MAX_FIELDS = 256;
-    /** Memory of a header field in addition to its bytes: a record, two strings and their arrays. */
-    private static final int FIELD_OVERHEAD_BYTES = 128;
-
-    private static final int LINE_CAPACITY_BYTES = 128;
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
     private enum State {
@@ -36,10 +27,14 @@
     private int maxBodyBytes;
     private int maxHeadBytes = MAX_HEAD_BYTES;
     private State state = State.START;
-    private ByteArrayOutputStream line = new ByteArrayOutputStream(LINE_CAPACITY_BYTES);
+    private final LineBuffer line = new LineBuffer();
+    private final ChunkSizeParser chunkSize = new ChunkSizeParser();
     private final BodyBuffer body = new BodyBuffer();
     private Headers headers = new Headers();
-    private int headBytes;
+    /** Bytes of the head, or of the trailers, or of the line before a chunk: each has the same limit. */
+    private int lineBytes;
+
+    private boolean isLineEmpty = true;
     private long bodyBytesLeft;
 
     MessageParser(int maxBody) {
@@ -51,7 +46,8 @@
         while (state != State.DONE && in.hasRemaining()) {
             switch (state) {
                 case FIXED, CHUNK, TO_THE_END -> readBody(in);
-                default -> readLine(in);
+                case START, FIELDS -> readHead(in);
+                default -> readChunkFraming(in.get());
             }
         }
         return state == State.DONE;
@@ -67,7 +63,7 @@
 
     /** Whether part of a message has been read, but not all of it. */
     public final boolean hasBegun() {
-        return state != State.DONE && (state != State.START || headBytes > 0);
+        return state != State.DONE && (state != State.START || lineBytes > 0);
     }
 
     public final boolean isHeadRead() {
@@ -88,9 +84,11 @@
     public void reset() {
         state = State.START;
         headers = new Headers();
-        resetLine();
+        line.clear();
+        chunkSize.takeSize();
         body.clear();
-        headBytes = 0;
+        lineBytes = 0;
+        isLineEmpty = true;
         bodyBytesLeft = 0;
     }
 
@@ -103,18 +101,14 @@
         return body.take();
     }
 
-    /** Memory in bytes that the received part of the message uses. */
-    public final long heldBytes() {
-        return headBytes + (long) FIELD_OVERHEAD_BYTES * headers.size() + body.capacity();
+    /** Size of the part of the body that has been read and not taken. */
+    public final int bodyBytes() {
+        return body.size();
     }
 
-    /** Long lines are rare, so that their array is not kept for the next one. */
-    private void resetLine() {
-        if (line.size() > LINE_CAPACITY_BYTES) {
-            line = new ByteArrayOutputStream(LINE_CAPACITY_BYTES);
-        } else {
-            line.reset();
-        }
+    /** Memory in bytes that the received part of the message uses. */
+    public final long heldBytes() {
+        return (long) line.heldBytes() + headers.heldBytes() + body.capacity();
     }
 
     /** Prefix of all valid start lines: input that differs is rejected without waiting for a line end. */
@@ -130,93 +124,99 @@
     /** Whether the message is an interim response (1xx), which is discarded. */
     abstract boolean isInterim();
 
-    private void readLine(ByteBuffer in) throws BadMessageException {
-        boolean inChunks = state == State.CHUNK_SIZE || state == State.CHUNK_END;
+    /** Consumes bytes up to the end of the next line of the head. */
+    private void readHead(ByteBuffer in) throws BadMessageException {
         while (in.hasRemaining()) {
-            byte b = in.get();
-            if (!inChunks && ++headBytes > maxHeadBytes || inChunks && line.size() > MAX_CHUNK_LINE_BYTES) {
-                throw new BadMessageException(431, "the head is too long");
+            byte next = in.get();
+            countLineByte();
+            if (next == '\n') {
+                handleHeadLine();
+                return;
             }
-            if (b != '\n') {
-                line.write(b);
-                boolean lineEnd = b == '\r' && line.size() == 1;
-                if (state == State.START
-                        && !lineEnd
-                        && line.size() <= startLinePrefix().length()
-                        && b != startLinePrefix().charAt(line.size() - 1)) {
-                    throw new BadMessageException(400, "the start line is malformed");
-                }
-                continue;
+            line.append(next);
+            if (state == State.START) {
+                checkStartLinePrefix(next);
             }
-            String text = line.toString(StandardCharsets.ISO_8859_1);
-            resetLine();
-            handleLine(text.endsWith("\r") ? text.substring(0, text.length() - 1) : text);
-            return;
         }
     }
 
-    private void handleLine(String text) throws BadMessageException {
+    private void countLineByte() throws BadMessageException {
+        if (++lineBytes > maxHeadBytes) {
+            throw new BadMessageException(431, "the head is too long");
+        }
+    }
+
+    private void checkStartLinePrefix(byte next) throws BadMessageException {
+        int index = line.size() - 1;
+        boolean isLineEnd = next == '\r' && index == 0;
+        if (!isLineEnd
+                && index < startLinePrefix().length()
+                && next != startLinePrefix().charAt(index)) {
+            throw new BadMessageException(400, "the start line is malformed");
+        }
+    }
+
+    private void handleHeadLine() throws BadMessageException {
+        boolean isEmpty = line.length() == 0;
+        if (state == State.FIELDS && isEmpty) {
+            line.clear();
+            lineBytes = 0;
+            handleEndOfHead();
+        } else if (state == State.FIELDS) {
+            line.addFieldTo(headers);
+            line.clear();
+        } else if (isEmpty) { // an empty line between messages is ignored
+            line.clear();
+            lineBytes = 0;
+        } else {
+            String startLine = line.text();
+            line.clear();
+            parseStartLine(startLine);
+            state = State.FIELDS;
+        }
+    }
+
+    private void readChunkFraming(byte next) throws BadMessageException {
         switch (state) {
-            case START -> {
-                if (text.isEmpty()) { // an empty line between messages is ignored
-                    headBytes = 0;
-                    return;
-                }
-                parseStartLine(text);
-                state = State.FIELDS;
-            }
-            case FIELDS -> {
-                if (text.isEmpty()) {
-                    handleEndOfHead();
-                } else {
-                    addField(text);
-                }
-            }
             case CHUNK_SIZE -> {
-                bodyBytesLeft = parseChunkSize(text);
-                state = bodyBytesLeft == 0 ? State.TRAILERS : State.CHUNK;
+                countLineByte();
+                if (chunkSize.feed(next)) {
+                    startChunk(chunkSize.takeSize());
+                }
             }
             case CHUNK_END -> {
-                if (!text.isEmpty()) {
+                if (next == '\n') {
+                    isLineEmpty = true;
+                    state = State.CHUNK_SIZE;
+                } else if (next != '\r' || !isLineEmpty) {
                     throw new BadMessageException(400, "a chunk does not end where it should");
+                } else {
+                    isLineEmpty = false; // only a line feed may follow the carriage return
                 }
-                state = State.CHUNK_SIZE;
             }
-            case TRAILERS -> state = text.isEmpty() ? State.DONE : State.TRAILERS;
-            default -> throw new IllegalStateException("no line is expected in state " + state);
-        }
-    }
-
-    private void addField(String text) throws BadMessageException {
-        int colon = text.indexOf(':');
-        String name = colon < 0 ? "" : text.substring(0, colon);
-        if (!isToken(name)) { // also rejects folded lines and whitespace before the colon
-            throw new BadMessageException(400, "a header field is malformed");
-        }
-        String value = text.substring(colon + 1).strip();
-        for (int i = 0; i < value.length(); i++) {
-            char c = value.charAt(i);
-            if (c < ' ' && c != '\t' || c == 127) {
-                throw new BadMessageException(400, "a header field holds a control character");
+            case TRAILERS -> {
+                countLineByte();
+                if (next != '\n') {
+                    isLineEmpty &= next == '\r';
+                } else if (isLineEmpty) {
+                    state = State.DONE;
+                } else {
+                    isLineEmpty = true;
+                }
             }
+            default -> throw new IllegalStateException("no chunk is expected in state " + state);
         }
-        if (headers.size() == MAX_FIELDS) {
-            throw new BadMessageException(431, "the head has too many fields");
-        }
-        headers.add(name, value);
     }
 
-    static boolean isToken(String text) {
-        for (int i = 0; i < text.length(); i++) {
-            char c = text.charAt(i);
-            if (c <= ' ' || c >= 127 || "\"(),/:;<=>?@[\\]{}".indexOf(c) >= 0) {
-                return false;
-            }
-        }
-        return !text.isEmpty();
+    private void startChunk(long size) throws BadMessageException {
+        checkBodySize(body.size() + size);
+        lineBytes = 0;
+        bodyBytesLeft = size;
+        state = size == 0 ? State.TRAILERS : State.CHUNK;
     }
 
     private void handleEndOfHead() throws BadMessageException {
+        headers.trim();
         String length = headers.get("Content-Length");
         String coding = headers.get("Transfer-Encoding");
         if (length != null && coding != null) { // the end of the message is ambiguous, which allows request smuggling
@@ -249,17 +249,6 @@
         return length;
     }
 
-    private long parseChunkSize(String text) throws BadMessageException {
-        int end = text.indexOf(';');
-        String digits = (end < 0 ? text : text.substring(0, end)).strip();
-        if (!digits.matches("[0-9a-fA-F]{1,8}")) {
-            throw new BadMessageException(400, "a chunk's size is malformed");
-        }
-        long size = Long.parseLong(digits, 16);
-        checkBodySize(body.size() + size);
-        return size;
-    }
-
     private void checkBodySize(long size) throws BadMessageException {
         if (size > maxBodyBytes) {
             throw new BadMessageException(413, "the body is too long");
--- a/transport/src/main/java/dewplank/http/MessageWriter.java
+++ b/transport/src/main/java/dewplank/http/MessageWriter.java
@@ -66,6 +66,11 @@
                 .flip();
     }
 
+    /** Memory of the message's buffers in bytes, without a body that is not copied. */
+    public static int allocatedBytes(int headBytes, int bodyBytes) {
+        return headBytes + (bodyBytes <= MAX_COPIED_BODY_BYTES ? bodyBytes : 0);
+    }
+
     private static String reason(int status) {
         return switch (status) {
             case 100 -> "Continue";
--- a/transport/src/main/java/dewplank/http/RequestParser.java
+++ b/transport/src/main/java/dewplank/http/RequestParser.java
@@ -5,7 +5,7 @@
     private String method = "";
     private String target = "";
     private boolean isHttp10;
-    private boolean continueReported;
+    private boolean expectationChecked;
 
     public RequestParser() {
         this(MAX_BODY_BYTES);
@@ -24,7 +24,7 @@
     @Override
     void parseStartLine(String text) throws BadMessageException {
         String[] parts = text.split(" ", -1);
-        if (parts.length != 3 || !isToken(parts[0]) || !isTarget(parts[1])) {
+        if (parts.length != 3 || !Tokens.isToken(parts[0]) || !isTarget(parts[1])) {
             throw new BadMessageException(400, "the request line is malformed");
         }
         if (!parts[2].equals("HTTP/1.1") && !parts[2].equals("HTTP/1.0")) {
@@ -58,16 +58,17 @@
 
     /** Whether the peer expects a 100 (Continue) before the body. Returns true at most once per request. */
     public boolean waitsForContinue() {
-        boolean waits =
-                isHeadRead() && hasBegun() && !continueReported && headers().containsToken("Expect", "100-continue");
-        continueReported |= waits;
-        return waits;
+        if (expectationChecked || !isHeadRead() || !hasBegun()) {
+            return false;
+        }
+        expectationChecked = true;
+        return headers().containsToken("Expect", "100-continue");
     }
 
     @Override
     public void reset() {
         super.reset();
-        continueReported = false;
+        expectationChecked = false;
     }
 
     @Override
