--- a/messages/src/main/java/dewplank/message/FramedConnection.java
+++ b/messages/src/main/java/dewplank/message/FramedConnection.java
@@ -32,7 +32,7 @@
 
     /** Creates a connection for a listener to accept. */
     public FramedConnection(EventLoop loop, MessageCodec codec, Handler handler) {
-        this.held = loop.receiveBudget().open(this::closeForOverload);
+        this.held = loop.receiveBudget().open(ReceiveBudget.Origin.FLEET, this::closeForOverload);
         this.codec = codec;
         this.decoder = codec.newDecoder();
         this.handler = handler;
--- a/transport/src/main/java/dewplank/exchange/HttpCall.java
+++ b/transport/src/main/java/dewplank/exchange/HttpCall.java
@@ -117,7 +117,7 @@
         this.pool = pool;
         this.request = request;
         this.requestBody = requestBody;
-        this.held = loop.receiveBudget().open(this::giveUp);
+        this.held = loop.receiveBudget().open(ReceiveBudget.Origin.FLEET, this::giveUp);
         this.requestStart = request.position();
         this.listener = listener;
     }
--- a/transport/src/main/java/dewplank/exchange/InboundConnection.java
+++ b/transport/src/main/java/dewplank/exchange/InboundConnection.java
@@ -29,6 +29,8 @@
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
     private static final int SERVICE_UNAVAILABLE = 503;
+    /** Memory of a request in progress in addition to its bytes: its state, its attempts and their timers. */
+    private static final int REQUEST_STATE_BYTES = 2 * 1024;
     /** When a client should retry that was rejected because too many long requests arrive at once. */
     private static final String OVERLOAD_RETRY_AFTER_S = "0.5";
 
@@ -82,7 +84,7 @@
         this.loop = loop;
         this.service = service;
         this.parser = new RequestParser(service.maxBodyBytes());
-        this.held = loop.receiveBudget().open(this::rejectForOverload);
+        this.held = loop.receiveBudget().open(ReceiveBudget.Origin.CLIENT, this::rejectForOverload);
     }
 
     @Override
@@ -130,10 +132,12 @@
 
     private void takeRequest() {
         isBusy = true;
-        held.hold(parser.heldBytes());
-        held.markInUse();
         keepAlive = parser.keepAlive();
         headOnly = parser.method().equals("HEAD");
+        if (!held.holdInUse(bytesInUse())) {
+            rejectForOverload();
+            return;
+        }
         Request request = new Request(parser.method(), parser.target(), parser.headers(), parser.takeBody());
         pendingRequest = request;
         // The client may have closed the connection directly after its request. The next read follows this method, and
@@ -141,6 +145,13 @@
         loop.execute(() -> loop.execute(() -> dispatch(request)));
     }
 
+    /** Memory of the complete request, and of the message in which it is sent on. */
+    private long bytesInUse() {
+        int headBytes = parser.headers().heldBytes() + parser.target().length();
+        int bodyBytes = parser.bodyBytes();
+        return REQUEST_STATE_BYTES + headBytes + bodyBytes + MessageWriter.allocatedBytes(headBytes, bodyBytes);
+    }
+
     @SuppressWarnings("ReferenceEquality") // must be the same request, not an equal later one
     private void dispatch(Request request) {
         if (connection.isClosed() || pendingRequest != request) { // disconnected, or already rejected
--- a/transport/src/main/java/dewplank/net/EventLoop.java
+++ b/transport/src/main/java/dewplank/net/EventLoop.java
@@ -19,7 +19,8 @@
     private static final long TICK_MS = 5;
     private static final long STOP_TIMEOUT_MS = 1_000;
     private static final int DISCARD_BUFFER_BYTES = 256 * 1024;
-    private static final int MAX_READ_AHEAD_BUFFERS = 50; // 4 MiB in total, a sixteenth of the heap
+    /** Read-ahead buffers take at most the heap divided by this. */
+    private static final int READ_AHEAD_HEAP_DIVISOR = 24;
 
     private final ScheduledThreadPoolExecutor executor;
     private final AsynchronousChannelGroup group;
@@ -31,6 +32,8 @@
     private final ReceiveBudget receiveBudget;
     private volatile Thread thread;
     private volatile boolean isStopping;
+    private final long maxReadAheadBuffers =
+            Runtime.getRuntime().maxMemory() / READ_AHEAD_HEAP_DIVISOR / InputBuffer.MAX_READ_AHEAD_BYTES;
     private int readAheadBuffersInUse;
 
     /** Starts the thread, with limits on queued bytes that depend on the heap size. */
@@ -109,7 +112,7 @@
 
     /** Reserves a read-ahead buffer; returns false if all are in use. */
     boolean acquireReadAhead() {
-        if (readAheadBuffersInUse == MAX_READ_AHEAD_BUFFERS) {
+        if (readAheadBuffersInUse >= maxReadAheadBuffers) {
             return false;
         }
         readAheadBuffersInUse++;
--- a/transport/src/main/java/dewplank/net/WriteBudget.java
+++ b/transport/src/main/java/dewplank/net/WriteBudget.java
@@ -23,10 +23,7 @@
      */
     static final long MAX_BYTES_PER_CONNECTION = 12L * 1024 * 1024;
 
-    /** Lower bound of the total limit: a quarter of a data plane's heap of 96 MiB. */
-    private static final long MIN_TOTAL_BYTES = 24L * 1024 * 1024;
-
-    /** The total limit is the maximum heap size divided by this, if that exceeds the lower bound. */
+    /** The total limit is the maximum heap size divided by this, if that exceeds the limit per connection. */
     private static final int HEAP_DIVISOR = 4;
     /**
      * Total of queued bytes up to which each write is a single piece: a sixth of the direct memory of a data plane. If
@@ -47,7 +44,7 @@
     WriteBudget() {
         this(
                 MAX_BYTES_PER_CONNECTION,
-                Math.max(MIN_TOTAL_BYTES, Runtime.getRuntime().maxMemory() / HEAP_DIVISOR));
+                Math.max(MAX_BYTES_PER_CONNECTION, Runtime.getRuntime().maxMemory() / HEAP_DIVISOR));
     }
 
     WriteBudget(long maxBytesPerConnection, long maxTotalBytes) {
