Close connections that wait when a listener is at its limit, on each port of clients

Callers saw no answer: with 300 clients at a data plane's readiness port that are silent or send half a request, no probe was answered in ten calls; with 1,100 silent clients at a control plane's port, no /status was (CrowdTest).

Cause: a listener at its limit accepted no one until a time-out closed a connection: 30 s at readiness, 60 s at the operators' port, 15 s at the front. Now it accepts one more and closes the connection without a complete request that has received no byte for the longest time, or else the one that has been idle longest. A connection with a request in progress stays. InboundConnections holds this and replaces three sets of connections; ResponseWriter takes the writing of responses out of InboundConnection. A control plane's limit of connections follows its descriptors.

The soak's hostile bytes include parts of crowds.

--- a/cli/src/test/java/dewplank/fleet/process/CrowdTest.java
+++ b/cli/src/test/java/dewplank/fleet/process/CrowdTest.java
@@ -131,10 +131,10 @@
         return "PUT /configuration HTTP/1.1\r\nHost: x\r\nIf-Match: 3\r\nTransfer-Encoding: chunked\r\n\r\n";
     }
 
-    /** A fleet with lowered limits, whose server of the crowd's requests responds late. */
-    private static void withLimits(FleetHarness.Scenario scenario) throws Exception {
+    /** A fleet with lowered limits; the server of the crowd's requests responds {@code serverDelayMs} late. */
+    private static void withLimits(int serverDelayMs, FleetHarness.Scenario scenario) throws Exception {
         FleetHarness.run(Programs.commands(HEAP), LIMITS, 3, 1, harness -> {
-            try (RawServer server = LongService.start(harness, 100, true, SERVER_DELAY_MS)) {
+            try (RawServer server = LongService.start(harness, 100, true, serverDelayMs)) {
                 assertTrue(server.isListening());
                 scenario.run(harness);
             }
@@ -178,7 +178,7 @@
     @ParameterizedTest
     @EnumSource(FrontCrowd.class)
     void aCrowdAtTheFront(FrontCrowd kind) throws Exception {
-        withLimits(harness -> {
+        withLimits(SERVER_DELAY_MS, harness -> {
             FleetProcess process = harness.fleet.data().get(0);
             InetSocketAddress front = process.machine().front();
             holdTwice(process, front, kind.connections, kind.bytes, () -> isServed(harness));
@@ -193,7 +193,7 @@
     @ParameterizedTest
     @EnumSource(ControlCrowd.class)
     void aCrowdAtTheOperatorsPort(ControlCrowd kind) throws Exception {
-        withLimits(harness -> {
+        withLimits(SERVER_DELAY_MS, harness -> {
             FleetProcess process = harness.control(0);
             InetSocketAddress control = process.machine().control();
             holdTwice(process, control, kind.connections, kind.bytes, () -> !harness.operator()
@@ -206,7 +206,7 @@
     @ParameterizedTest
     @EnumSource(ReadinessCrowd.class)
     void aCrowdAtTheReadinessPort(ReadinessCrowd kind) throws Exception {
-        withLimits(harness -> {
+        withLimits(SERVER_DELAY_MS, harness -> {
             FleetProcess process = harness.fleet.data().get(0);
             InetSocketAddress readiness = process.machine().readiness();
             holdTwice(process, readiness, kind.connections, kind.bytes, () -> isReady(harness));
@@ -220,7 +220,7 @@
     /** Each of these requests is inside the limits of the configuration, so that a process in calm serves it. */
     @Test
     void aSingleRequestInsideTheLimitsIsServed() throws Exception {
-        withLimits(harness -> {
+        withLimits(0, harness -> {
             InetSocketAddress front = harness.fleet.dataMachine(0).front();
             assertServed(front, head() + "a:\r\n".repeat(HEAD_BYTES / 4) + "\r\n");
             assertServed(front, head() + "a:\n".repeat(HEAD_BYTES / 3) + "\r\n");
--- a/cli/src/test/java/dewplank/fleet/process/HostileBytes.java
+++ b/cli/src/test/java/dewplank/fleet/process/HostileBytes.java
@@ -18,6 +18,9 @@
     private static final int BODY_BYTES = 4_000_000;
     private static final int MAX_NOISE_BYTES = 4_000;
     private static final int MESSAGE_TYPES = 20;
+    private static final String START = "POST /none HTTP/1.1\r\nHost: x\r\n";
+    private static final int SHORT_FIELDS = 3_800;
+    private static final int CHUNKS = 60_000;
 
     private HostileBytes() {}
 
@@ -47,19 +50,27 @@
         byte[] noise = new byte[1 + random.nextInt(MAX_NOISE_BYTES)];
         random.nextBytes(noise);
         int type = random.nextInt(MESSAGE_TYPES);
-        return switch (random.nextInt(5)) {
+        return switch (random.nextInt(9)) {
             case 0 -> List.of(noise);
             case 1 -> List.of(frameHead(noise.length, type), noise);
             case 2 -> List.of(frameHead(FRAME_BYTES, type));
             case 3 -> List.of(frameHead(FRAME_BYTES, type), new byte[FRAME_BYTES / 2]);
-            default -> List.of(
-                    ("PUT /configuration HTTP/1.1\r\nHost: x\r\nIf-Match: 0\r\nContent-Length: " + BODY_BYTES
-                                    + "\r\n\r\n")
-                            .getBytes(StandardCharsets.US_ASCII),
+            case 4 -> List.of(
+                    ascii("PUT /configuration HTTP/1.1\r\nHost: x\r\nIf-Match: 0\r\nContent-Length: " + BODY_BYTES
+                            + "\r\n\r\n"),
                     new byte[BODY_BYTES - 1]);
+            case 5 -> List.of(ascii(START + "a:\r\n".repeat(SHORT_FIELDS)));
+            case 6 -> List.of(ascii(START + "Connection: a\r\n".repeat(SHORT_FIELDS / 4) + "\r\n"));
+            case 7 -> List.of(ascii(START + "Transfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(CHUNKS)));
+            default -> List.of(
+                    ascii(START + "Content-Length: " + MAX_NOISE_BYTES + "\r\n\r\n"), new byte[MAX_NOISE_BYTES - 1]);
         };
     }
 
+    private static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+
     private static byte[] frameHead(int length, int type) {
         return ByteBuffer.allocate(Integer.BYTES + 1)
                 .putInt(length)
--- a/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
@@ -4,6 +4,7 @@
 import dewplank.configuration.ChangeResult;
 import dewplank.configuration.ConfigurationDocument;
 import dewplank.exchange.InboundConnection;
+import dewplank.exchange.InboundConnections;
 import dewplank.exchange.PathRouter;
 import dewplank.exchange.Responder;
 import dewplank.net.EventLoop;
@@ -86,7 +87,7 @@
     private final Redirects redirects;
     private final Views views;
     private final PathRouter<RequestHandler> router = new PathRouter<>();
-    private final Set<InboundConnection> connections = new HashSet<>();
+    private final InboundConnections connections = new InboundConnections();
     private final Set<Responder> requestsInFlight = new HashSet<>();
     private boolean closing;
 
@@ -116,9 +117,12 @@
     }
 
     InboundConnection connection(EventLoop loop) {
-        InboundConnection connection = new InboundConnection(loop, this);
-        connections.add(connection);
-        return connection;
+        return connections.open(loop, this);
+    }
+
+    /** Closes an operator's connection that waits, if there is one, so that the next operator is accepted. */
+    void makeRoom(double now) {
+        connections.closeLongestWaiting(now);
     }
 
     @Override
@@ -136,11 +140,6 @@
         requestsInFlight.remove(client);
     }
 
-    @Override
-    public void connectionClosed(InboundConnection client) {
-        connections.remove(client);
-    }
-
     @Override
     public void handle(InboundConnection.Request request, InboundConnection client) {
         handle(request, (Responder) client);
@@ -239,13 +238,13 @@
 
     /** Closes connections after a long idle time, because in a network partition the client's close may not arrive. */
     void closeIdleConnections() {
-        List.copyOf(connections).forEach(c -> c.timeOutAfter(MAX_IDLE_MS));
+        connections.timeOutAfter(MAX_IDLE_MS);
     }
 
     /** Stops accepting requests and closes idle connections; returns whether no request is in flight. */
     boolean close() {
         closing = true;
-        List.copyOf(connections).forEach(c -> c.closeIfIdle(true));
+        connections.closeIdle(true);
         return requestsInFlight.isEmpty();
     }
 
--- a/controlplane/src/main/java/dewplank/controlplane/SystemEnvironment.java
+++ b/controlplane/src/main/java/dewplank/controlplane/SystemEnvironment.java
@@ -25,6 +25,10 @@
 final class SystemEnvironment implements ControlEnvironment {
     /** Interval at which operators' idle connections are checked. */
     private static final double IDLE_CHECK_INTERVAL_MS = 1_000;
+    /** Operators' connections use at most the file descriptors divided by this. */
+    private static final int OPERATORS_DESCRIPTOR_DIVISOR = 4;
+
+    private static final int MIN_OPERATOR_CONNECTIONS = 16;
 
     private final NodeSettings settings;
     private final DataDirectory dataDirectory;
@@ -110,7 +114,17 @@
     @Override
     public ServerEndpoint operators(OperatorApi api) throws IOException {
         loop.execute(() -> closeIdleConnections(api));
-        return new Listener(loop, settings.control(), ControlPlane.MAX_CONNECTIONS, () -> api.connection(loop));
+        return new Listener(
+                loop,
+                settings.control(),
+                maxOperatorConnections(),
+                () -> api.connection(loop),
+                () -> api.makeRoom(loop.now()));
+    }
+
+    private int maxOperatorConnections() {
+        int descriptors = settings.resources().fileDescriptors() / OPERATORS_DESCRIPTOR_DIVISOR;
+        return Math.max(MIN_OPERATOR_CONNECTIONS, Math.min(ControlPlane.MAX_CONNECTIONS, descriptors));
     }
 
     private void closeIdleConnections(OperatorApi api) {
--- a/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
@@ -38,7 +38,7 @@
 
     private static final int MIN_CLIENT_CONNECTIONS = 64;
     /** Memory of a client's connection and of the connection to its server while no message is in progress. */
-    private static final int BYTES_PER_CLIENT = 14 * 1024;
+    private static final int BYTES_PER_CLIENT = 16 * 1024;
     /** Such connections use at most the heap divided by this. */
     private static final int CONNECTIONS_HEAP_DIVISOR = 3;
 
@@ -103,10 +103,15 @@
                 forwarder::onFleetChanged);
         sessions.connectQuotaClient(quotas);
         sessions.setSeeds(controlAddresses(settings));
-        frontListener = new Listener(loop, settings.front(), maxClientConnections(settings), forwarder::newConnection);
+        frontListener = new Listener(
+                loop, settings.front(), maxClientConnections(settings), forwarder::newConnection, forwarder::makeRoom);
         readinessEndpoint = new ReadinessEndpoint(loop, this::isReady);
-        readinessListener =
-                new Listener(loop, settings.readiness(), MAX_READINESS_CONNECTIONS, readinessEndpoint::newConnection);
+        readinessListener = new Listener(
+                loop,
+                settings.readiness(),
+                MAX_READINESS_CONNECTIONS,
+                readinessEndpoint::newConnection,
+                readinessEndpoint::makeRoom);
         shutdown = new GracefulShutdown(
                 loop, forwarder, frontListener, new DrainSchedule(bounds.graceMs()), this::closePeerConnections);
         // The last one to bind an address: the loop's listeners are closed if that fails.
--- a/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
@@ -4,16 +4,14 @@
 import dewplank.configuration.Route;
 import dewplank.configuration.Service;
 import dewplank.exchange.InboundConnection;
+import dewplank.exchange.InboundConnections;
 import dewplank.net.EventLoop;
 import dewplank.routing.Policy;
 import dewplank.routing.PrefillDecodePicker;
 import dewplank.routing.ServerPicker;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -48,7 +46,7 @@
     private final Map<InboundConnection, ProxiedRequest> open = new HashMap<>();
     private final RequestsAwaitingMetadata awaitingMetadata;
     private final QuotaClient quotas;
-    private final Set<InboundConnection> connections = new HashSet<>();
+    private final InboundConnections connections = new InboundConnections();
     private boolean closing;
 
     Forwarder(
@@ -93,9 +91,12 @@
 
     /** Creates the handler of a new client connection. */
     InboundConnection newConnection() {
-        InboundConnection connection = new InboundConnection(loop, this);
-        connections.add(connection);
-        return connection;
+        return connections.open(loop, this);
+    }
+
+    /** Closes a client's connection that waits, if there is one, so that the next client is accepted. */
+    void makeRoom() {
+        connections.closeLongestWaiting(loop.now());
     }
 
     // ---- requests -------------------------------------------------------------------------------------
@@ -179,11 +180,6 @@
         }
     }
 
-    @Override
-    public void connectionClosed(InboundConnection connection) {
-        connections.remove(connection);
-    }
-
     @Override
     public boolean isClosing() {
         return closing;
@@ -216,7 +212,7 @@
 
     /** Returns a copy, so that callers can iterate while connections end. */
     List<InboundConnection> connections() {
-        return new ArrayList<>(connections);
+        return connections.all();
     }
 
     // ---- shutdown -------------------------------------------------------------------------------------
--- a/dataplane/src/main/java/dewplank/dataplane/ReadinessEndpoint.java
+++ b/dataplane/src/main/java/dewplank/dataplane/ReadinessEndpoint.java
@@ -1,11 +1,9 @@
 package dewplank.dataplane;
 
 import dewplank.exchange.InboundConnection;
+import dewplank.exchange.InboundConnections;
 import dewplank.exchange.PathRouter;
 import dewplank.net.EventLoop;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -22,7 +20,7 @@
     private final EventLoop loop;
     private final PathRouter<Integer> router = new PathRouter<>();
     private final BooleanSupplier ready;
-    private final Set<InboundConnection> connections = new HashSet<>();
+    private final InboundConnections connections = new InboundConnections();
 
     ReadinessEndpoint(EventLoop loop, BooleanSupplier ready) {
         this.loop = loop;
@@ -32,19 +30,17 @@
 
     /** Creates the handler of a new connection. */
     InboundConnection newConnection() {
-        InboundConnection connection = new InboundConnection(loop, this);
-        connections.add(connection);
-        return connection;
+        return connections.open(loop, this);
     }
 
-    /** Closes idle connections, because the other end's close may never arrive after a network partition. */
-    void sweep() {
-        List.copyOf(connections).forEach(c -> c.timeOutAfter(MAX_IDLE_MS));
+    /** Closes a connection that waits, if there is one, so that the next check is accepted. */
+    void makeRoom() {
+        connections.closeLongestWaiting(loop.now());
     }
 
-    @Override
-    public void connectionClosed(InboundConnection connection) {
-        connections.remove(connection);
+    /** Closes idle connections, because the other end's close may never arrive after a network partition. */
+    void sweep() {
+        connections.timeOutAfter(MAX_IDLE_MS);
     }
 
     @Override
--- a/transport/src/main/java/dewplank/exchange/InboundConnection.java
+++ b/transport/src/main/java/dewplank/exchange/InboundConnection.java
@@ -23,11 +23,7 @@
  */
 public final class InboundConnection implements Listener.Accepted, Responder {
     private static final System.Logger LOG = System.getLogger(InboundConnection.class.getName());
-    private static final byte[] CRLF = {'\r', '\n'};
-    private static final byte[] LAST_CHUNK = {'0', '\r', '\n', '\r', '\n'};
     private static final byte[] NO_BODY = new byte[0];
-    private static final int NO_CONTENT = 204;
-    private static final int NOT_MODIFIED = 304;
     private static final int SERVICE_UNAVAILABLE = 503;
     /** Memory of a request in progress in addition to its bytes: its state, its attempts and their timers. */
     private static final int REQUEST_STATE_BYTES = 2 * 1024;
@@ -66,23 +62,28 @@
 
     private final EventLoop loop;
     private final Service service;
+    private final InboundConnections connections;
     private final RequestParser parser;
     private final ReceiveBudget.Account held;
     private Connection connection;
+    private ResponseWriter responses;
     private boolean isBusy;
     private Request pendingRequest; // complete, not yet dispatched to the service
     private boolean dispatched;
     private boolean keepAlive;
-    private boolean headOnly; // the request is a HEAD: the client would read a body as the next response
-    private boolean streaming;
-    private boolean responseWithoutBody; // the streamed response has no body
-    private boolean chunked; // the streamed response is sent in chunks
     private boolean hasResponded;
     private double waitingSince;
+    private double lastActiveAt;
 
+    /** Creates the handler of a connection that is never closed to make room for another. */
     public InboundConnection(EventLoop loop, Service service) {
+        this(loop, service, new InboundConnections());
+    }
+
+    InboundConnection(EventLoop loop, Service service, InboundConnections connections) {
         this.loop = loop;
         this.service = service;
+        this.connections = connections;
         this.parser = new RequestParser(service.maxBodyBytes());
         this.held = loop.receiveBudget().open(ReceiveBudget.Origin.CLIENT, this::rejectForOverload);
     }
@@ -90,7 +91,9 @@
     @Override
     public void accepted(Connection accepted) {
         connection = accepted;
+        responses = new ResponseWriter(accepted);
         waitingSince = loop.now();
+        lastActiveAt = waitingSince;
     }
 
     @Override
@@ -113,6 +116,8 @@
     }
 
     private void holdPartialRequest() {
+        lastActiveAt = loop.now();
+        connections.recordIncomplete(this);
         if (!held.hold(parser.heldBytes())) {
             rejectForOverload();
         } else if (parser.waitsForContinue()) {
@@ -120,7 +125,7 @@
         }
     }
 
-    /** Rejects a request that has not been received completely, because requests hold too much memory. */
+    /** Rejects a request that has not been dispatched, because requests hold too much memory. */
     private void rejectForOverload() {
         keepAlive = false;
         isBusy = true;
@@ -132,8 +137,9 @@
 
     private void takeRequest() {
         isBusy = true;
+        connections.recordBusy(this);
         keepAlive = parser.keepAlive();
-        headOnly = parser.method().equals("HEAD");
+        responses.expectResponseTo(parser.method());
         if (!held.holdInUse(bytesInUse())) {
             rejectForOverload();
             return;
@@ -176,7 +182,7 @@
     private void reject(BadMessageException e) {
         dropRequest();
         keepAlive = false;
-        if (streaming) {
+        if (responses.isStreaming()) {
             abort();
             return;
         }
@@ -196,7 +202,7 @@
     public void closed(IOException cause) {
         held.release();
         dropRequest();
-        service.connectionClosed(this);
+        onConnectionClosed();
     }
 
     /** Sends the response to the request in progress; no effect if the connection is closed. */
@@ -206,33 +212,15 @@
             return;
         }
         boolean isLast = isLastResponse();
-        MessageWriter head =
-                MessageWriter.response(status).headers(headers).header("Connection", isLast ? "close" : null);
-        if (isWithoutBody(status)) {
-            connection.write(head.noBody(), () -> {});
-        } else {
-            write(head.message(body));
-        }
+        responses.write(status, headers, body, isLast);
         onResponseEnd(isLast);
     }
 
-    private void write(MessageWriter.Message message) {
-        connection.write(message.head(), () -> {});
-        if (message.body().hasRemaining()) {
-            connection.write(message.body(), () -> {});
-        }
-    }
-
     /** Sends a response without fields and body. */
     public void respond(int status) {
         respond(status, List.of(), NO_BODY);
     }
 
-    /** Whether the response ends with its head (RFC 9112, section 6.3). */
-    private boolean isWithoutBody(int status) {
-        return headOnly || status == NO_CONTENT || status == NOT_MODIFIED;
-    }
-
     /** Starts a response whose body follows in parts, as chunks. */
     public void startResponse(int status, List<Headers.Field> headers) {
         startResponse(status, headers, null);
@@ -248,18 +236,8 @@
         if (connection.isClosed()) {
             return;
         }
-        streaming = true;
         keepAlive = !isLastResponse();
-        responseWithoutBody = isWithoutBody(status);
-        chunked = !responseWithoutBody && contentLength == null;
-        connection.write(
-                MessageWriter.response(status)
-                        .headers(headers)
-                        .header("Content-Length", responseWithoutBody ? null : contentLength)
-                        .header("Transfer-Encoding", chunked ? "chunked" : null)
-                        .header("Connection", keepAlive ? null : "close")
-                        .noBody(),
-                () -> {});
+        responses.startStream(status, headers, contentLength, !keepAlive);
     }
 
     /** Writes the next part of the body. */
@@ -269,27 +247,15 @@
 
     /** Writes the next part of the body; {@code onWritten} runs once the system has accepted it. */
     public void writePart(byte[] bytes, Runnable onWritten) {
-        if (bytes.length > 0 && !responseWithoutBody && !connection.isClosed()) {
-            connection.write(chunked ? chunk(bytes) : ByteBuffer.wrap(bytes), onWritten);
+        if (!connection.isClosed()) {
+            responses.writePart(bytes, onWritten);
         }
     }
 
-    private static ByteBuffer chunk(byte[] bytes) {
-        byte[] size = Integer.toHexString(bytes.length).getBytes(StandardCharsets.US_ASCII);
-        return ByteBuffer.allocate(size.length + bytes.length + 2 * CRLF.length)
-                .put(size)
-                .put(CRLF)
-                .put(bytes)
-                .put(CRLF)
-                .flip();
-    }
-
     /** Ends the body of a streamed response. */
     public void endResponse() {
         if (!connection.isClosed()) {
-            if (chunked) {
-                connection.write(ByteBuffer.wrap(LAST_CHUNK), () -> {});
-            }
+            responses.endStream();
             onResponseEnd(!keepAlive);
         }
     }
@@ -299,6 +265,11 @@
         dispatched = false;
         held.release();
         connection.close();
+        onConnectionClosed();
+    }
+
+    private void onConnectionClosed() {
+        connections.remove(this);
         service.connectionClosed(this);
     }
 
@@ -308,17 +279,18 @@
 
     private void onResponseEnd(boolean isLast) {
         dispatched = false;
-        headOnly = false;
-        streaming = false;
+        responses.reset();
         hasResponded = true;
         waitingSince = loop.now();
+        lastActiveAt = waitingSince;
         parser.reset();
         held.release();
         if (isLast) {
             connection.closeGracefully();
-            service.connectionClosed(this);
+            onConnectionClosed();
         } else {
             isBusy = false;
+            connections.recordIdle(this);
             connection.resume();
         }
     }
@@ -373,19 +345,29 @@
         if (parser.hasBegun()) {
             reject(new BadMessageException(408, "the request did not become whole in time"));
         } else {
-            held.release();
-            connection.close();
-            service.connectionClosed(this);
+            closeWithoutResponse();
         }
     }
 
+    /** Closes the connection without a response; no request may be in progress. */
+    void closeWithoutResponse() {
+        held.release();
+        connection.close();
+        onConnectionClosed();
+    }
+
+    /** When the connection was accepted, last received bytes of an incomplete request, or responded. */
+    double lastActiveAt() {
+        return lastActiveAt;
+    }
+
     /** Closes the connection if no request is in progress or, unless {@code includingPartial}, partly received. */
     public void closeIfIdle(boolean includingPartial) {
         if (!isBusy && (includingPartial || !parser.hasBegun())) {
             isBusy = true;
             held.release();
             connection.closeGracefully();
-            service.connectionClosed(this);
+            onConnectionClosed();
         }
     }
 }
--- a/transport/src/main/java/dewplank/net/Listener.java
+++ b/transport/src/main/java/dewplank/net/Listener.java
@@ -10,8 +10,9 @@
 import java.util.function.Supplier;
 
 /**
- * Accepts TCP connections on an {@link EventLoop}, up to a limit of open connections; further ones wait in the system's
- * backlog. Used on the loop's thread only. After an accept error, which is logged, the listener retries.
+ * Accepts TCP connections on an {@link EventLoop}, up to a limit of open connections. At the limit, one more is
+ * accepted and waits until another closes; further ones wait in the system's backlog. Used on the loop's thread only.
+ * After an accept error, which is logged, the listener retries.
  */
 public final class Listener implements ServerEndpoint {
     private static final System.Logger LOG = System.getLogger(Listener.class.getName());
@@ -22,8 +23,12 @@
     private final AsynchronousServerSocketChannel channel;
     private final Supplier<? extends Accepted> handlers;
     private final int maxOpen;
+    private final Runnable makeRoom;
+    private AsynchronousSocketChannel waiting; // accepted at the limit, not yet registered; null if there is none
     private int openCount;
     private boolean accepting;
+    private boolean admitting;
+    private boolean retryScheduled;
     private boolean acceptFailing;
     private boolean closed;
 
@@ -42,9 +47,23 @@
      */
     public Listener(EventLoop loop, InetSocketAddress at, int maxOpen, Supplier<? extends Accepted> handlers)
             throws IOException {
+        this(loop, at, maxOpen, handlers, () -> {});
+    }
+
+    /**
+     * Binds the address of a listener that may close a connection when another one waits at the limit.
+     *
+     * @param makeRoom closes an open connection, if there is one that may be closed; called repeatedly while a
+     *     connection waits
+     * @throws IOException if the address cannot be bound
+     */
+    public Listener(
+            EventLoop loop, InetSocketAddress at, int maxOpen, Supplier<? extends Accepted> handlers, Runnable makeRoom)
+            throws IOException {
         this.loop = loop;
         this.handlers = handlers;
         this.maxOpen = maxOpen;
+        this.makeRoom = makeRoom;
         channel = AsynchronousServerSocketChannel.open(loop.group());
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         channel.bind(at, BACKLOG);
@@ -60,16 +79,51 @@
         return openCount > 0;
     }
 
-    /** Whether the limit of open connections is reached: none is accepted until one closes. */
+    /** Whether the limit of open connections is reached. */
     public boolean isFull() {
         return openCount >= maxOpen;
     }
 
     @Override
     public void accept() {
-        if (closed || accepting || isFull()) {
+        if (closed || admitting) {
             return;
         }
+        admitting = true; // closing a connection to make room calls this method again
+        admitWaiting();
+        admitting = false;
+        if (!accepting && waiting == null) {
+            acceptNext();
+        }
+    }
+
+    private void admitWaiting() {
+        if (waiting == null) {
+            return;
+        }
+        if (isFull()) {
+            makeRoom.run();
+        }
+        if (isFull()) {
+            retryLater();
+            return;
+        }
+        AsynchronousSocketChannel admitted = waiting;
+        waiting = null;
+        register(admitted);
+    }
+
+    private void retryLater() {
+        if (!retryScheduled) {
+            retryScheduled = true;
+            loop.after(RETRY_DELAY_MS, () -> {
+                retryScheduled = false;
+                accept();
+            });
+        }
+    }
+
+    private void acceptNext() {
         accepting = true;
         channel.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
             @Override
@@ -77,8 +131,7 @@
                 loop.execute(() -> {
                     accepting = false;
                     acceptFailing = false;
-                    register(accepted);
-                    accept();
+                    onAccepted(accepted);
                 });
             }
 
@@ -99,6 +152,15 @@
         });
     }
 
+    private void onAccepted(AsynchronousSocketChannel accepted) {
+        if (closed) {
+            register(accepted); // it was accepted before the listener closed
+            return;
+        }
+        waiting = accepted;
+        accept();
+    }
+
     private void register(AsynchronousSocketChannel accepted) {
         try {
             Accepted handler = handlers.get();
@@ -119,5 +181,9 @@
     public void close() {
         closed = true;
         Connection.closeQuietly(channel);
+        if (waiting != null) {
+            Connection.closeQuietly(waiting);
+            waiting = null;
+        }
     }
 }
