--- a/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
+++ b/controlplane/src/main/java/dewplank/controlplane/OperatorApi.java
@@ -27,6 +27,9 @@
     /** Time after which an idle connection is closed: long enough to receive a body of 4 MiB over a slow link. */
     static final double MAX_IDLE_MS = 60_000;
 
+    /** Time after a response within which an idle connection is not closed for the sake of another one. */
+    private static final double MIN_IDLE_MS = 10_000;
+
     /**
      * Maximum size of a request's body. It exceeds the limit for configurations, so that the response to a slightly
      * larger configuration states that the configuration is invalid.
@@ -122,7 +125,7 @@
 
     /** Closes an operator's connection that waits, if there is one, so that the next operator is accepted. */
     void makeRoom(double now) {
-        connections.closeLongestWaiting(now);
+        connections.closeLongestWaiting(now, MIN_IDLE_MS);
     }
 
     @Override
--- a/dataplane/src/main/java/dewplank/dataplane/ClientTimeouts.java
+++ b/dataplane/src/main/java/dewplank/dataplane/ClientTimeouts.java
@@ -11,6 +11,9 @@
  * thread only.
  */
 final class ClientTimeouts {
+    /** Clients reuse connections that have been idle for up to this fraction of the idle timeout. */
+    private static final double REUSE_FRACTION = 0.8;
+
     private final double maxApplyMs;
     private RequestLimits current = RequestLimits.DEFAULTS;
     private double previousIdleMs;
@@ -41,6 +44,11 @@
         return now < previousValidUntil ? Math.max(previousIdleMs, current.idleTimeoutMs()) : current.idleTimeoutMs();
     }
 
+    /** For how long after a response a client may send its next request on the connection. */
+    double reuseMs(double now) {
+        return REUSE_FRACTION * idleMs(now);
+    }
+
     /** How long the head of a request may take from its first to its last byte. */
     double headMs(double now) {
         return now < previousValidUntil
--- a/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
+++ b/dataplane/src/main/java/dewplank/dataplane/DataPlane.java
@@ -104,7 +104,11 @@
         sessions.connectQuotaClient(quotas);
         sessions.setSeeds(controlAddresses(settings));
         frontListener = new Listener(
-                loop, settings.front(), maxClientConnections(settings), forwarder::newConnection, forwarder::makeRoom);
+                loop,
+                settings.front(),
+                maxClientConnections(settings),
+                forwarder::newConnection,
+                () -> forwarder.makeRoom(clientTimeouts.reuseMs(loop.now())));
         readinessEndpoint = new ReadinessEndpoint(loop, this::isReady);
         readinessListener = new Listener(
                 loop,
--- a/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
+++ b/dataplane/src/main/java/dewplank/dataplane/Forwarder.java
@@ -94,9 +94,13 @@
         return connections.open(loop, this);
     }
 
-    /** Closes a client's connection that waits, if there is one, so that the next client is accepted. */
-    void makeRoom() {
-        connections.closeLongestWaiting(loop.now());
+    /**
+     * Closes a client's connection that waits, if there is one, so that the next client is accepted.
+     *
+     * @param reuseMs how long after a response a client may send its next request
+     */
+    void makeRoom(double reuseMs) {
+        connections.closeLongestWaiting(loop.now(), reuseMs);
     }
 
     // ---- requests -------------------------------------------------------------------------------------
--- a/dataplane/src/main/java/dewplank/dataplane/ReadinessEndpoint.java
+++ b/dataplane/src/main/java/dewplank/dataplane/ReadinessEndpoint.java
@@ -17,6 +17,9 @@
      */
     static final double MAX_IDLE_MS = 30_000;
 
+    /** A connection that the platform keeps carries a check each second. */
+    private static final double MIN_IDLE_MS = 3_000;
+
     private final EventLoop loop;
     private final PathRouter<Integer> router = new PathRouter<>();
     private final BooleanSupplier ready;
@@ -35,7 +38,7 @@
 
     /** Closes a connection that waits, if there is one, so that the next check is accepted. */
     void makeRoom() {
-        connections.closeLongestWaiting(loop.now());
+        connections.closeLongestWaiting(loop.now(), MIN_IDLE_MS);
     }
 
     /** Closes idle connections, because the other end's close may never arrive after a network partition. */
--- a/dataplane/src/test/java/dewplank/dataplane/ClientTimeoutsTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/ClientTimeoutsTest.java
@@ -155,4 +155,13 @@
             assertEquals(503, client.read().status());
         }
     }
+
+    /** A shorter idle timeout that is not in force yet does not shorten the time of reuse either. */
+    @Test
+    void clientsReuseConnectionsForFourFifthsOfTheIdleTimeout() {
+        assertEquals(12_000, limits.reuseMs(0));
+        limits.update(0, limits(1_000, 5_000));
+        assertEquals(12_000, limits.reuseMs(APPLY_MS - 1));
+        assertEquals(4_000, limits.reuseMs(APPLY_MS));
+    }
 }
--- a/transport/src/main/java/dewplank/exchange/InboundConnections.java
+++ b/transport/src/main/java/dewplank/exchange/InboundConnections.java
@@ -15,8 +15,6 @@
 public final class InboundConnections {
     /** A connection without a complete request is not closed to make room within this time of its last bytes. */
     static final double MIN_INCOMPLETE_WAIT_MS = 100;
-    /** A connection is not closed to make room within this time of its last response. */
-    static final double MIN_IDLE_MS = 1_000;
 
     private final Set<InboundConnection> open = new LinkedHashSet<>();
     /** Connections without a complete request, in the order in which they last received bytes or were accepted. */
@@ -72,10 +70,12 @@
      * a request in progress.
      *
      * @param now the time in milliseconds of the loop's clock
+     * @param minIdleMs how long after a response a client may send its next request; the connection is kept for this
+     *     time
      */
-    public void closeLongestWaiting(double now) {
+    public void closeLongestWaiting(double now, double minIdleMs) {
         if (!closeFirst(incomplete, now - MIN_INCOMPLETE_WAIT_MS)) {
-            closeFirst(idle, now - MIN_IDLE_MS);
+            closeFirst(idle, now - minIdleMs);
         }
     }
 
--- a/transport/src/test/java/dewplank/exchange/InboundConnectionsTest.java
+++ b/transport/src/test/java/dewplank/exchange/InboundConnectionsTest.java
@@ -25,6 +25,7 @@
     private static final String REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
     private static final double WITHOUT_ACCEPT_MS = 300;
 
+    private volatile double minIdleMs = 100;
     private final InboundConnections connections = new InboundConnections();
     private final BlockingQueue<InboundConnection> held = new LinkedBlockingQueue<>();
     private final List<TestPeer> peers = new ArrayList<>();
@@ -54,7 +55,7 @@
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 MAX_CONNECTIONS,
                 () -> connections.open(loop, service),
-                () -> connections.closeLongestWaiting(loop.now()));
+                () -> connections.closeLongestWaiting(loop.now(), minIdleMs));
         loop.execute(listener::accept);
     }
 
@@ -118,6 +119,24 @@
         assertEquals(200, first.read().status());
     }
 
+    /** Clients may use a connection again for some time after a response. */
+    @Test
+    void aConnectionThatMayBeUsedAgainStaysOpen() throws Exception {
+        minIdleMs = Double.POSITIVE_INFINITY;
+        fillWith(REQUEST);
+        OnLoop.await(loop, () -> connections.all().stream().allMatch(InboundConnection::hasResponded));
+        TestPeer waiting = client();
+        waiting.send(REQUEST);
+        OnLoop.waitMs(loop, WITHOUT_ACCEPT_MS);
+        for (TestPeer peer : peers.subList(0, MAX_CONNECTIONS)) {
+            assertEquals(200, peer.read().status());
+            peer.send(REQUEST);
+            assertEquals(200, peer.read().status());
+        }
+        peers.get(0).close();
+        assertEquals(200, waiting.read().status());
+    }
+
     private TestPeer clientWithHalfHead() throws Exception {
         int others = OnLoop.get(loop, connections::size);
         TestPeer client = client();
