Count values parsed from a request's head, and no empty line as a request that has begun

A request in progress keeps strings parsed from its head, such as the attempt id, which may be as long as the head; the receive budget did not count them. An empty line between two requests made a kept connection look like one that waits for the rest of a request, so that it could be closed at the listener's limit. Found by reading; no test failed.

--- a/transport/src/main/java/dewplank/exchange/InboundConnection.java
+++ b/transport/src/main/java/dewplank/exchange/InboundConnection.java
@@ -116,8 +116,10 @@
     }
 
     private void holdPartialRequest() {
-        lastActiveAt = loop.now();
-        connections.recordIncomplete(this);
+        if (parser.hasBegun()) { // not after an empty line between requests
+            lastActiveAt = loop.now();
+            connections.recordIncomplete(this);
+        }
         if (!held.hold(parser.heldBytes())) {
             rejectForOverload();
         } else if (parser.waitsForContinue()) {
@@ -151,11 +153,11 @@
         loop.execute(() -> loop.execute(() -> dispatch(request)));
     }
 
-    /** Memory of the complete request, and of the message in which it is sent on. */
+    /** Memory of the complete request, of the values that are parsed from its head, and of the message sent on. */
     private long bytesInUse() {
         int headBytes = parser.headers().heldBytes() + parser.target().length();
         int bodyBytes = parser.bodyBytes();
-        return REQUEST_STATE_BYTES + headBytes + bodyBytes + MessageWriter.allocatedBytes(headBytes, bodyBytes);
+        return REQUEST_STATE_BYTES + 2 * headBytes + bodyBytes + MessageWriter.allocatedBytes(headBytes, bodyBytes);
     }
 
     @SuppressWarnings("ReferenceEquality") // must be the same request, not an equal later one
