Call an answer without a length broken if its connection ends before the request is sent

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of the body and broke the connection off. The client got that part as a complete 200 with a Content-Length of the part.

Cause: HttpCall.closed took the end of the connection for the end of such a body wherever it was reported without a cause. The system reports a reset to one call only: where the pending write of the upload takes it, the read that follows sees an orderly end. A server that ends its output before it has read the request gives no sign either that the answer is whole.

Why it works: ResponseParser.completesAtEnd decides in one place, and asks for an end without an error after the system has accepted the whole request. A pending write means that it has not, whichever completion is handled first. The position of the buffer is exact, because closing waits for a write in progress.

What is lost: an answer without a length that was whole although its server ended it before it read the request. A safe request is then sent to another server; an unsafe one gets 502, which promises nothing. An answer that starts early, and ends after the request was read, is served.

--- a/transport/src/main/java/dewplank/exchange/HttpCall.java
+++ b/transport/src/main/java/dewplank/exchange/HttpCall.java
@@ -325,7 +325,7 @@
         if (isDone) {
             return;
         }
-        if (cause == null && headDelivered && !skippingResponse && parser.endOfInput()) {
+        if (headDelivered && !skippingResponse && parser.completesAtEnd(cause, isWritten())) {
             deliverBody();
             finish(false);
         } else {
--- a/transport/src/main/java/dewplank/http/ResponseParser.java
+++ b/transport/src/main/java/dewplank/http/ResponseParser.java
@@ -1,5 +1,6 @@
 package dewplank.http;
 
+import java.io.IOException;
 import java.util.regex.Pattern;
 
 /** Parses HTTP responses; interim responses (1xx) are skipped. */
@@ -45,6 +46,18 @@
         return framed && !isHttp10 && !headers().containsToken("Connection", "close");
     }
 
+    /**
+     * Whether the response is complete now that its connection has ended. Without a length and chunks, only the end of
+     * the connection completes a response (RFC 9112, section 8). It does so only if the connection has not broken and
+     * if the request was sent: a server that ends the connection earlier may have failed during its response.
+     *
+     * @param cause why the connection broke; null if the peer closed it
+     * @param isRequestSent whether the system has accepted the complete request
+     */
+    public boolean completesAtEnd(IOException cause, boolean isRequestSent) {
+        return cause == null && isRequestSent && endOfInput();
+    }
+
     @Override
     boolean isRequest() {
         return false;
