Let the emulator's and laboratory's clients tell a part of an answer from a whole one

What callers saw: the clients by which the emulator and the load tool judge answers counted a part of an answer without a length as complete if its connection ended while their request was still being sent.

Cause: HttpClient and KeepAliveLoad each decided by "cause == null && parser.endOfInput()".

Why it works: both, and the sidecar's HttpAttempt, ask ResponseParser.completesAtEnd. The sidecar had the case already: it calls an attempt whose request is not written CONNECT_FAILED (AttemptWriteTest), and does so still. MessageParser.endOfInput is no longer public.

--- a/emulator/src/main/java/dewplank/emulator/fleet/KeepAliveLoad.java
+++ b/emulator/src/main/java/dewplank/emulator/fleet/KeepAliveLoad.java
@@ -65,6 +65,9 @@
         private final CompletableFuture<Void> end = new CompletableFuture<>();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private ResponseParser parser;
+        /** The bytes of the current attempt that the system has not accepted. */
+        private ByteBuffer unsent;
+
         private Connection connection;
         private Optional<String> attemptId = Optional.empty();
         private boolean isReused;
@@ -109,7 +112,8 @@
             if (isReused) {
                 history.add(new FleetEvent.ConnectionReused(loop.now(), id));
             }
-            connection.write(FleetClient.message(id, request), () -> {});
+            unsent = FleetClient.message(id, request);
+            connection.write(unsent, () -> {});
             loop.after(request.timeoutMs(), () -> timeOut(id));
         }
 
@@ -170,7 +174,7 @@
         @Override
         public void closed(IOException cause) {
             if (attemptId.isPresent()) {
-                endAttempt(cause == null && parser.endOfInput(), false);
+                endAttempt(parser.completesAtEnd(cause, !unsent.hasRemaining()), false);
             }
             reconnect();
         }
--- a/emulator/src/main/java/dewplank/emulator/loopback/HttpClient.java
+++ b/emulator/src/main/java/dewplank/emulator/loopback/HttpClient.java
@@ -51,6 +51,9 @@
         private final ByteBuffer request;
         private final ResponseHandler handler;
         private final ResponseParser parser;
+        /** The bytes that the system has not accepted on the current connection. */
+        private ByteBuffer unsent;
+
         private State state = State.QUEUED;
         private Connection connection;
         private Connection.Connecting connecting;
@@ -59,6 +62,7 @@
 
         private Call(ByteBuffer request, ResponseHandler handler) {
             this.request = request;
+            this.unsent = request.duplicate();
             this.handler = handler;
             this.parser = new ResponseParser(storesBodies ? MessageParser.MAX_BODY_BYTES : Integer.MAX_VALUE);
             if (isHeadRequest(request)) {
@@ -122,7 +126,8 @@
         }
 
         private void write() {
-            connection.write(request.duplicate(), () -> {});
+            unsent = request.duplicate();
+            connection.write(unsent, () -> {});
         }
 
         @Override
@@ -155,7 +160,8 @@
                 openedCount++;
                 connect();
             } else {
-                end(cause == null && parser.endOfInput() ? Optional.of(parser) : Optional.empty());
+                boolean isComplete = parser.completesAtEnd(cause, !unsent.hasRemaining());
+                end(isComplete ? Optional.of(parser) : Optional.empty());
             }
         }
 
--- a/sidecar/src/main/java/dewplank/sidecar/HttpAttempt.java
+++ b/sidecar/src/main/java/dewplank/sidecar/HttpAttempt.java
@@ -125,7 +125,7 @@
 
     @Override
     public void closed(IOException reason) {
-        if (reason == null && parser.endOfInput()) {
+        if (parser.completesAtEnd(reason, !request.hasRemaining())) {
             responseComplete(false);
         } else {
             end(Outcome.RESET);
--- a/transport/src/main/java/dewplank/http/MessageParser.java
+++ b/transport/src/main/java/dewplank/http/MessageParser.java
@@ -54,7 +54,7 @@
     }
 
     /** Signals that the peer has closed its output; returns whether the message is complete. */
-    public final boolean endOfInput() {
+    final boolean endOfInput() {
         if (state == State.TO_THE_END) {
             state = State.DONE;
         }
