Read an early answer to its end when the write of its request receives the reset

What callers saw: a server that turned a long upload away early, with a whole answer of a stated length, and then reset the connection: callers got 502 in the place of the answer.

Cause: Connection closed at once when a write failed. The answer was in the system's buffer, or in a read whose completion came second.

Why it works: after a failed write the connection reads on to the end of its input, at most for a second, and reports that end with the cause of the failed write. An answer is then whole or not by its length, not by the order of two completions; one without a length is never whole there, as the end has a cause. Nothing is written any more. A connection whose reading is paused, or that is closing, is closed at once as before.

--- a/transport/src/main/java/dewplank/net/Connection.java
+++ b/transport/src/main/java/dewplank/net/Connection.java
@@ -22,6 +22,9 @@
     /** How long input is discarded after the output has been shut down. */
     private static final double LINGER_MS = 1_000;
 
+    /** How long input is read after a write has failed. The input of a broken connection usually ends at once. */
+    private static final double BROKEN_READ_MS = 1_000;
+
     /** A connection that closes gracefully is closed if its peer has accepted no byte for this time. */
     private static final double CLOSING_STALL_MS = 10_000;
 
@@ -31,8 +34,9 @@
         void received(ByteBuffer bytes);
 
         /**
-         * The peer closed the connection ({@code cause} is null), or the connection broke. Called at most once, never
-         * after {@link #close}.
+         * The peer closed the connection ({@code cause} is null), or the connection broke. If a write has failed, all
+         * input that preceded the failure has been passed to {@link #received}. Called at most once, never after
+         * {@link #close}.
          */
         void closed(IOException cause);
 
@@ -55,6 +59,9 @@
     private boolean outputShutDown;
     private double lastWriteProgressAt;
     private boolean closed;
+    /** Why a write failed; null unless one did. */
+    private IOException writeFailure;
+
     private Runnable onClosed = () -> {};
 
     private final CompletionHandler<Integer, Void> onReadDone = handler(this::onReadDone);
@@ -96,58 +103,9 @@
             Handler handler,
             Consumer<Connection> onConnected,
             Consumer<IOException> onFailed) {
-        boolean[] cancelled = new boolean[1];
-        AsynchronousSocketChannel channel;
-        try {
-            channel = AsynchronousSocketChannel.open(loop.group());
-            if (from != null) {
-                channel.bind(new InetSocketAddress(from, 0));
-            }
-        } catch (IOException e) { // for example, no file descriptor is available
-            loop.execute(() -> {
-                if (!cancelled[0]) {
-                    onFailed.accept(e);
-                }
-            });
-            return () -> cancelled[0] = true;
-        }
-        CompletionHandler<Void, Void> connected = new CompletionHandler<>() {
-            @Override
-            public void completed(Void nothing, Void attachment) {
-                loop.execute(() -> {
-                    if (cancelled[0]) {
-                        return;
-                    }
-                    try {
-                        Connection connection = new Connection(loop, channel, handler);
-                        onConnected.accept(connection);
-                        connection.read();
-                    } catch (IOException e) {
-                        closeQuietly(channel);
-                        onFailed.accept(e);
-                    }
-                });
-            }
-
-            @Override
-            public void failed(Throwable e, Void attachment) {
-                loop.execute(() -> {
-                    closeQuietly(channel);
-                    if (!cancelled[0]) {
-                        onFailed.accept(asIoException(e));
-                    }
-                });
-            }
-        };
-        try {
-            channel.connect(to, null, connected);
-        } catch (RuntimeException e) { // an unresolved address or an address family that this machine does not support
-            connected.failed(e, null);
-        }
-        return () -> {
-            cancelled[0] = true;
-            closeQuietly(channel);
-        };
+        ConnectionAttempt attempt = new ConnectionAttempt(loop, to, handler, onConnected, onFailed);
+        attempt.start(from);
+        return attempt;
     }
 
     private interface Completion {
@@ -240,7 +198,7 @@
         if (failure != null) {
             closeAndNotify(asIoException(failure));
         } else if (n < 0) {
-            closeAndNotify(null);
+            closeAndNotify(writeFailure);
         } else {
             input.recordRead(closingGracefully ? 0 : n);
             deliver();
@@ -264,7 +222,7 @@
 
     /** Queues bytes; {@code onWritten} runs when the system has accepted all of them, never after a close. */
     public void write(ByteBuffer bytes, Runnable onWritten) {
-        if (closed) {
+        if (closed || writeFailure != null) {
             return;
         }
         if (writes.add(bytes, onWritten)) {
@@ -297,7 +255,7 @@
             return;
         }
         if (failure != null) {
-            closeAndNotify(asIoException(failure));
+            onWriteFailed(asIoException(failure));
             return;
         }
         lastWriteProgressAt = loop.now();
@@ -311,6 +269,21 @@
         shutdownOutputIfDrained();
     }
 
+    /**
+     * Reads what the peer sent before the connection broke, such as the complete response to a request that it did not
+     * read. The system reports a reset to one call only: if a write receives it, reads end as if the peer had closed
+     * the connection.
+     */
+    private void onWriteFailed(IOException cause) {
+        if (!reading || closingGracefully) {
+            closeAndNotify(cause);
+            return;
+        }
+        writeFailure = cause;
+        writes.clear();
+        loop.after(BROKEN_READ_MS, () -> closeAndNotify(cause));
+    }
+
     /** When the system last accepted queued bytes, or began to; 0 if nothing was written. */
     public double lastWriteProgressAt() {
         return lastWriteProgressAt;
@@ -383,7 +356,7 @@
         }
     }
 
-    private static IOException asIoException(Throwable e) {
+    static IOException asIoException(Throwable e) {
         return e instanceof IOException io ? io : new IOException(e);
     }
 }
--- a/transport/src/test/java/dewplank/exchange/HttpCallTest.java
+++ b/transport/src/test/java/dewplank/exchange/HttpCallTest.java
@@ -25,6 +25,8 @@
     private static final double CONNECT_TIMEOUT_MS = 5_000;
     private static final int LONG_BODY_BYTES = 16 << 20;
     private static final int SOCKET_BUFFER_BYTES = 16 << 10;
+    /** More than one read takes, and less than the system buffers. */
+    private static final int SEVERAL_READS_BYTES = 40_000;
 
     private final ManualClock clock = new ManualClock();
     private EventLoop loop;
@@ -484,6 +486,34 @@
         }
     }
 
+    /**
+     * The write of the request receives the reset before all of the response is read. The loop is blocked until both
+     * have arrived.
+     */
+    @Test
+    void anEarlyResponseWithItsLengthIsReadToItsEndAfterAReset() throws Exception {
+        String body = "e".repeat(SEVERAL_READS_BYTES);
+        try (ScriptedServer raw = ScriptedServer.withoutReading()) {
+            RecordingListener listener = new RecordingListener();
+            start(call(raw, longRequest(), listener));
+            TestPeer peer = raw.nextConnection();
+            peer.readHead();
+            OnLoop.run(loop, () -> {
+                peer.respond("413 Content Too Large", "", body);
+                peer.reset();
+            });
+            listener.expect("head 413");
+            StringBuilder received = new StringBuilder();
+            String event = listener.next();
+            while (event.startsWith("body ")) {
+                received.append(event.substring("body ".length()));
+                event = listener.next();
+            }
+            assertEquals("complete", event, received.length() + " bytes");
+            assertEquals(body, received.toString());
+        }
+    }
+
     /** The complete request is in the socket buffers: its connection is reused, and the server reads both in order. */
     @Test
     void aServerThatContinuesToReadAfterAnEarlyResponseReceivesTheBodyAndTheNextRequest() throws Exception {
