Reject answers whose status line holds a control byte

What callers saw: the answer to a status line such as "HTTP/1.1 200 O<NUL>K" or "200 O<0x01>K", as a sound 200. The line itself did not go on.

Cause: ResponseParser let any byte but a line end stand in the reason.

Evidence: MalformedResponseTest feeds 43 malformed answers, whole and byte by byte.

Why it works: the reason is now as RFC 9112, section 4, has it: tabs, blanks, visible characters and bytes above 0x7f.

--- a/transport/src/main/java/dewplank/http/ResponseParser.java
+++ b/transport/src/main/java/dewplank/http/ResponseParser.java
@@ -5,7 +5,9 @@
 
 /** Parses HTTP responses; interim responses (1xx) are skipped. */
 public final class ResponseParser extends MessageParser {
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-9][0-9]{2}( .*)?");
+    /** RFC 9112, section 4: the reason holds no control characters but tabs. */
+    private static final Pattern STATUS_LINE =
+            Pattern.compile("HTTP/1\\.[01] [1-9][0-9]{2}( [\\t\\x20-\\x7e\\x80-\\xff]*)?");
 
     private int status;
     private boolean isHttp10;
