Test that control planes take no malformed or short answer of the platform and model servers

Each of 43 malformed answers fails the fetch of the list; a page without a length that ends at any of its bytes is no list, a whole one is.

--- a/controlplane/src/test/java/dewplank/controlplane/HttpPlatformClientTest.java
+++ b/controlplane/src/test/java/dewplank/controlplane/HttpPlatformClientTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dewplank.exchange.MalformedResponse;
 import dewplank.exchange.OnLoop;
 import dewplank.exchange.ScriptedServer;
 import dewplank.exchange.ScriptedServer.Call;
@@ -15,15 +17,21 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Tests that the platform's list is fetched page by page, within the platform's rate limit. */
 class HttpPlatformClientTest {
     private static final double RATE_LIMIT_PER_S = 4; // the client uses half of it
     private static final double SECOND_MS = 1_000;
 
+    private static final String PAGE_OF_TWO = "{\"instances\":[" + instance(1) + "," + instance(2) + "]}";
+
     private EventLoop loop;
     private ScriptedServer platform;
     private HttpPlatformClient client;
@@ -59,14 +67,17 @@
         return result;
     }
 
+    private static String instance(int number) {
+        return "{\"instance_id\":\"i-" + number + "\",\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+                + "\"zone\":\"z\",\"slot_count\":4,\"state\":\"ready\"}";
+    }
+
     private static void respondWithPage(Call call, int number, String next) throws IOException {
         call.peer()
                 .respond(
                         "200 OK",
                         "",
-                        "{\"instances\":[{\"instance_id\":\"i-" + number + "\",\"service\":\"s\","
-                                + "\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slot_count\":4,"
-                                + "\"state\":\"ready\"}],\"next_token\":"
+                        "{\"instances\":[" + instance(number) + "],\"next_token\":"
                                 + (next == null ? "null" : "\"" + next + "\"") + "}");
     }
 
@@ -120,4 +131,42 @@
         respondWithPage(platform.next(), 7, null);
         assertNull(second.get(TestPeer.TIMEOUT_S, TimeUnit.SECONDS).get(0).stage);
     }
+
+    private static String failureOf(CompletableFuture<List<Endpoint>> servers) {
+        ExecutionException failure =
+                assertThrows(ExecutionException.class, () -> servers.get(TestPeer.TIMEOUT_S, TimeUnit.SECONDS));
+        return failure.getCause().getMessage();
+    }
+
+    @ParameterizedTest
+    @EnumSource(MalformedResponse.class)
+    void aMalformedResponseFailsTheFetch(MalformedResponse malformed) throws Exception {
+        CompletableFuture<List<Endpoint>> servers = fetchInstances();
+        platform.next().peer().send(malformed.withFields(""));
+        assertEquals("MALFORMED", failureOf(servers));
+    }
+
+    private static IntStream lengthsOfParts() {
+        return IntStream.range(0, PAGE_OF_TWO.length());
+    }
+
+    /** A page without a length that ends early must not be taken for a shorter list, wherever it ends. */
+    @ParameterizedTest
+    @MethodSource("lengthsOfParts")
+    void aPartOfAPageFailsTheFetch(int length) throws Exception {
+        CompletableFuture<List<Endpoint>> servers = fetchInstances();
+        TestPeer peer = platform.next().peer();
+        peer.send("HTTP/1.1 200 OK\r\n\r\n" + PAGE_OF_TWO.substring(0, length));
+        peer.close();
+        assertEquals("an answer that can't be read", failureOf(servers));
+    }
+
+    @Test
+    void aPageWithoutALengthIsReadToTheEndOfItsConnection() throws Exception {
+        CompletableFuture<List<Endpoint>> servers = fetchInstances();
+        TestPeer peer = platform.next().peer();
+        peer.send("HTTP/1.1 200 OK\r\n\r\n" + PAGE_OF_TWO);
+        peer.close();
+        assertEquals(2, servers.get(TestPeer.TIMEOUT_S, TimeUnit.SECONDS).size());
+    }
 }
