--- a/emulator/src/test/java/dewplank/emulator/loopback/HttpClientTest.java
+++ b/emulator/src/test/java/dewplank/emulator/loopback/HttpClientTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import dewplank.exchange.ConnectionEnd;
+import dewplank.exchange.MalformedResponse;
 import dewplank.exchange.ScriptedServer;
 import dewplank.exchange.TestPeer;
 import dewplank.http.MessageWriter;
@@ -17,7 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-/** Calls whose responses end with the connection. */
+/** Calls whose responses end with the connection or are malformed. */
 class HttpClientTest {
     /** More than the system buffers for a peer that does not read. */
     private static final int LONG_BODY_BYTES = 16 << 20;
@@ -76,4 +77,15 @@
             assertEquals("part of", body.get(TestPeer.TIMEOUT_S, TimeUnit.SECONDS));
         }
     }
+
+    @ParameterizedTest
+    @EnumSource(MalformedResponse.class)
+    void aMalformedResponseIsNone(MalformedResponse malformed) throws Exception {
+        CompletableFuture<String> body = call(1);
+        try (TestPeer peer = server.nextConnection()) {
+            peer.read();
+            peer.send(malformed.withFields(""));
+            assertEquals("none", body.get(TestPeer.TIMEOUT_S, TimeUnit.SECONDS));
+        }
+    }
 }
