Read control planes' answers with the project's own parser in the operators' client

A long change whose answer ended while it was sent was not failed over for ten seconds.

Cause: ControlClient used java.net.http, which is lenient.

Why it works: HttpExchange reads with ResponseParser, as the programs do, and RequestSender writes on a thread of its own, so that an answer without a length counts only after the request was sent. The package still uses no event loop; ArchitectureTest now lets it use the codecs. Time-outs are as before: one second to connect and for the head (two for long changes), five for the whole answer.

--- a/cli/src/test/java/dewplank/ArchitectureTest.java
+++ b/cli/src/test/java/dewplank/ArchitectureTest.java
@@ -54,6 +54,7 @@
             new Module(
                     "codecs",
                     List.of("dewplank.http.."),
+                    "client",
                     "exchange",
                     "sidecar",
                     "controlplane",
--- a/client/src/main/java/dewplank/client/ControlClient.java
+++ b/client/src/main/java/dewplank/client/ControlClient.java
@@ -2,23 +2,18 @@
 
 import java.io.IOException;
 import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 /**
  * Calls the operators' API of a fleet's control planes, with failover and retries.
  *
- * <p>After an inconclusive attempt (a timeout, a broken connection, or a response with status 5xx, 408 or 429) the
+ * <p>After an inconclusive attempt (a timeout, a broken connection, a malformed
+ * response, or one with status 5xx, 408 or 429) the
  * client sends the same call to the next address. A round ends with the last address; the next round starts after a
  * backoff that doubles each time. Retrying changes is safe because they are idempotent: control planes apply a change
  * once even if they receive it several times.
@@ -63,7 +58,6 @@
     private final int maxRounds;
     private final Duration responseTimeout;
     private final Sleeper sleeper;
-    private final HttpClient http;
 
     /** Creates a client that calls all addresses in at most the given number of rounds. */
     public ControlClient(OperatorApiAddresses addresses, int maxRounds) {
@@ -75,11 +69,6 @@
         this.maxRounds = maxRounds;
         this.responseTimeout = responseTimeout;
         this.sleeper = sleeper;
-        this.http = HttpClient.newBuilder()
-                .version(HttpClient.Version.HTTP_1_1)
-                .followRedirects(HttpClient.Redirect.NEVER)
-                .connectTimeout(responseTimeout)
-                .build();
     }
 
     /**
@@ -136,10 +125,9 @@
             throws InconclusiveException, InterruptedException {
         URI to = URI.create("http://" + address + call.path());
         for (int redirects = 0; redirects <= MAX_REDIRECTS; redirects++) {
-            HttpResponse<byte[]> response = exchange(request(to, call));
-            if (response.statusCode() != TEMPORARY_REDIRECT) {
-                return requireConclusive(
-                        new ControlResponse(to.getRawAuthority(), response.statusCode(), response.body()));
+            HttpExchange.Response response = exchange(to, call);
+            if (response.status() != TEMPORARY_REDIRECT) {
+                return requireConclusive(new ControlResponse(to.getRawAuthority(), response.status(), response.body()));
             }
             to = redirectTarget(to, response);
         }
@@ -153,8 +141,8 @@
         return response;
     }
 
-    private static URI redirectTarget(URI from, HttpResponse<byte[]> response) throws InconclusiveException {
-        String location = response.headers().firstValue("Location").orElse("");
+    private static URI redirectTarget(URI from, HttpExchange.Response response) throws InconclusiveException {
+        String location = Objects.requireNonNullElse(response.headers().get("Location"), "");
         try {
             URI to = from.resolve(location);
             if (!location.isEmpty() && "http".equals(to.getScheme()) && to.getHost() != null) {
@@ -166,48 +154,18 @@
         throw new InconclusiveException("a redirect to '" + location + "'");
     }
 
-    private HttpRequest request(URI to, ControlCall call) {
-        HttpRequest.Builder request = HttpRequest.newBuilder(to)
-                .timeout(
-                        call.body().length > LARGE_BODY_BYTES
-                                ? responseTimeout.multipliedBy(LARGE_BODY_TIMEOUT_FACTOR)
-                                : responseTimeout)
-                .method(
-                        call.method(),
-                        call.body().length == 0 && call.expectedVersion() == null
-                                ? HttpRequest.BodyPublishers.noBody()
-                                : HttpRequest.BodyPublishers.ofByteArray(call.body()));
-        if (call.expectedVersion() != null) {
-            request.header("If-Match", Long.toString(call.expectedVersion()))
-                    .header("Content-Type", "application/json");
-        }
-        return request.build();
-    }
-
-    private HttpResponse<byte[]> exchange(HttpRequest request) throws InconclusiveException, InterruptedException {
-        CompletableFuture<HttpResponse<byte[]>> response =
-                http.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
+    private HttpExchange.Response exchange(URI to, ControlCall call)
+            throws InconclusiveException, InterruptedException {
+        HttpExchange.Timeouts timeouts = new HttpExchange.Timeouts(
+                responseTimeout,
+                call.body().length > LARGE_BODY_BYTES
+                        ? responseTimeout.multipliedBy(LARGE_BODY_TIMEOUT_FACTOR)
+                        : responseTimeout,
+                responseTimeout.multipliedBy(COMPLETE_RESPONSE_TIMEOUT_FACTOR));
         try {
-            return response.get(
-                    responseTimeout
-                            .multipliedBy(COMPLETE_RESPONSE_TIMEOUT_FACTOR)
-                            .toMillis(),
-                    TimeUnit.MILLISECONDS);
-        } catch (TimeoutException e) {
-            response.cancel(true);
-            throw new InconclusiveException("the response was not complete in time");
-        } catch (ExecutionException e) {
-            throw new InconclusiveException(describe(e.getCause()));
-        }
-    }
-
-    private static String describe(Throwable cause) {
-        if (cause instanceof java.net.http.HttpTimeoutException) {
-            return "no response in time";
-        }
-        if (cause instanceof java.net.ConnectException) {
-            return "no connection";
+            return new HttpExchange(to, call, timeouts).run();
+        } catch (IOException e) {
+            throw new InconclusiveException(e.getMessage());
         }
-        return cause instanceof IOException && cause.getMessage() != null ? cause.getMessage() : cause.toString();
     }
 }
