--- a/client/src/test/java/dewplank/client/BrokenResponseTest.java
+++ b/client/src/test/java/dewplank/client/BrokenResponseTest.java
@@ -13,8 +13,6 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -78,15 +76,8 @@
         assertEquals(SOUND, await(body));
     }
 
-    private static Stream<String> partsOfResponses() {
-        return Stream.of(
-                        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
-                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
-                .flatMap(whole -> IntStream.range(0, whole.length()).mapToObj(length -> whole.substring(0, length)));
-    }
-
     @ParameterizedTest
-    @MethodSource("partsOfResponses")
+    @MethodSource("dewplank.exchange.PartialResponses#all")
     void aPartOfAResponseIsInconclusive(String part) throws Exception {
         CompletableFuture<String> body = call(first, ControlCall.get("/status"));
         TestPeer peer = first.next().peer();
--- a/dataplane/src/test/java/dewplank/dataplane/BrokenResponseTest.java
+++ b/dataplane/src/test/java/dewplank/dataplane/BrokenResponseTest.java
@@ -13,18 +13,17 @@
 
 import dewplank.exchange.ConnectionEnd;
 import dewplank.exchange.MalformedResponse;
+import dewplank.exchange.PartialResponses;
 import dewplank.exchange.ScriptedServer;
 import dewplank.exchange.ScriptedServer.Call;
 import dewplank.exchange.TestPeer;
 import java.io.IOException;
 import java.util.List;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -165,20 +164,19 @@
 
     // ---- responses that end early ---------------------------------------------------------------------
 
-    /** A response that is cut at each byte; the last part lacks one byte. */
-    private static Stream<Arguments> partsOfResponses() {
-        return Stream.of("Content-Length: 5\r\n\r\nwhole", "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
-                .flatMap(rest ->
-                        IntStream.range(0, rest.length()).mapToObj(length -> Arguments.of(rest.substring(0, length))));
+    private static IntStream partsOfResponses() {
+        return IntStream.range(0, (int) PartialResponses.all().count());
     }
 
     @ParameterizedTest
     @MethodSource("partsOfResponses")
-    void aPartOfAResponseIsNotRelayed(String part) throws Exception {
+    void aPartOfAResponseIsNotRelayed(int part) throws Exception {
         fixture.servers.plain();
         TestPeer client = fixture.sendRequest("/once/");
         Call call = fixture.nextCall();
-        call.peer().send("HTTP/1.1 200 OK\r\n" + ServerResponses.idOf(call) + ServerResponses.SEAL + part);
+        List<String> parts = PartialResponses.withFields(ServerResponses.idOf(call) + ServerResponses.SEAL)
+                .toList();
+        call.peer().send(parts.get(part));
         call.peer().close();
         assertEquals(502, client.read().status());
         fixture.assertNoOpenRequests();
--- a/sidecar/src/test/java/dewplank/sidecar/BrokenResponseTest.java
+++ b/sidecar/src/test/java/dewplank/sidecar/BrokenResponseTest.java
@@ -6,8 +6,6 @@
 import dewplank.exchange.MalformedResponse;
 import dewplank.sidecar.LoopbackNetwork.Client;
 import dewplank.sidecar.LoopbackNetwork.ReceivedRequest;
-import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -37,15 +35,8 @@
         }
     }
 
-    private static Stream<String> partsOfResponses() {
-        return Stream.of(
-                        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
-                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
-                .flatMap(whole -> IntStream.range(0, whole.length()).mapToObj(length -> whole.substring(0, length)));
-    }
-
     @ParameterizedTest
-    @MethodSource("partsOfResponses")
+    @MethodSource("dewplank.exchange.PartialResponses#all")
     void aPartOfAResponseToAnOrderIsNotRelayed(String part) throws Exception {
         try (LoopbackNetwork net = new LoopbackNetwork(1)) {
             Client client = net.client();
